Serve requests and batch jobs through separate processes

The first whole path: a caller asks an entry host, which keeps one result for each idempotency key in ledgers over the platform's conditional updates and routes to engines and plain services; batch jobs run in chunks.

Seen: 12 tests over three daemons, stand-ins and the tool as processes pass.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+SOURCES := src tests bench
+
+.PHONY: test demo lint format bench clean
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q --disable-pip-version-check \
+	    -c constraints.txt -e '.[test,bench]'
+	touch $(STAMP)
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+	$(VENV)/bin/mypy src/persimmonpass/policy
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+test: lint
+	$(PYTHON) -m tests.run
+
+demo: $(STAMP)
+	$(VENV)/bin/persimmonpass demo
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/persimmonpass/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP routes for callers and operators."""
--- /dev/null
+++ b/src/persimmonpass/api/caller.py
@@ -0,0 +1,572 @@
+"""Routes for callers: requests, jobs and entry answers."""
+
+import collections.abc
+import contextlib
+import hashlib
+import json
+import math
+import random
+import typing
+import uuid
+
+import anyio
+import msgspec
+import result
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+from starlette import types
+
+from persimmonpass.api import answers
+from persimmonpass import auth
+from persimmonpass import blackboard
+from persimmonpass.controllers import config
+from persimmonpass.controllers import keys as key_controller
+from persimmonpass.controllers import online
+from persimmonpass import events
+from persimmonpass import jobs
+from persimmonpass import keys
+from persimmonpass import metrics
+from persimmonpass import objects
+from persimmonpass.policy import entry
+from persimmonpass import store
+from persimmonpass.targets import service
+from persimmonpass import tracing
+from persimmonpass import verdicts
+
+KEY_HEADER = 'idempotency-key'
+DEADLINE_HEADER = 'persimmonpass-deadline-seconds'
+MAX_KEY_LENGTH = 200
+DEFAULT_DUE_SECONDS = 86_400.0
+NDJSON = 'application/x-ndjson'
+METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+
+
+class CompletionBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /v1/completions``.
+
+    :ivar model: model that a service offers, or the name of a service
+    """
+
+    model: str
+    prompt: str
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 64
+    stream: bool = False
+
+
+class CallerPorts(typing.NamedTuple):
+    """What the caller API works with.
+
+    :ivar entry_ttl_seconds: how long callers may keep an entry answer
+    :ivar enter: context that counts a request in progress
+    """
+
+    board: blackboard.Blackboard
+    online: online.Online
+    key_calls: key_controller.Keys
+    store: store.StorePort
+    counters: metrics.Metrics
+    spans: tracing.Tracing
+    entry_ttl_seconds: float
+    enter: collections.abc.Callable[
+        [], contextlib.AbstractContextManager[None]
+    ]
+
+
+def make_app(ports: CallerPorts) -> applications.Starlette:
+    """Make the application that callers talk to."""
+
+    async def complete(request: requests.Request) -> responses.Response:
+        checked = await _check_completion(ports, request)
+        if isinstance(checked, result.Err):
+            return answers.fail(checked.err_value)
+        completion, stream = checked.ok_value
+        return _CompletionResponse(ports, completion, stream)
+
+    async def call_service(request: requests.Request) -> responses.Response:
+        checked = await _check_call(ports, request)
+        if isinstance(checked, result.Err):
+            return answers.fail(checked.err_value)
+        name, call = checked.ok_value
+        with ports.enter(), anyio.CancelScope(shield=True):
+            outcome = await ports.online.call(name, call)
+        if isinstance(outcome, result.Err):
+            return answers.fail(outcome.err_value)
+        return _finished(name, outcome.ok_value)
+
+    async def show_request(request: requests.Request) -> responses.Response:
+        account = auth.find_account(ports.board, request.headers)
+        if isinstance(account, result.Err):
+            return answers.fail(account.err_value)
+        name = key_controller.KeyName(
+            account.ok_value.name, request.path_params['key']
+        )
+        found = await ports.key_calls.look_up(name)
+        if isinstance(found, result.Err):
+            return answers.fail(found.err_value)
+        return _show_state(name, found.ok_value)
+
+    async def show_entry(request: requests.Request) -> responses.Response:
+        zone = request.query_params.get('availability_zone', '')
+        hosts = [
+            entry.EntryHost(
+                member.host,
+                member.caller_address,
+                member.availability_zone,
+                member.load,
+            )
+            for member in ports.board.members.rows()
+            if member.state == 'alive'
+        ]
+        addresses = entry.order(hosts, zone, random.random)
+        return responses.JSONResponse(
+            {
+                'addresses': addresses,
+                'ttl_seconds': ports.entry_ttl_seconds,
+            }
+        )
+
+    routes = [
+        routing.Route('/v1/completions', complete, methods=['POST']),
+        routing.Route(
+            '/v1/services/{service}/{path:path}',
+            call_service,
+            methods=METHODS,
+        ),
+        routing.Route('/v1/requests/{key}', show_request),
+        routing.Route('/v1/entry', show_entry),
+        *_job_routes(ports),
+    ]
+    return applications.Starlette(routes=routes)
+
+
+def _job_routes(ports: CallerPorts) -> list[routing.Route]:
+    """Make the routes for batch jobs."""
+
+    async def submit(request: requests.Request) -> responses.Response:
+        key = _job_key(ports, request)
+        if isinstance(key, result.Err):
+            return answers.fail(key.err_value)
+        name = request.query_params.get('service', '')
+        if _find_service(ports.board, name) is None:
+            return answers.fail(
+                verdicts.invalid('service', f'{name!r} is unknown')
+            )
+        due = _read_seconds(
+            request.query_params.get('due_seconds'), DEFAULT_DUE_SECONDS
+        )
+        if isinstance(due, result.Err):
+            return answers.fail(verdicts.invalid('due_seconds', due.err_value))
+        with ports.enter():
+            accepted = await jobs.submit(
+                ports.store,
+                key.ok_value,
+                name,
+                due.ok_value,
+                answers.read_lines(request),
+            )
+        if isinstance(accepted, result.Err):
+            return answers.fail(accepted.err_value)
+        job = accepted.ok_value
+        return responses.JSONResponse(
+            {'job': job.job, 'items': job.items, 'state': job.state}, 202
+        )
+
+    async def find(
+        request: requests.Request,
+    ) -> result.Result[jobs.Job, verdicts.Failure]:
+        key = _job_key(ports, request)
+        if isinstance(key, result.Err):
+            return key
+        found = await ports.store.get(jobs.head_key(key.ok_value))
+        if isinstance(found, result.Err):
+            return found
+        return result.Ok(jobs.decode(found.ok_value))
+
+    async def show(request: requests.Request) -> responses.Response:
+        found = await find(request)
+        if isinstance(found, result.Err):
+            return answers.fail(found.err_value)
+        job = found.ok_value
+        counts = {jobs.ITEM_DONE: 0, jobs.ITEM_FAILED: 0}
+        async for row in jobs.read_results(ports.store, job):
+            if isinstance(row, result.Err):
+                return answers.fail(row.err_value)
+            item_result = row.ok_value[1]
+            if item_result is not None:
+                counts[item_result.status] += 1
+        return responses.JSONResponse(
+            {
+                'job': job.job,
+                'service': job.service,
+                'state': _job_state(job, sum(counts.values())),
+                'items': job.items,
+                **counts,
+            }
+        )
+
+    async def cancel(request: requests.Request) -> responses.Response:
+        key = _job_key(ports, request)
+        if isinstance(key, result.Err):
+            return answers.fail(key.err_value)
+        cancelled = await jobs.cancel(ports.store, key.ok_value)
+        if isinstance(cancelled, result.Err):
+            return answers.fail(cancelled.err_value)
+        return responses.JSONResponse(
+            {'job': cancelled.ok_value.job, 'state': jobs.CANCELLED}
+        )
+
+    async def read(request: requests.Request) -> responses.Response:
+        found = await find(request)
+        if isinstance(found, result.Err):
+            return answers.fail(found.err_value)
+        return responses.StreamingResponse(
+            _result_lines(ports.store, found.ok_value), media_type=NDJSON
+        )
+
+    path = '/v1/jobs/{job}'
+    return [
+        routing.Route(path, submit, methods=['PUT']),
+        routing.Route(path, show),
+        routing.Route(f'{path}/cancel', cancel, methods=['POST']),
+        routing.Route(f'{path}/results', read),
+    ]
+
+
+class _CompletionResponse(responses.Response):
+    """Runs a completion while it is answered.
+
+    A caller that hangs up cancels the completion, which frees its target.
+    """
+
+    def __init__(
+        self,
+        ports: CallerPorts,
+        completion: online.CompletionRequest,
+        stream: bool,
+    ) -> None:
+        super().__init__()
+        self._ports = ports
+        self._completion = completion
+        self._stream = stream
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Answer the request."""
+        with self._ports.enter():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_cancel_on_hang_up, receive, tasks)
+                answer = await self._run(send)
+                if answer is not None:
+                    await answer(scope, receive, send)
+                tasks.cancel_scope.cancel()
+
+    async def _run(self, send: types.Send) -> responses.Response | None:
+        """Return the answer, or ``None`` if it was streamed."""
+        started = anyio.current_time()
+        request = self._completion.online
+        begun = False
+        updates = self._ports.online.complete(self._completion)
+        async with contextlib.aclosing(updates):
+            async for update in updates:
+                if isinstance(update, result.Err):
+                    self._count(update.err_value.status)
+                    if not begun:
+                        return answers.fail(update.err_value)
+                    await _send_event(
+                        send, dict(verdicts.to_body(update.err_value))
+                    )
+                    continue
+                value = update.ok_value
+                if isinstance(value, online.Finished):
+                    self._count(value.answer.status)
+                    if not self._stream:
+                        return _finished(request, value)
+                    if not begun:
+                        await _start_events(send, request)
+                        begun = True
+                        await _send_event(send, _whole_event(request, value))
+                    await _send_event(send, _final_event(request, value))
+                    continue
+                if not begun:
+                    waited = anyio.current_time() - started
+                    self._ports.counters.first_token.labels(
+                        request.service
+                    ).observe(waited)
+                    if self._stream:
+                        await _start_events(send, request)
+                    begun = self._stream
+                if self._stream:
+                    await _send_event(send, _piece_event(request, value.text))
+        await _end_events(send)
+        return None
+
+    def _count(self, status: int) -> None:
+        service_name = self._completion.online.service
+        self._ports.counters.requests.labels(service_name, status).inc()
+
+
+async def _cancel_on_hang_up(
+    receive: types.Receive, tasks: anyio.abc.TaskGroup
+) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+    tasks.cancel_scope.cancel()
+
+
+async def _start_events(
+    send: types.Send, request: online.OnlineRequest
+) -> None:
+    headers = [
+        (b'content-type', b'text/event-stream'),
+        (answers.REQUEST_HEADER.lower().encode(), request.name.key.encode()),
+    ]
+    await send(
+        {'type': 'http.response.start', 'status': 200, 'headers': headers}
+    )
+
+
+async def _send_event(send: types.Send, body: dict[str, typing.Any]) -> None:
+    data = b'data: ' + msgspec.json.encode(body) + b'\n\n'
+    await send({'type': 'http.response.body', 'body': data, 'more_body': True})
+
+
+async def _end_events(send: types.Send) -> None:
+    await send({'type': 'http.response.body', 'body': b'data: [DONE]\n\n'})
+
+
+def _piece_event(
+    request: online.OnlineRequest, text: str
+) -> dict[str, typing.Any]:
+    choice = {'index': 0, 'text': text, 'finish_reason': None}
+    return {'id': request.name.key, 'choices': [choice]}
+
+
+def _whole_event(
+    request: online.OnlineRequest, finished: online.Finished
+) -> dict[str, typing.Any]:
+    body = json.loads(finished.answer.body)
+    return _piece_event(request, body['choices'][0]['text'])
+
+
+def _final_event(
+    request: online.OnlineRequest, finished: online.Finished
+) -> dict[str, typing.Any]:
+    choice = {'index': 0, 'text': '', 'finish_reason': 'length'}
+    return {
+        'id': request.name.key,
+        'choices': [choice],
+        'recorded': finished.recorded,
+    }
+
+
+def _finished(
+    request: online.OnlineRequest, finished: online.Finished
+) -> responses.Response:
+    answer = finished.answer
+    headers = {
+        answers.REQUEST_HEADER: request.name.key,
+        answers.RECORDED_HEADER: str(finished.recorded).lower(),
+        answers.VERDICT_HEADER: verdicts.Verdict.RAN.value,
+    }
+    return responses.Response(
+        answer.body, answer.status, headers, answer.content_type or None
+    )
+
+
+async def _check_completion(
+    ports: CallerPorts, request: requests.Request
+) -> result.Result[tuple[online.CompletionRequest, bool], verdicts.Failure]:
+    account = auth.find_account(ports.board, request.headers)
+    if isinstance(account, result.Err):
+        return account
+    raw = await answers.read_body(request)
+    if isinstance(raw, result.Err):
+        return raw
+    try:
+        body = msgspec.json.decode(raw.ok_value, type=CompletionBody)
+    except msgspec.ValidationError as error:
+        return result.Err(objects.invalid_field('', error))
+    except msgspec.DecodeError as error:
+        return result.Err(verdicts.invalid('body', f'broken JSON: {error}'))
+    found = _find_service(ports.board, body.model)
+    if found is None or found.spec.type != 'engine':
+        return result.Err(
+            verdicts.invalid('model', f'no service offers {body.model!r}', 404)
+        )
+    checked = _make_online(
+        account.ok_value, request, found, raw.ok_value, uuid.uuid4().hex
+    )
+    return checked.map(
+        lambda made: (
+            online.CompletionRequest(made, body.prompt, body.max_tokens),
+            body.stream,
+        )
+    )
+
+
+async def _check_call(
+    ports: CallerPorts, request: requests.Request
+) -> result.Result[
+    tuple[online.OnlineRequest, service.ServiceCall], verdicts.Failure
+]:
+    account = auth.find_account(ports.board, request.headers)
+    if isinstance(account, result.Err):
+        return account
+    name = request.path_params['service']
+    found = _find_service(ports.board, name)
+    if found is None or found.spec.type != 'plain':
+        return result.Err(
+            verdicts.invalid('service', f'{name!r} is unknown', 404)
+        )
+    raw = await answers.read_body(request)
+    if isinstance(raw, result.Err):
+        return raw
+    path = '/' + request.path_params['path']
+    if request.url.query:
+        path = f'{path}?{request.url.query}'
+    call = service.ServiceCall(
+        request.method, path, dict(request.headers), raw.ok_value
+    )
+    once = online.is_non_idempotent(found.spec, call)
+    if once and KEY_HEADER not in request.headers:
+        return result.Err(
+            verdicts.invalid(
+                'Idempotency-Key', 'this call may run only once and needs one'
+            )
+        )
+    content = f'{request.method} {path}\n'.encode() + raw.ok_value
+    checked = _make_online(
+        account.ok_value, request, found, content, uuid.uuid4().hex
+    )
+    return checked.map(lambda made: (made, call))
+
+
+class _Service(typing.NamedTuple):
+    name: str
+    spec: objects.ServiceSpec
+
+
+def _find_service(board: blackboard.Blackboard, name: str) -> _Service | None:
+    """Return the service with a name, or the first that offers a model."""
+    item = board.objects.get(objects.Key('service', name))
+    if item is not None and not item.deleted:
+        return _Service(name, typing.cast(objects.ServiceSpec, item.spec))
+    for other in config.live_objects(board, 'service'):
+        spec = typing.cast(objects.ServiceSpec, other.spec)
+        if spec.model == name:
+            return _Service(other.name, spec)
+    return None
+
+
+def _make_online(
+    account: auth.Account,
+    request: requests.Request,
+    found: _Service,
+    content: bytes,
+    new_key: str,
+) -> result.Result[online.OnlineRequest, verdicts.Failure]:
+    key = request.headers.get(KEY_HEADER, new_key)
+    if not 0 < len(key) <= MAX_KEY_LENGTH:
+        return result.Err(
+            verdicts.invalid(
+                'Idempotency-Key', f'needs 1 to {MAX_KEY_LENGTH} characters'
+            )
+        )
+    limit = _read_seconds(
+        request.headers.get(DEADLINE_HEADER), found.spec.deadline_seconds
+    )
+    if isinstance(limit, result.Err):
+        return result.Err(verdicts.invalid(DEADLINE_HEADER, limit.err_value))
+    return result.Ok(
+        online.OnlineRequest(
+            key_controller.KeyName(account.name, key),
+            hashlib.sha256(content).hexdigest(),
+            found.name,
+            found.spec,
+            min(limit.ok_value, found.spec.deadline_seconds),
+            dict(request.headers),
+        )
+    )
+
+
+def _read_seconds(
+    text: str | None, default: float
+) -> result.Result[float, str]:
+    if text is None:
+        return result.Ok(default)
+    try:
+        seconds = float(text)
+    except ValueError:
+        return result.Err(f'{text!r} is not a number of seconds')
+    if not 0 < seconds < math.inf:
+        return result.Err('must be more than 0 seconds')
+    return result.Ok(seconds)
+
+
+def _job_key(
+    ports: CallerPorts, request: requests.Request
+) -> result.Result[jobs.JobKey, verdicts.Failure]:
+    account = auth.find_account(ports.board, request.headers)
+    if isinstance(account, result.Err):
+        return account
+    return result.Ok(
+        jobs.JobKey(account.ok_value.name, request.path_params['job'])
+    )
+
+
+def _job_state(job: jobs.Job, finished: int) -> str:
+    if finished == job.items:
+        return 'finished'
+    return job.state
+
+
+def _show_state(
+    name: key_controller.KeyName, begun: keys.Begun
+) -> responses.Response:
+    answer = begun['answer']
+    if answer is not None:
+        answer = keys.Answer(*answer)
+        return responses.Response(
+            answer.body,
+            answer.status,
+            {answers.REQUEST_HEADER: name.key},
+            answer.content_type or None,
+        )
+    if begun['state'] == keys.RELEASED:
+        return answers.fail(
+            verdicts.Failure(
+                verdicts.Verdict.NOT_RUN,
+                events.REQUEST_INVALID,
+                f'no request {name.key!r} is known',
+                404,
+            )
+        )
+    return responses.JSONResponse(
+        {
+            'id': name.key,
+            'state': begun['state'],
+            'verdict': verdicts.Verdict.MAY_HAVE_RUN.value,
+        },
+        202,
+    )
+
+
+async def _result_lines(
+    port: store.StorePort, job: jobs.Job
+) -> collections.abc.AsyncGenerator[bytes, None]:
+    async for row in jobs.read_results(port, job):
+        if isinstance(row, result.Err):
+            body = dict(verdicts.to_body(row.err_value))
+            yield msgspec.json.encode(body) + b'\n'
+            return
+        item, item_result = row.ok_value
+        if item_result is None:
+            status = 'waiting'
+            if job.state == jobs.CANCELLED:
+                status = jobs.CANCELLED
+            item_result = jobs.ItemResult(status, '', 0)
+        line = {'id': item.id, **item_result._asdict()}
+        yield msgspec.json.encode(line) + b'\n'
--- /dev/null
+++ b/src/persimmonpass/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the daemon and of the operators' tool."""
--- /dev/null
+++ b/src/persimmonpass/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Closures that read the blackboard, decide with policy and act."""
--- /dev/null
+++ b/src/persimmonpass/daemon.py
@@ -0,0 +1,346 @@
+"""Puts one daemon together and runs it."""
+
+import collections.abc
+import contextlib
+import socket
+import time
+import typing
+
+import anyio
+import anyio.abc
+import httpx
+import hypercorn.asyncio
+import hypercorn.config
+from starlette import types
+
+from persimmonpass.api import caller
+from persimmonpass.api import operator
+from persimmonpass import blackboard
+from persimmonpass import budget
+from persimmonpass.controllers import batch
+from persimmonpass.controllers import config
+from persimmonpass.controllers import keys as key_controller
+from persimmonpass.controllers import membership
+from persimmonpass.controllers import online
+from persimmonpass.controllers import targets
+from persimmonpass import events
+from persimmonpass import keys
+from persimmonpass import metrics
+from persimmonpass.peers import link
+from persimmonpass import sends
+from persimmonpass import settings
+from persimmonpass import store
+from persimmonpass.targets import engine
+from persimmonpass.targets import service
+from persimmonpass import tracing
+
+BACKLOG = 1024
+MAX_CONNECTIONS = 10_000
+RESTART_SECONDS = 0.5
+POLL_SECONDS = 0.05
+STOP_SECONDS = 1.0
+
+
+class Addresses(typing.NamedTuple):
+    """Where a running daemon listens, each as ``ip:port``."""
+
+    caller: str
+    peer: str
+    operator: str
+
+
+class Daemon:
+    """One daemon.
+
+    :ivar addresses: set once :meth:`run` has started
+    """
+
+    def __init__(self, options: settings.Settings) -> None:
+        self._options = options
+        self._in_progress = 0
+        self._draining = anyio.Event()
+        self._stopped = anyio.Event()
+        self._hurry = anyio.CancelScope()
+        self._sockets = [
+            listen(options.listen),
+            listen(options.peer_listen),
+            listen(options.operator_listen),
+        ]
+        self.addresses = Addresses(*(map(address_of, self._sockets)))
+        self.board = blackboard.Blackboard()
+        self.counters = metrics.Metrics()
+        self.spans = tracing.Tracing(options.host, options.trace)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host has a configuration and is not leaving."""
+        return self._config.ready.is_set() and not self._draining.is_set()
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether this host is leaving."""
+        return self._draining.is_set()
+
+    def drain(self) -> None:
+        """Leave the entry answers, finish what is in progress and stop."""
+        self._draining.set()
+
+    def stop(self) -> None:
+        """End a drain at once, whatever is in progress."""
+        self._draining.set()
+        self._hurry.cancel()
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[Addresses] = (
+            anyio.TASK_STATUS_IGNORED
+        ),
+    ) -> None:
+        """Serve until a drain has ended."""
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+        )
+        async with (
+            httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            anyio.create_task_group() as tasks,
+        ):
+            self._build(client)
+            await tasks.start(self._peers.serve, self._sockets[1])
+            for job in self._jobs():
+                tasks.start_soon(keep_running, job, self._options.host)
+            tasks.start_soon(self._serve, self._caller_app(), 0)
+            tasks.start_soon(self._serve, self._operator_app(), 2)
+            events.log(
+                events.DAEMON_STARTED,
+                host=self._options.host,
+                **self.addresses._asdict(),
+            )
+            task_status.started(self.addresses)
+            tasks.start_soon(self._announce_ready)
+            await self._draining.wait()
+            await self._finish()
+            self._stopped.set()
+            await anyio.sleep(POLL_SECONDS)
+            tasks.cancel_scope.cancel()
+        self.spans.shut_down()
+
+    def _build(self, client: httpx.AsyncClient) -> None:
+        """Make the ports and the controllers."""
+        options = self._options
+        handlers: dict[str, typing.Any] = {}
+        incarnation = time.time_ns()
+        self._calls = budget.Budget(options.store_rate)
+        self._store = store.connect(client, options.store_url, self._calls)
+        self._engines = engine.connect(client)
+        self._services = service.connect(client)
+        self._sent = sends.Sends()
+        self._peers = link.Peers(
+            link.Identity(options.host, incarnation, options.peer_secret),
+            handlers,
+        )
+        me = blackboard.Member(
+            options.host,
+            incarnation,
+            options.availability_zone,
+            self.addresses.caller,
+            self.addresses.peer,
+            has_disk=bool(options.data_dir),
+        )
+        self._membership = membership.Membership(
+            me, self.board, self._store, self._peers, self._calls
+        )
+        self._config = config.Config(
+            options.host, self.board, self._store, self._peers.port
+        )
+        self._targets = targets.Targets(
+            options.host,
+            self.board,
+            targets.connect_list(client, options.store_url, self._calls),
+            self._engines,
+            self._peers.port,
+        )
+        self._keys = key_controller.Keys(
+            options.host,
+            keys.KeyShards(self._store, options.host),
+            self._peers.port,
+            self._membership.live_hosts,
+            options.key_shards,
+        )
+        self._batch = batch.Batch(
+            options.host,
+            self.board,
+            self._store,
+            self._engines,
+            self._sent,
+            self.counters,
+            self._membership.live_hosts,
+        )
+        handlers |= self._membership.handlers
+        handlers |= self._config.handlers
+        handlers |= self._targets.handlers
+        handlers |= self._keys.handlers
+
+    def _jobs(
+        self,
+    ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
+        return [
+            self._membership.run,
+            self._config.run,
+            self._targets.run,
+            self._batch.run,
+            self._follow_members,
+        ]
+
+    def _caller_app(self) -> types.ASGIApp:
+        return caller.make_app(
+            caller.CallerPorts(
+                self.board,
+                online.Online(
+                    self.board,
+                    self._keys,
+                    self._engines,
+                    self._services,
+                    self._sent,
+                    self.counters,
+                    self.spans,
+                    self._options.availability_zone,
+                ),
+                self._keys,
+                self._store,
+                self.counters,
+                self.spans,
+                self._options.entry_ttl_seconds,
+                self._enter,
+            )
+        )
+
+    def _operator_app(self) -> types.ASGIApp:
+        return operator.make_app(
+            operator.OperatorPorts(
+                self.board,
+                self._config,
+                self._store,
+                self.counters,
+                self._options.admin_token_sha256,
+                self.drain,
+                lambda: self.is_ready,
+                self._options.host,
+            )
+        )
+
+    @contextlib.contextmanager
+    def _enter(self) -> collections.abc.Iterator[None]:
+        """Count a request in progress."""
+        self._in_progress += 1
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+
+    async def _announce_ready(self) -> None:
+        await self._config.ready.wait()
+        events.log(events.DAEMON_READY, host=self._options.host)
+
+    async def _follow_members(self) -> None:
+        version = 0
+        while True:
+            version = await self.board.members.wait(version)
+            self._keys.drop_others()
+
+    async def _finish(self) -> None:
+        """Wait until no caller comes any more and nothing is in progress."""
+        host = self._options.host
+        events.log(events.DRAIN_STARTED, host=host)
+        self._membership.leave()
+        unconfirmed: set[str] = set()
+        with self._hurry as scope:
+            scope.deadline = anyio.current_time() + self._options.drain_seconds
+            unconfirmed = await self._confirm()
+            await anyio.sleep(self._options.entry_ttl_seconds)
+            while self._in_progress:
+                await anyio.sleep(POLL_SECONDS)
+        if scope.cancelled_caught or unconfirmed:
+            events.log(
+                events.DRAIN_UNCONFIRMED,
+                host=host,
+                peers=sorted(unconfirmed),
+                in_progress=self._in_progress,
+            )
+        events.log(events.DRAIN_FINISHED, host=host)
+
+    async def _confirm(self) -> set[str]:
+        """Ask each live peer to confirm that this host is leaving."""
+        waiting = set(self._membership.live_hosts())
+        waiting.discard(self._options.host)
+        while waiting:
+            for host in sorted(waiting):
+                if await self._membership.confirm_leaving(host):
+                    waiting.discard(host)
+            waiting &= set(self._membership.live_hosts())
+            await anyio.sleep(POLL_SECONDS)
+        return waiting
+
+    async def _serve(self, app: types.ASGIApp, index: int) -> None:
+        await serve_http(app, self._sockets[index], self._stopped)
+
+
+async def serve_http(
+    app: types.ASGIApp, listener: socket.socket, stopped: anyio.Event
+) -> None:
+    """Serve an application on a bound socket until an event is set.
+
+    :param listener: given up to the server, which closes it
+    """
+    options = hypercorn.config.Config()
+    options.bind = [f'fd://{listener.detach()}']
+    options.accesslog = None
+    options.errorlog = None
+    options.graceful_timeout = STOP_SECONDS
+    options.shutdown_timeout = STOP_SECONDS
+    options.backlog = BACKLOG
+    await hypercorn.asyncio.serve(
+        app, options, shutdown_trigger=stopped.wait, mode='asgi'
+    )
+
+
+async def keep_running(
+    job: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    host: str,
+) -> None:
+    """Run a controller and start it again if it raises."""
+    while True:
+        try:
+            await job()
+        except Exception as error:
+            events.log(
+                events.TASK_FAILED,
+                host=host,
+                task=getattr(job, '__qualname__', repr(job)),
+                message=repr(error),
+            )
+        await anyio.sleep(RESTART_SECONDS)
+
+
+def listen(address: str) -> socket.socket:
+    """Bind a listening socket.
+
+    :param address: ``ip:port``; port 0 takes a free one
+    :raises OSError: if the address is taken or not this machine's
+    """
+    ip, _, port = address.rpartition(':')
+    ip = ip.strip('[]')
+    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, int(port)))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def address_of(listener: socket.socket) -> str:
+    """Return ``ip:port`` of a bound socket."""
+    ip, port = listener.getsockname()[:2]
+    return f'[{ip}]:{port}' if ':' in ip else f'{ip}:{port}'
--- /dev/null
+++ b/src/persimmonpass/events.py
@@ -0,0 +1,289 @@
+"""Numbered events; docs/events.md is their catalogue.
+
+Numbers are grouped by hundreds: 1xx the process, 2xx the object store, 3xx
+peers and membership, 4xx configuration and targets, 5xx online requests, 6xx
+batch jobs, 7xx operators.
+"""
+
+import enum
+import typing
+
+import eliot
+
+
+class Level(enum.Enum):
+    """How much an operator should care."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+class Event(typing.NamedTuple):
+    """One kind of log message.
+
+    :ivar number: stable number, never reused
+    :ivar name: what happened, in snake case
+    :ivar level: how much an operator should care
+    :ivar meaning: what the event means and what to do
+    """
+
+    number: int
+    name: str
+    level: Level
+    meaning: str
+
+
+DAEMON_STARTED = Event(
+    101, 'daemon_started', Level.INFO, 'The daemon listens on its addresses.'
+)
+DAEMON_READY = Event(
+    102,
+    'daemon_ready',
+    Level.INFO,
+    'The daemon has a configuration and takes requests.',
+)
+DRAIN_STARTED = Event(
+    103, 'drain_started', Level.INFO, 'The daemon leaves the entry answers.'
+)
+DRAIN_FINISHED = Event(
+    104,
+    'drain_finished',
+    Level.INFO,
+    'Nothing is in progress any more; the daemon stops.',
+)
+DRAIN_UNCONFIRMED = Event(
+    105,
+    'drain_unconfirmed',
+    Level.WARNING,
+    'The drain ended at its time limit; the named peers did not confirm.',
+)
+TASK_FAILED = Event(
+    106,
+    'task_failed',
+    Level.ERROR,
+    'A background task raised an exception and is started again.',
+)
+STORE_UNAVAILABLE = Event(
+    201,
+    'store_unavailable',
+    Level.WARNING,
+    'The object store did not answer; the operation had no effect.',
+)
+STORE_OUTCOME_UNKNOWN = Event(
+    202,
+    'store_outcome_unknown',
+    Level.WARNING,
+    'The answer to a write was lost; it is read back to settle it.',
+)
+STORE_CONFLICT = Event(
+    203,
+    'store_conflict',
+    Level.INFO,
+    'Another writer changed the object first; nothing was written.',
+)
+STORE_NOT_FOUND = Event(
+    204, 'store_not_found', Level.INFO, 'The object does not exist.'
+)
+STORE_BUDGET_EXHAUSTED = Event(
+    205,
+    'store_budget_exhausted',
+    Level.WARNING,
+    "The host's share of the store's rate is used up.",
+)
+LEDGER_OPENED = Event(
+    211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
+)
+LEDGER_LOST = Event(
+    212,
+    'ledger_lost',
+    Level.WARNING,
+    'Another host raised the epoch of a ledger; this one dropped its state.',
+)
+PEER_CONNECTED = Event(
+    301, 'peer_connected', Level.INFO, 'A link to a peer is up.'
+)
+PEER_DISCONNECTED = Event(
+    302, 'peer_disconnected', Level.INFO, 'A link to a peer is down.'
+)
+PEER_UNREACHABLE = Event(
+    303,
+    'peer_unreachable',
+    Level.WARNING,
+    'A call to a peer got no answer in time.',
+)
+PEER_REJECTED = Event(
+    304,
+    'peer_rejected',
+    Level.WARNING,
+    'A link was refused: the shared secret did not match.',
+)
+MEMBER_CHANGED = Event(
+    311, 'member_changed', Level.INFO, "A host's state in the fleet changed."
+)
+CONFIG_APPLIED = Event(
+    401,
+    'config_applied',
+    Level.INFO,
+    'A version of a configuration object is in force on this host.',
+)
+TARGET_LEAVING = Event(
+    411, 'target_leaving', Level.INFO, 'A target gets no more work.'
+)
+TARGET_SUSPECT = Event(
+    412,
+    'target_suspect',
+    Level.WARNING,
+    'A target failed and gets only probes until one succeeds.',
+)
+TARGET_RESTORED = Event(
+    413, 'target_restored', Level.INFO, 'A target gets work again.'
+)
+TARGET_ORDERED = Event(
+    414, 'target_ordered', Level.INFO, 'A target was ordered to load a model.'
+)
+REQUEST_INVALID = Event(
+    501,
+    'request_invalid',
+    Level.INFO,
+    'The request is wrong; the field at fault is named.',
+)
+REQUEST_UNAUTHORIZED = Event(
+    502,
+    'request_unauthorized',
+    Level.INFO,
+    'The token is missing, unknown or lacks the role.',
+)
+REQUEST_FINISHED = Event(
+    503, 'request_finished', Level.INFO, 'The result of a request is kept.'
+)
+REQUEST_RETRIED = Event(
+    504,
+    'request_retried',
+    Level.INFO,
+    'An attempt failed and another target was tried.',
+)
+REQUEST_LIMITED = Event(
+    505,
+    'request_limited',
+    Level.INFO,
+    'A limit of the account or service was reached.',
+)
+NO_TARGET = Event(
+    506,
+    'no_target',
+    Level.WARNING,
+    'No target that the selector matches can take the request.',
+)
+TARGET_FAILED = Event(
+    507,
+    'target_failed',
+    Level.WARNING,
+    'A target failed while it worked on the request.',
+)
+DEADLINE_EXCEEDED = Event(
+    508,
+    'deadline_exceeded',
+    Level.INFO,
+    'The request was given up at its deadline.',
+)
+KEY_REUSED = Event(
+    509,
+    'key_reused',
+    Level.INFO,
+    'The idempotency key was used before with another body.',
+)
+OUTCOME_UNKNOWN = Event(
+    510,
+    'outcome_unknown',
+    Level.WARNING,
+    'A request that may not be repeated may have run; it is never resent.',
+)
+RESULT_UNRECORDED = Event(
+    511,
+    'result_unrecorded',
+    Level.WARNING,
+    'An answer was delivered before its result could be committed.',
+)
+REQUEST_QUARANTINED = Event(
+    512,
+    'request_quarantined',
+    Level.ERROR,
+    'Targets died on this body; it is not run again.',
+)
+HOST_LEAVING = Event(
+    513,
+    'host_leaving',
+    Level.INFO,
+    'This host shuts down; ask for another entry address.',
+)
+REQUEST_IN_PROGRESS = Event(
+    514,
+    'request_in_progress',
+    Level.INFO,
+    'A request with this key runs and has no result yet.',
+)
+JOB_ACCEPTED = Event(
+    601, 'job_accepted', Level.INFO, 'A batch job is durable and will run.'
+)
+JOB_CONFLICT = Event(
+    602,
+    'job_conflict',
+    Level.INFO,
+    'The job name was used before with other items.',
+)
+JOB_CANCELLED = Event(
+    603, 'job_cancelled', Level.INFO, 'A batch job was cancelled.'
+)
+CHUNK_CLAIMED = Event(
+    604, 'chunk_claimed', Level.INFO, "A host took a chunk of a job's items."
+)
+CHUNK_FINISHED = Event(
+    605,
+    'chunk_finished',
+    Level.INFO,
+    'Every item of a chunk has a committed result.',
+)
+ITEM_FAILED = Event(
+    606,
+    'item_failed',
+    Level.WARNING,
+    'An item used up its attempts; its result says so.',
+)
+BATCH_PREEMPTED = Event(
+    607,
+    'batch_preempted',
+    Level.INFO,
+    'Batch streams were cancelled to make way for online requests.',
+)
+OBJECT_CHANGED = Event(
+    701, 'object_changed', Level.INFO, 'An operator changed an object.'
+)
+OBJECT_REJECTED = Event(
+    702, 'object_rejected', Level.INFO, "An operator's change was refused."
+)
+
+CATALOGUE: dict[int, Event] = {
+    event.number: event
+    for event in list(globals().values())
+    if isinstance(event, Event)
+}
+
+
+def by_number(number: int) -> Event:
+    """Return the event with a number, or ``TASK_FAILED`` if there is none."""
+    return CATALOGUE.get(number, TASK_FAILED)
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one structured log message.
+
+    :param event: what happened
+    :param fields: values that JSON can hold
+    """
+    eliot.log_message(
+        message_type=f'PP{event.number} {event.name}',
+        level=event.level.value,
+        **fields,
+    )
--- /dev/null
+++ b/src/persimmonpass/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the daemons: websockets that carry CBOR."""
--- /dev/null
+++ b/src/persimmonpass/peers/port.py
@@ -0,0 +1,56 @@
+"""What the rest of the daemon sees of its peers."""
+
+import collections.abc
+import typing
+
+import result
+
+from persimmonpass import events
+from persimmonpass import verdicts
+
+CALL_TIMEOUT_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 1.0
+
+Handler = collections.abc.Callable[
+    [str, typing.Any],
+    collections.abc.Awaitable[result.Result[typing.Any, verdicts.Failure]],
+]
+Handlers = dict[str, Handler]
+
+
+class PeerPort(typing.NamedTuple):
+    """Calls to peers.
+
+    :ivar call: host, method, payload, timeout in seconds -> the answer
+    :ivar notify: host, method, payload -> whether a link was up; no answer
+        comes back
+    :ivar connected: hosts to which a link is up
+    """
+
+    call: collections.abc.Callable[
+        ...,
+        collections.abc.Awaitable[result.Result[typing.Any, verdicts.Failure]],
+    ]
+    notify: collections.abc.Callable[[str, str, typing.Any], bool]
+    connected: collections.abc.Callable[[], list[str]]
+
+
+def broadcast(port: PeerPort, method: str, payload: typing.Any) -> None:
+    """Send a notice to every peer to which a link is up."""
+    for host in port.connected():
+        port.notify(host, method, payload)
+
+
+def unreachable(host: str, verdict: verdicts.Verdict) -> verdicts.Failure:
+    """Return the failure of a call that a peer did not answer.
+
+    :param host: the peer
+    :param verdict: ``NOT_RUN`` only if the call never left this host
+    """
+    return verdicts.Failure(
+        verdict,
+        events.PEER_UNREACHABLE,
+        f'peer {host} did not answer',
+        503,
+        RETRY_AFTER_SECONDS,
+    )
--- /dev/null
+++ b/src/persimmonpass/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no input, no output and no clock."""
--- /dev/null
+++ b/src/persimmonpass/standins/cli.py
@@ -0,0 +1,90 @@
+"""Command line of ``persimmonpass-standin``."""
+
+import anyio
+import anyio.abc
+import click
+from starlette import types
+
+from persimmonpass import daemon
+from persimmonpass import settings
+from persimmonpass.standins import engine
+from persimmonpass.standins import platform
+from persimmonpass.standins import service
+
+listen_option = click.option(
+    '--listen', type=settings.AddressType(), default='127.0.0.1:0'
+)
+
+
+@click.group(help='Run a small stand-in of an outside system.')
+def main() -> None:
+    """Group of the commands."""
+
+
+@main.command('platform')
+@listen_option
+def run_platform(listen: str) -> None:
+    """Run the platform: object API and list of targets."""
+    anyio.run(_serve, platform.Platform().app, listen)
+
+
+@main.command('engine')
+@listen_option
+@click.option('--name', required=True)
+@click.option('--model', 'models', multiple=True, help='model@version')
+@click.option('--ignore-fencing', is_flag=True)
+@click.option('--seed', type=int, default=0)
+@click.option('--step', type=settings.DurationType(), default='10ms')
+def run_engine(
+    listen: str,
+    name: str,
+    models: tuple[str, ...],
+    ignore_fencing: bool,
+    seed: int,
+    step: float,
+) -> None:
+    """Run a model engine."""
+    made = engine.Engine(
+        name,
+        models,
+        engine.Speed(step_seconds=step),
+        checks_fencing=not ignore_fencing,
+        seed=seed,
+    )
+    anyio.run(_serve_engine, made, listen)
+
+
+@main.command('service')
+@listen_option
+@click.option('--name', required=True)
+def run_service(listen: str, name: str) -> None:
+    """Run a plain service that counts its runs."""
+    anyio.run(_serve, service.Service(name).app, listen)
+
+
+async def _serve(app: types.ASGIApp, listen: str) -> None:
+    listener = daemon.listen(listen)
+    click.echo(f'listening on {daemon.address_of(listener)}')
+    await daemon.serve_http(app, listener, anyio.Event())
+
+
+async def _serve_engine(made: engine.Engine, listen: str) -> None:
+    async with anyio.create_task_group() as tasks:
+        await start_engine(tasks, made, listen)
+        await made.wait_crashed()
+        tasks.cancel_scope.cancel()
+
+
+async def start_engine(
+    tasks: anyio.abc.TaskGroup, made: engine.Engine, listen: str
+) -> str:
+    """Start an engine in a task group.
+
+    :returns: ``ip:port`` where it listens
+    """
+    listener = daemon.listen(listen)
+    address = daemon.address_of(listener)
+    await tasks.start(made.run)
+    tasks.start_soon(daemon.serve_http, made.app, listener, anyio.Event())
+    click.echo(f'listening on {address}')
+    return address
--- /dev/null
+++ b/src/persimmonpass/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and of plain services."""
--- /dev/null
+++ b/src/persimmonpass/verdicts.py
@@ -0,0 +1,98 @@
+"""Says of each failed operation whether the request may have run."""
+
+import enum
+import typing
+
+from persimmonpass import events
+
+HTTP_BAD_REQUEST = 400
+
+
+class Verdict(enum.Enum):
+    """Whether a request ran at a target."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+class Failure(typing.NamedTuple):
+    """Why an operation failed, and whether it may have taken effect.
+
+    :ivar verdict: ``NOT_RUN`` only where that is provable
+    :ivar event: numbered event that names the cause
+    :ivar message: one line for the caller
+    :ivar status: HTTP status of the answer
+    :ivar retry_after_seconds: when to try again; ``None`` for never
+    :ivar field: field of the request that is at fault, or empty
+    """
+
+    verdict: Verdict
+    event: events.Event
+    message: str
+    status: int = 503
+    retry_after_seconds: float | None = None
+    field: str = ''
+
+
+class FailureBody(typing.TypedDict):
+    """JSON form of a failure.
+
+    :ivar error: name of the event
+    :ivar event: number of the event
+    :ivar verdict: value of the verdict
+    """
+
+    error: str
+    event: int
+    verdict: str
+    message: str
+    field: str
+    retry_after_seconds: float | None
+
+
+def invalid(
+    field: str, message: str, status: int = HTTP_BAD_REQUEST
+) -> Failure:
+    """Make the failure of a request that is wrong and did not run.
+
+    :param field: path of the wrong field
+    :param message: what was wrong and what is allowed
+    :param status: HTTP status
+    """
+    return Failure(
+        Verdict.NOT_RUN,
+        events.REQUEST_INVALID,
+        f'{field}: {message}' if field else message,
+        status,
+        None,
+        field,
+    )
+
+
+def to_body(failure: Failure) -> FailureBody:
+    """Return the JSON form of a failure."""
+    return FailureBody(
+        error=failure.event.name,
+        event=failure.event.number,
+        verdict=failure.verdict.value,
+        message=failure.message,
+        field=failure.field,
+        retry_after_seconds=failure.retry_after_seconds,
+    )
+
+
+def from_body(body: FailureBody, status: int) -> Failure:
+    """Rebuild a failure that a peer reported.
+
+    :param body: JSON form of the failure
+    :param status: HTTP status that came with it
+    """
+    return Failure(
+        Verdict(body['verdict']),
+        events.by_number(body['event']),
+        body['message'],
+        status,
+        body['retry_after_seconds'],
+        body['field'],
+    )
