--- a/src/persimmonpass/api/answers.py
+++ b/src/persimmonpass/api/answers.py
@@ -64,3 +64,23 @@
                 yield line
     if rest.strip():
         yield rest
+
+
+def read_seconds(
+    text: str | None, default: float
+) -> result.Result[float, str]:
+    """Read a number of seconds.
+
+    :param text: text of a header or parameter, or ``None``
+    :param default: value in its absence
+    :returns: the seconds, or what was wrong
+    """
+    if text is None:
+        return result.Ok(default)
+    try:
+        seconds = float(text)
+    except ValueError:
+        return result.Err(f'{text!r} is not a number of seconds')
+    if not 0 < seconds < math.inf:
+        return result.Err('must be more than 0 seconds')
+    return result.Ok(seconds)
--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -1,10 +1,8 @@
 """Routes for callers: requests, jobs and entry answers."""
 
-import collections.abc
 import contextlib
 import hashlib
 import json
-import math
 import random
 import typing
 import uuid
@@ -19,20 +17,17 @@
 from starlette import types
 
 from persimmonpass.api import answers
+from persimmonpass.api import jobs
+from persimmonpass.api import ports as caller_ports
 from persimmonpass import auth
-from persimmonpass import blackboard
 from persimmonpass.controllers import config
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import online
 from persimmonpass import events
-from persimmonpass import jobs
 from persimmonpass import keys
-from persimmonpass import metrics
 from persimmonpass import objects
 from persimmonpass.policy import entry
-from persimmonpass import store
 from persimmonpass.targets import service
-from persimmonpass import tracing
 from persimmonpass import verdicts
 
 KEY_HEADER = 'idempotency-key'
@@ -55,26 +50,7 @@
     stream: bool = False
 
 
-class CallerPorts(typing.NamedTuple):
-    """What the caller API works with.
-
-    :ivar entry_ttl_seconds: how long callers may keep an entry answer
-    :ivar enter: context that counts a request in progress
-    """
-
-    board: blackboard.Blackboard
-    online: online.Online
-    key_calls: key_controller.Keys
-    store: store.StorePort
-    counters: metrics.Metrics
-    spans: tracing.Tracing
-    entry_ttl_seconds: float
-    enter: collections.abc.Callable[
-        [], contextlib.AbstractContextManager[None]
-    ]
-
-
-def make_app(ports: CallerPorts) -> applications.Starlette:
+def make_app(ports: caller_ports.CallerPorts) -> applications.Starlette:
     """Make the application that callers talk to."""
 
     async def complete(request: requests.Request) -> responses.Response:
@@ -136,104 +112,11 @@
         ),
         routing.Route('/v1/requests/{key}', show_request),
         routing.Route('/v1/entry', show_entry),
-        *_job_routes(ports),
+        *jobs.routes(ports),
     ]
     return applications.Starlette(routes=routes)
 
 
-def _job_routes(ports: CallerPorts) -> list[routing.Route]:
-    """Make the routes for batch jobs."""
-
-    async def submit(request: requests.Request) -> responses.Response:
-        key = _job_key(ports, request)
-        if isinstance(key, result.Err):
-            return answers.fail(key.err_value)
-        name = request.query_params.get('service', '')
-        if _find_service(ports.board, name) is None:
-            return answers.fail(
-                verdicts.invalid('service', f'{name!r} is unknown')
-            )
-        due = _read_seconds(
-            request.query_params.get('due_seconds'), DEFAULT_DUE_SECONDS
-        )
-        if isinstance(due, result.Err):
-            return answers.fail(verdicts.invalid('due_seconds', due.err_value))
-        with ports.enter():
-            accepted = await jobs.submit(
-                ports.store,
-                key.ok_value,
-                name,
-                due.ok_value,
-                answers.read_lines(request),
-            )
-        if isinstance(accepted, result.Err):
-            return answers.fail(accepted.err_value)
-        job = accepted.ok_value
-        return responses.JSONResponse(
-            {'job': job.job, 'items': job.items, 'state': job.state}, 202
-        )
-
-    async def find(
-        request: requests.Request,
-    ) -> result.Result[jobs.Job, verdicts.Failure]:
-        key = _job_key(ports, request)
-        if isinstance(key, result.Err):
-            return key
-        found = await ports.store.get(jobs.head_key(key.ok_value))
-        if isinstance(found, result.Err):
-            return found
-        return result.Ok(jobs.decode(found.ok_value))
-
-    async def show(request: requests.Request) -> responses.Response:
-        found = await find(request)
-        if isinstance(found, result.Err):
-            return answers.fail(found.err_value)
-        job = found.ok_value
-        counts = {jobs.ITEM_DONE: 0, jobs.ITEM_FAILED: 0}
-        async for row in jobs.read_results(ports.store, job):
-            if isinstance(row, result.Err):
-                return answers.fail(row.err_value)
-            item_result = row.ok_value[1]
-            if item_result is not None:
-                counts[item_result.status] += 1
-        return responses.JSONResponse(
-            {
-                'job': job.job,
-                'service': job.service,
-                'state': _job_state(job, sum(counts.values())),
-                'items': job.items,
-                **counts,
-            }
-        )
-
-    async def cancel(request: requests.Request) -> responses.Response:
-        key = _job_key(ports, request)
-        if isinstance(key, result.Err):
-            return answers.fail(key.err_value)
-        cancelled = await jobs.cancel(ports.store, key.ok_value)
-        if isinstance(cancelled, result.Err):
-            return answers.fail(cancelled.err_value)
-        return responses.JSONResponse(
-            {'job': cancelled.ok_value.job, 'state': jobs.CANCELLED}
-        )
-
-    async def read(request: requests.Request) -> responses.Response:
-        found = await find(request)
-        if isinstance(found, result.Err):
-            return answers.fail(found.err_value)
-        return responses.StreamingResponse(
-            _result_lines(ports.store, found.ok_value), media_type=NDJSON
-        )
-
-    path = '/v1/jobs/{job}'
-    return [
-        routing.Route(path, submit, methods=['PUT']),
-        routing.Route(path, show),
-        routing.Route(f'{path}/cancel', cancel, methods=['POST']),
-        routing.Route(f'{path}/results', read),
-    ]
-
-
 class _CompletionResponse(responses.Response):
     """Runs a completion while it is answered.
 
@@ -242,7 +125,7 @@
 
     def __init__(
         self,
-        ports: CallerPorts,
+        ports: caller_ports.CallerPorts,
         completion: online.CompletionRequest,
         stream: bool,
     ) -> None:
@@ -377,7 +260,7 @@
 
 
 async def _check_completion(
-    ports: CallerPorts, request: requests.Request
+    ports: caller_ports.CallerPorts, request: requests.Request
 ) -> result.Result[tuple[online.CompletionRequest, bool], verdicts.Failure]:
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
@@ -391,7 +274,7 @@
         return result.Err(objects.invalid_field('', error))
     except msgspec.DecodeError as error:
         return result.Err(verdicts.invalid('body', f'broken JSON: {error}'))
-    found = _find_service(ports.board, body.model)
+    found = config.find_service(ports.board, body.model)
     if found is None or found.spec.type != 'engine':
         return result.Err(
             verdicts.invalid('model', f'no service offers {body.model!r}', 404)
@@ -408,7 +291,7 @@
 
 
 async def _check_call(
-    ports: CallerPorts, request: requests.Request
+    ports: caller_ports.CallerPorts, request: requests.Request
 ) -> result.Result[
     tuple[online.OnlineRequest, service.ServiceCall], verdicts.Failure
 ]:
@@ -416,7 +299,7 @@
     if isinstance(account, result.Err):
         return account
     name = request.path_params['service']
-    found = _find_service(ports.board, name)
+    found = config.find_service(ports.board, name)
     if found is None or found.spec.type != 'plain':
         return result.Err(
             verdicts.invalid('service', f'{name!r} is unknown', 404)
@@ -444,27 +327,10 @@
     return checked.map(lambda made: (made, call))
 
 
-class _Service(typing.NamedTuple):
-    name: str
-    spec: objects.ServiceSpec
-
-
-def _find_service(board: blackboard.Blackboard, name: str) -> _Service | None:
-    """Return the service with a name, or the first that offers a model."""
-    item = board.objects.get(objects.Key('service', name))
-    if item is not None and not item.deleted:
-        return _Service(name, typing.cast(objects.ServiceSpec, item.spec))
-    for other in config.live_objects(board, 'service'):
-        spec = typing.cast(objects.ServiceSpec, other.spec)
-        if spec.model == name:
-            return _Service(other.name, spec)
-    return None
-
-
 def _make_online(
     account: auth.Account,
     request: requests.Request,
-    found: _Service,
+    found: config.Service,
     content: bytes,
     new_key: str,
 ) -> result.Result[online.OnlineRequest, verdicts.Failure]:
@@ -475,7 +341,7 @@
                 'Idempotency-Key', f'needs 1 to {MAX_KEY_LENGTH} characters'
             )
         )
-    limit = _read_seconds(
+    limit = answers.read_seconds(
         request.headers.get(DEADLINE_HEADER), found.spec.deadline_seconds
     )
     if isinstance(limit, result.Err):
@@ -492,37 +358,6 @@
     )
 
 
-def _read_seconds(
-    text: str | None, default: float
-) -> result.Result[float, str]:
-    if text is None:
-        return result.Ok(default)
-    try:
-        seconds = float(text)
-    except ValueError:
-        return result.Err(f'{text!r} is not a number of seconds')
-    if not 0 < seconds < math.inf:
-        return result.Err('must be more than 0 seconds')
-    return result.Ok(seconds)
-
-
-def _job_key(
-    ports: CallerPorts, request: requests.Request
-) -> result.Result[jobs.JobKey, verdicts.Failure]:
-    account = auth.find_account(ports.board, request.headers)
-    if isinstance(account, result.Err):
-        return account
-    return result.Ok(
-        jobs.JobKey(account.ok_value.name, request.path_params['job'])
-    )
-
-
-def _job_state(job: jobs.Job, finished: int) -> str:
-    if finished == job.items:
-        return 'finished'
-    return job.state
-
-
 def _show_state(
     name: key_controller.KeyName, begun: keys.Begun
 ) -> responses.Response:
@@ -552,21 +387,3 @@
         },
         202,
     )
-
-
-async def _result_lines(
-    port: store.StorePort, job: jobs.Job
-) -> collections.abc.AsyncGenerator[bytes, None]:
-    async for row in jobs.read_results(port, job):
-        if isinstance(row, result.Err):
-            body = dict(verdicts.to_body(row.err_value))
-            yield msgspec.json.encode(body) + b'\n'
-            return
-        item, item_result = row.ok_value
-        if item_result is None:
-            status = 'waiting'
-            if job.state == jobs.CANCELLED:
-                status = jobs.CANCELLED
-            item_result = jobs.ItemResult(status, '', 0)
-        line = {'id': item.id, **item_result._asdict()}
-        yield msgspec.json.encode(line) + b'\n'
--- a/src/persimmonpass/controllers/config.py
+++ b/src/persimmonpass/controllers/config.py
@@ -147,6 +147,25 @@
             yield item
 
 
+class Service(typing.NamedTuple):
+    """A service and its name."""
+
+    name: str
+    spec: objects.ServiceSpec
+
+
+def find_service(board: blackboard.Blackboard, name: str) -> Service | None:
+    """Return the service with a name, or the first that offers a model."""
+    item = board.objects.get(objects.Key('service', name))
+    if item is not None and not item.deleted:
+        return Service(name, typing.cast(objects.ServiceSpec, item.spec))
+    for other in live_objects(board, 'service'):
+        spec = typing.cast(objects.ServiceSpec, other.spec)
+        if spec.model == name:
+            return Service(other.name, spec)
+    return None
+
+
 async def write(
     port: store.StorePort, item: objects.ConfigObject
 ) -> result.Result[objects.ConfigObject, verdicts.Failure]:
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -15,6 +15,7 @@
 
 from persimmonpass.api import caller
 from persimmonpass.api import operator
+from persimmonpass.api import ports
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers import batch
@@ -195,7 +196,7 @@
 
     def _caller_app(self) -> types.ASGIApp:
         return caller.make_app(
-            caller.CallerPorts(
+            ports.CallerPorts(
                 self.board,
                 online.Online(
                     self.board,
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,201 @@
+"""Fakes of the ports, for tests on a paused clock."""
+
+import collections
+import typing
+
+import anyio
+import result
+import trio
+import trio.testing
+
+from persimmonpass import events
+from persimmonpass.peers import port as peer_port
+from persimmonpass import store
+from persimmonpass import verdicts
+
+LOST_ANSWER = 'lost answer'
+OUTAGE = 'outage'
+
+
+def run(test: typing.Callable[[], typing.Awaitable[None]]) -> None:
+    """Run a test on trio with a clock that jumps over all waiting."""
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class MemoryStore:
+    """An object store in memory with fault switches.
+
+    :ivar port: the store's calls
+    :ivar outage: every call fails before it has an effect
+    :ivar delay_seconds: every call takes that long
+    :ivar faults: faults of the next writes, first one first; ``None`` for a
+        write without one
+    :ivar calls: number of calls by name
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, store.Stored] = {}
+        self.outage = False
+        self.delay_seconds = 0.0
+        self.faults: collections.deque[str | None] = collections.deque()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.port = store.StorePort(
+            self._get, self._put, self._delete, self._list, self._watch
+        )
+        self._version = 0
+        self._log: list[store.Stored] = []
+        self._changed = anyio.Event()
+
+    async def _enter(self, name: str) -> verdicts.Failure | None:
+        self.calls[name] += 1
+        await anyio.sleep(self.delay_seconds)
+        if self.outage:
+            return store.unavailable('outage')
+        return None
+
+    async def _get(
+        self, key: str, priority: object = None
+    ) -> result.Result[store.Stored, verdicts.Failure]:
+        failure = await self._enter('get')
+        if failure is not None:
+            return result.Err(failure)
+        if key not in self.objects:
+            return result.Err(store.not_found(key))
+        return result.Ok(self.objects[key])
+
+    async def _put(
+        self,
+        key: str,
+        data: bytes,
+        version: int | None = None,
+        priority: object = None,
+    ) -> result.Result[int, verdicts.Failure]:
+        failure = await self._enter('put')
+        if failure is not None:
+            return result.Err(failure)
+        fault = self.faults.popleft() if self.faults else None
+        if fault == OUTAGE:
+            return result.Err(store.unavailable(fault))
+        present = self.objects.get(key)
+        at = present.version if present is not None else store.CREATE
+        if version is not None and version != at:
+            written = result.Err(store.conflict(key))
+        else:
+            stored = self._record(store.Stored(key, 0, data))
+            self.objects[key] = stored
+            written = result.Ok(stored.version)
+        if fault == LOST_ANSWER:
+            return result.Err(store.outcome_unknown(fault))
+        return written
+
+    async def _delete(
+        self, key: str, version: int | None = None, priority: object = None
+    ) -> result.Result[None, verdicts.Failure]:
+        failure = await self._enter('delete')
+        if failure is not None:
+            return result.Err(failure)
+        present = self.objects.get(key)
+        if version is not None:
+            if present is None or present.version != version:
+                return result.Err(store.conflict(key))
+        if self.objects.pop(key, None) is not None:
+            self._record(store.Stored(key, 0, b'', True))
+        return result.Ok(None)
+
+    async def _list(
+        self, prefix: str, priority: object = None
+    ) -> result.Result[list[store.Stored], verdicts.Failure]:
+        failure = await self._enter('list')
+        if failure is not None:
+            return result.Err(failure)
+        found = [
+            stored
+            for key, stored in sorted(self.objects.items())
+            if key.startswith(prefix)
+        ]
+        return result.Ok(found)
+
+    async def _watch(
+        self, prefix: str, version: int
+    ) -> result.Result[store.Changes, verdicts.Failure]:
+        failure = await self._enter('watch')
+        if failure is not None:
+            return result.Err(failure)
+        with anyio.move_on_after(store.WATCH_TIMEOUT_SECONDS):
+            while not self._after(prefix, version):
+                await self._changed.wait()
+        return result.Ok(
+            store.Changes(
+                max(self._version, version), self._after(prefix, version)
+            )
+        )
+
+    def _after(self, prefix: str, version: int) -> list[store.Stored]:
+        return [
+            stored
+            for stored in self._log
+            if stored.version > version and stored.key.startswith(prefix)
+        ]
+
+    def _record(self, stored: store.Stored) -> store.Stored:
+        self._version += 1
+        stored = stored._replace(version=self._version)
+        self._log.append(stored)
+        self._changed.set()
+        self._changed = anyio.Event()
+        return stored
+
+
+class Network:
+    """Peers that call each other's handlers directly.
+
+    :ivar handlers: handlers by host
+    :ivar cut: pairs of hosts that do not reach each other
+    """
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, peer_port.Handlers] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.notices: list[tuple[str, str, str]] = []
+
+    def port(
+        self, host: str, tasks: anyio.abc.TaskGroup | None = None
+    ) -> peer_port.PeerPort:
+        """Return the calls of one host.
+
+        :param tasks: where the handlers of notices run
+        """
+
+        def connected() -> list[str]:
+            return [
+                other
+                for other in self.handlers
+                if other != host and frozenset((host, other)) not in self.cut
+            ]
+
+        async def call(
+            other: str, method: str, payload: typing.Any, timeout: float = 0
+        ) -> result.Result[typing.Any, verdicts.Failure]:
+            if other not in connected():
+                return result.Err(
+                    peer_port.unreachable(other, verdicts.Verdict.NOT_RUN)
+                )
+            return await self.handlers[other][method](host, payload)
+
+        def notify(other: str, method: str, payload: typing.Any) -> bool:
+            if other not in connected():
+                return False
+            self.notices.append((host, other, method))
+            if tasks is not None:
+                handler = self.handlers[other][method]
+                tasks.start_soon(handler, host, payload)
+            return True
+
+        return peer_port.PeerPort(call, notify, connected)
+
+
+def failure_event(
+    outcome: result.Result[typing.Any, verdicts.Failure],
+) -> events.Event | None:
+    """Return the event of a failure, or ``None`` of a success."""
+    return outcome.err_value.event if outcome.is_err() else None
