Play both deployments in one process and check settings and events

The demo starts stand-ins and two daemons over loopback, kills an engine and cuts a caller's connection midway and reads every result back.

A server that is cancelled now closes in order: hypercorn raised on a cancellation from outside.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-SOURCES := src tests bench
+SOURCES := src tests bench tools
 
-.PHONY: test demo lint format bench clean
+.PHONY: test demo lint format bench docs clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -29,3 +29,6 @@
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
+
+docs: $(STAMP)
+	$(PYTHON) -m tools.events_page
--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -5,10 +5,13 @@
 import sys
 import typing
 
+import anyio
 import click
 import httpx
 import yaml
 
+from persimmonpass.cli import demo
+from persimmonpass import logs
 from persimmonpass import objects
 from persimmonpass import settings
 
@@ -296,6 +299,23 @@
     click.echo(answer.json()['choices'][0]['text'])
 
 
+@main.command('demo')
+@click.option(
+    '--deployment',
+    type=click.Choice(sorted(demo.DEPLOYMENTS)),
+    default='athi',
+)
+@click.option('--log-file', type=click.Path(dir_okay=False), default='')
+def run_demo(deployment: str, log_file: str) -> None:
+    """Play a deployment in one process, with faults."""
+    if log_file:
+        logs.open_log(log_file)
+    else:
+        logs.discard()
+    clean = anyio.run(demo.play, deployment, click.echo)
+    sys.exit(0 if clean else EXIT_REFUSED)
+
+
 @main.group()
 def job() -> None:
     """Submit and watch batch jobs."""
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -288,22 +288,41 @@
 
 
 async def serve_http(
-    app: types.ASGIApp, listener: socket.socket, stopped: anyio.Event
+    app: types.ASGIApp,
+    listener: socket.socket,
+    stopped: anyio.Event,
+    grace_seconds: float = STOP_SECONDS,
 ) -> None:
     """Serve an application on a bound socket until an event is set.
 
+    A cancelled server closes its connections in order too, since hypercorn
+    does not take a cancellation from outside.
+
     :param listener: given up to the server, which closes it
+    :param stopped: ends the server
+    :param grace_seconds: how long open connections may go on then
     """
     options = hypercorn.config.Config()
     options.bind = [f'fd://{listener.detach()}']
     options.accesslog = None
     options.errorlog = None
-    options.graceful_timeout = STOP_SECONDS
+    options.graceful_timeout = grace_seconds
     options.shutdown_timeout = STOP_SECONDS
     options.backlog = BACKLOG
-    await hypercorn.asyncio.serve(
-        app, options, shutdown_trigger=stopped.wait, mode='asgi'
-    )
+    closing = anyio.Event()
+
+    async def serve() -> None:
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                app, options, shutdown_trigger=closing.wait, mode='asgi'
+            )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
+        try:
+            await stopped.wait()
+        finally:
+            closing.set()
 
 
 async def keep_running(
