Let tests cut and silence links and tell peers another address

A forwarder between daemons, and between a daemon and the store, closes or silences connections; a host behind an address translation needs to name the address that others reach it by.

--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -43,6 +43,18 @@
     default=DEFAULTS['operator_listen'],
     help='Address for operators and metrics.',
 )
+@click.option(
+    '--caller-address',
+    type=settings.AddressType(),
+    default=None,
+    help='Address that callers are told, if not that of --listen.',
+)
+@click.option(
+    '--peer-address',
+    type=settings.AddressType(),
+    default=None,
+    help='Address that peers are told, if not that of --peer-listen.',
+)
 @click.option(
     '--admin-token-sha256',
     type=settings.DigestType(),
@@ -81,7 +93,8 @@
     """Check the settings and run the daemon."""
     values['entry_ttl_seconds'] = values.pop('entry_ttl')
     values['drain_seconds'] = values.pop('drain_limit')
-    options = settings.Settings(**values)
+    given = {name: value for name, value in values.items() if value}
+    options = settings.Settings(**given)
     logs.open_log(options.log_file)
     anyio.run(_run, options)
 
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -145,8 +145,8 @@
             options.host,
             incarnation,
             options.availability_zone,
-            self.addresses.caller,
-            self.addresses.peer,
+            options.caller_address or self.addresses.caller,
+            options.peer_address or self.addresses.peer,
             has_disk=bool(options.data_dir),
         )
         self._membership = membership.Membership(
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -27,6 +27,10 @@
     :ivar listen: ``ip:port`` for callers; port 0 takes a free one
     :ivar peer_listen: ``ip:port`` for peers
     :ivar operator_listen: ``ip:port`` for operators and metrics
+    :ivar caller_address: ``ip:port`` that callers are told; empty for that
+        of ``listen``
+    :ivar peer_address: ``ip:port`` that peers are told; empty for that of
+        ``peer_listen``
     :ivar store_url: ``http://ip:port`` of the platform
     :ivar admin_token_sha256: digest of a token that is always an admin's
     :ivar peer_secret: secret that all hosts of the fleet share
@@ -45,6 +49,8 @@
     listen: str = '127.0.0.1:0'
     peer_listen: str = '127.0.0.1:0'
     operator_listen: str = '127.0.0.1:0'
+    caller_address: str = ''
+    peer_address: str = ''
     admin_token_sha256: str = ''
     peer_secret: str = ''
     store_rate: float = 1000.0
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,6 +13,7 @@
 import httpx
 
 from persimmonpass import objects
+from tests import forwarder
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
@@ -111,6 +112,7 @@
         self.host = host
         started = wait_until(lambda: self.find_event('daemon_started'))
         self.caller = f'http://{started["caller"]}'
+        self.peer = started['peer']
         self.operator = f'http://{started["operator"]}'
 
     def events(self) -> list[dict[str, typing.Any]]:
@@ -139,23 +141,45 @@
     :ivar hosts: daemons in the order of their start
     """
 
-    def __init__(self, zones: tuple[str, ...], *arguments: str) -> None:
+    def __init__(
+        self, zones: tuple[str, ...], *arguments: str, cuttable: bool = False
+    ) -> None:
         self.programs: list[Program] = []
         self.engines: dict[str, Standin] = {}
         self.services: dict[str, Standin] = {}
         self.platform = self._add(Standin('platform'))
         self._arguments = arguments
+        self._cuttable = cuttable
+        self.links: dict[str, forwarder.Forwarder] = {}
+        self.stores: dict[str, forwarder.Forwarder] = {}
         self.hosts = [
             self.start_host(f'host-{index}', zone)
             for index, zone in enumerate(zones)
         ]
 
     def start_host(self, host: str, zone: str) -> Host:
-        """Start a daemon."""
-        url = f'http://{self.platform.address}'
-        return self._add(
-            Host(host, zone, '--store-url', url, *self._arguments)
-        )
+        """Start a daemon, behind forwarders if the fleet is cuttable."""
+        store = self.platform.address
+        arguments = list(self._arguments)
+        if self._cuttable:
+            store = self._forward(self.stores, host, store).address
+            link = self._forward(self.links, host, '')
+            arguments += ['--peer-address', link.address]
+        url = f'http://{store}'
+        made = self._add(Host(host, zone, '--store-url', url, *arguments))
+        if self._cuttable:
+            link.target = made.peer
+        return made
+
+    def _forward(
+        self,
+        forwarders: dict[str, forwarder.Forwarder],
+        host: str,
+        target: str,
+    ) -> forwarder.Forwarder:
+        if host not in forwarders:
+            forwarders[host] = forwarder.Forwarder(target)
+        return forwarders[host]
 
     def start_engine(
         self, name: str, zone: str, model: str, *arguments: str
@@ -233,3 +257,5 @@
         """Kill everything that was started."""
         for program in reversed(self.programs):
             program.close()
+        for each in [*self.links.values(), *self.stores.values()]:
+            each.close()
