Find lost hosts by probes through others and spread rows by gossip

Cause: incarnations came from the clock, which may jump back; rows travelled only in a host's own beats over a full mesh; a pause or one broken path made a host dead; each change of load woke all readers of the members table; a call that timed out cut all others on its link; closing a silent link took the library's ten seconds before a new one was tried.

Now the incarnation is the store's version of a conditional registration, a host overrules what is said of it by its generation, a silent host is asked for through three others before it is suspect, dead hosts are tried again so that a cut heals, rows travel in beats and a digest repairs gaps. Beats per host do not grow with the fleet; links are a full mesh to 32 hosts, then ring successors, drawn hosts and zone relays; other hosts are reached by links opened on demand. A link is reopened only if nothing arrived on it while a call waited.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -90,17 +90,18 @@
                 member.host,
                 member.caller_address,
                 member.availability_zone,
-                member.load,
+                member.state,
+                ports.board.host_loads.get(member.host),
             )
             for member in ports.board.members.rows()
-            if member.state == 'alive'
         ]
-        addresses = entry.order(hosts, zone, random.random)
+        ttl = ports.entry_ttl_seconds
         return responses.JSONResponse(
             {
-                'addresses': addresses,
-                'ttl_seconds': ports.entry_ttl_seconds,
-            }
+                'addresses': entry.order(hosts, zone, random.random),
+                'ttl_seconds': ttl,
+            },
+            headers={'Cache-Control': f'max-age={int(ttl)}'},
         )
 
     routes = [
--- a/src/persimmonpass/api/operator.py
+++ b/src/persimmonpass/api/operator.py
@@ -325,7 +325,11 @@
 
 def _status(ports: OperatorPorts) -> dict[str, typing.Any]:
     loads = dict(ports.board.loads.items())
-    members = [row._asdict() for row in ports.board.members.rows()]
+    host_loads = dict(ports.board.host_loads.items())
+    members = [
+        {**row._asdict(), 'load': host_loads.get(row.host)}
+        for row in ports.board.members.rows()
+    ]
     rows = []
     for target in ports.board.targets.rows():
         load = loads.get(target.name)
--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -78,9 +78,11 @@
     """An entry host of the fleet.
 
     :ivar host: the host's id
-    :ivar incarnation: rises each time the daemon starts
+    :ivar incarnation: the store's version at the daemon's registration; 0
+        before it
     :ivar state: ``alive``, ``suspect``, ``leaving`` or ``dead``
-    :ivar generation: rises when the host leaves the entry answers
+    :ivar generation: rises when the host leaves the entry answers or
+        overrules what others say of it
     :ivar caller_address: ``ip:port`` for callers
     :ivar peer_address: ``ip:port`` for peers
     """
@@ -92,7 +94,6 @@
     peer_address: str
     state: str = 'alive'
     generation: int = 0
-    load: int = 0
     has_disk: bool = False
 
 
@@ -140,6 +141,8 @@
         self.objects: Table[objects.Key, objects.ConfigObject] = Table()
         # Writer: controllers.membership. Readers: entry, shards, batch.
         self.members: Table[str, Member] = Table()
+        # Writer: controllers.membership. Readers: entry. Requests in progress.
+        self.host_loads: Table[str, int] = Table()
         # Writer: controllers.targets. Readers: routing, batch.
         self.targets: Table[str, Target] = Table()
         # Writer: controllers.targets. Readers: routing, batch.
--- a/src/persimmonpass/controllers/membership.py
+++ b/src/persimmonpass/controllers/membership.py
@@ -1,32 +1,47 @@
-"""Keeps the table of hosts by heartbeats between peers."""
+"""Keeps the table of hosts by heartbeats, probes and gossip."""
 
+import collections.abc
+import random
 import typing
+import uuid
 
 import anyio
+import anyio.abc
 import cbor2
 import result
 
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass import events
-from persimmonpass.peers import link
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import membership
+from persimmonpass.policy import shards
 from persimmonpass import store
 from persimmonpass import verdicts
 
 PREFIX = 'members/'
 METHOD_BEAT = 'membership.beat'
+METHOD_PROBE = 'membership.probe'
+METHOD_SYNC = 'membership.sync'
 METHOD_LEAVING = 'membership.leaving'
-BEAT_SECONDS = 0.5
-LIST_SECONDS = 10.0
-LIST_SECONDS_ALONE = 1.0
+RETRY_SECONDS = 1.0
+LIST_SECONDS = 30.0
+LISTERS = 3
+STALL_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 2.0
+
+LIVE_STATES = ('alive', 'suspect')
+
+Follow = collections.abc.Callable[
+    [collections.abc.Mapping[str, str], collections.abc.Collection[str]], None
+]
+Answer = result.Result[typing.Any, verdicts.Failure]
 
 
 class Membership:
     """The membership controller of one daemon.
 
-    :ivar me: this host's row
+    :ivar registered: set once the store holds this host's row
     """
 
     def __init__(
@@ -34,132 +49,317 @@
         me: blackboard.Member,
         board: blackboard.Blackboard,
         port: store.StorePort,
-        peers: link.Peers,
+        peers: peer_port.PeerPort,
+        follow: Follow,
         calls: budget.Budget,
+        load: collections.abc.Callable[[], int],
     ) -> None:
-        self.me = me
+        self.registered = anyio.Event()
         self._board = board
         self._port = port
         self._peers = peers
+        self._follow = follow
         self._calls = calls
-        self._heard: dict[str, float] = {}
+        self._load = load
+        self._host = me.host
+        self._token = uuid.uuid4().hex
+        self._view = membership.View(me, shards.score('draws', me.host))
+        self._register_again = anyio.Event()
         board.members.put(me.host, me)
 
+    @property
+    def me(self) -> blackboard.Member:
+        """This host's row."""
+        return self._view.me
+
     @property
     def handlers(self) -> peer_port.Handlers:
         """Handlers of peers' calls."""
         return {
             METHOD_BEAT: self._take_beat,
-            METHOD_LEAVING: self._take_beat,
+            METHOD_PROBE: self._probe_for,
+            METHOD_SYNC: self._give_rows,
+            METHOD_LEAVING: self._take_leaving,
         }
 
     async def run(self) -> None:
-        """Register this host, then beat and watch the others for ever."""
+        """Register this host, then beat and judge the others for ever."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._register)
+            tasks.start_soon(self._keep_registered)
             tasks.start_soon(self._find_members)
+            tasks.start_soon(self._forget_dead)
             while True:
-                self._beat()
-                self._judge()
-                await anyio.sleep(BEAT_SECONDS)
+                began = anyio.current_time()
+                self._tick(tasks, began)
+                await anyio.sleep(membership.TICK_SECONDS)
+                late = anyio.current_time() - began - membership.TICK_SECONDS
+                if late > membership.SUSPECT_SECONDS:
+                    self._register_again.set()
 
     def live_hosts(self) -> list[str]:
         """Return the hosts that may own ledgers and targets."""
         return [
             member.host
             for member in self._board.members.rows()
-            if member.state in ('alive', 'suspect')
+            if member.state in LIVE_STATES
         ]
 
     def leave(self) -> None:
         """Take this host out of the entry answers and out of ownership."""
-        self._set_me(
-            self.me._replace(
-                state='leaving', generation=self.me.generation + 1
-            )
+        me = self.me._replace(
+            state='leaving', generation=self.me.generation + 1
         )
+        self._set_me(me)
 
     async def confirm_leaving(self, host: str) -> bool:
-        """Ask a peer to stop giving out this host's address."""
-        answered = await self._peers.port.call(
-            host, METHOD_LEAVING, list(self.me)
-        )
-        return isinstance(answered, result.Ok)
+        """Ask a peer to stop giving out this host's address.
 
-    def set_load(self, load: int) -> None:
-        """Say how many requests this host has in progress."""
-        self._set_me(self.me._replace(load=load))
+        :returns: whether the peer says that it has known this host as leaving
+            since the present generation
+        """
+        me = self.me
+        answered = await self._peers.call(host, METHOD_LEAVING, list(me))
+        if isinstance(answered, result.Err):
+            return False
+        known = decode_row(answered.ok_value)
+        return known.state == 'leaving' and membership.age(
+            known
+        ) >= membership.age(me)
 
     def _set_me(self, me: blackboard.Member) -> None:
-        self.me = me
-        self._board.members.put(me.host, me)
+        self._view.set_me(me, anyio.current_time())
+        self._publish([me])
+
+    def _tick(self, tasks: anyio.abc.TaskGroup, now: float) -> None:
+        self._board.host_loads.put(self._host, self._load())
+        self._publish(self._view.judge(now))
+        for host in self._view.targets():
+            tasks.start_soon(self._beat, host)
+
+    def _publish(
+        self, rows: collections.abc.Iterable[blackboard.Member]
+    ) -> None:
+        """Put changed rows on the blackboard and follow them with links."""
+        changed = False
+        for row in rows:
+            changed = True
+            known = self._board.members.get(row.host)
+            if known is None or known.state != row.state:
+                events.log(
+                    events.MEMBER_CHANGED,
+                    host=self._host,
+                    member=row.host,
+                    state=row.state,
+                )
+            if row.host == self._host and known and known.state == 'dead':
+                self._register_again.set()
+            self._board.members.put(row.host, row)
+        if changed:
+            self._follow(
+                {
+                    row.host: row.peer_address
+                    for row in self._view.rows()
+                    if row.host != self._host
+                },
+                self._view.links(),
+            )
+            self._calls.set_hosts(len(self.live_hosts()))
+
+    async def _beat(self, host: str) -> None:
+        """Beat a host; one that does not answer is asked through others."""
+        seen = self._view.get(host)
+        began = anyio.current_time()
+        answered = await self._call_beat(host)
+        if isinstance(answered, result.Ok):
+            await self._heard(host, decode_beat(answered.ok_value))
+            return
+        if seen is None or seen.state not in ('alive', 'leaving'):
+            return
+        if await self._reached_by_others(host):
+            return
+        limit = membership.BEAT_TIMEOUT_SECONDS + PROBE_TIMEOUT_SECONDS
+        now = anyio.current_time()
+        if now - began > limit + STALL_SECONDS:
+            # It was this process that stood still.
+            return
+        changed = self._view.suspect(seen, now)
+        if changed is not None:
+            self._publish([changed])
+
+    async def _call_beat(self, host: str) -> Answer:
+        beat = self._view.make_beat(self._load())
+        return await self._peers.call(
+            host,
+            METHOD_BEAT,
+            encode_beat(beat),
+            membership.BEAT_TIMEOUT_SECONDS,
+        )
+
+    async def _heard(self, host: str, beat: membership.Beat) -> None:
+        now = anyio.current_time()
+        self._board.host_loads.put(host, beat.load)
+        self._publish(self._view.take_beat(beat, now))
+        if not self._view.should_sync(beat.digest, now):
+            return
+        answered = await self._peers.call(
+            host, METHOD_SYNC, self._view.buckets
+        )
+        if isinstance(answered, result.Ok):
+            self._learn(map(decode_row, answered.ok_value))
+
+    def _learn(
+        self, rows: collections.abc.Iterable[blackboard.Member]
+    ) -> None:
+        now = anyio.current_time()
+        merged = [self._view.merge(row, now) for row in rows]
+        self._publish(row for row in merged if row is not None)
+
+    async def _reached_by_others(self, host: str) -> bool:
+        """Ask other hosts whether a host answers them."""
+        reached = False
+
+        async def ask(prober: str) -> None:
+            nonlocal reached
+            answered = await self._peers.call(
+                prober, METHOD_PROBE, host, PROBE_TIMEOUT_SECONDS
+            )
+            if isinstance(answered, result.Ok) and answered.ok_value:
+                reached = True
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for prober in self._view.probers(host):
+                tasks.start_soon(ask, prober)
+        return reached
+
+    async def _take_beat(self, peer: str, payload: typing.Any) -> Answer:
+        beat = decode_beat(payload)
+        self._board.host_loads.put(peer, beat.load)
+        self._publish(self._view.take_beat(beat, anyio.current_time()))
+        return result.Ok(encode_beat(self._view.make_beat(self._load())))
+
+    async def _probe_for(self, peer: str, payload: typing.Any) -> Answer:
+        answered = await self._call_beat(str(payload))
+        return result.Ok(isinstance(answered, result.Ok))
+
+    async def _give_rows(self, peer: str, payload: typing.Any) -> Answer:
+        rows = self._view.differing(payload)
+        return result.Ok([list(row) for row in rows])
+
+    async def _take_leaving(self, peer: str, payload: typing.Any) -> Answer:
+        """Stop giving out a host; say what is in force from now on."""
+        row = decode_row(payload)
+        self._learn([row])
+        return result.Ok(list(self._board.members.get(row.host) or row))
+
+    async def _keep_registered(self) -> None:
+        """Register, and again after others may have removed the row."""
+        while True:
+            self._register_again = anyio.Event()
+            await self._register()
+            self.registered.set()
+            await self._register_again.wait()
 
     async def _register(self) -> None:
-        data = cbor2.dumps(list(self.me))
+        """Write this host's row; the version becomes the incarnation.
+
+        Each write is conditional on what was read before, so that a late
+        one of an earlier start takes no effect after this one.
+        """
+        key = PREFIX + self._host
         while True:
-            written = await self._port.put(PREFIX + self.me.host, data)
+            found = await self._port.get(key)
+            if isinstance(found, result.Ok):
+                version = found.ok_value.version
+                if cbor2.loads(found.ok_value.data)[1] == self._token:
+                    break
+            elif found.err_value.event == events.STORE_NOT_FOUND:
+                version = store.CREATE
+            else:
+                await self._pause()
+                continue
+            data = cbor2.dumps([list(self.me), self._token])
+            written = await self._port.put(key, data, version)
             if isinstance(written, result.Ok):
-                return
-            await anyio.sleep(LIST_SECONDS_ALONE)
+                version = written.ok_value
+                break
+            await self._pause()
+        if version > self.me.incarnation:
+            self._set_me(self.me._replace(incarnation=version))
+
+    async def _pause(self) -> None:
+        await anyio.sleep(RETRY_SECONDS * (1 + random.random()))  # noqa: S311
 
     async def _find_members(self) -> None:
+        """Read the registered hosts: at the start, alone, or as a lister."""
+        await self.registered.wait()
+        listed = False
         while True:
-            found = await self._port.list(PREFIX)
-            if isinstance(found, result.Ok):
-                for stored in found.ok_value:
-                    self._learn(decode(stored.data))
-            alone = len(self._board.members) == 1
-            await anyio.sleep(LIST_SECONDS_ALONE if alone else LIST_SECONDS)
-
-    def _learn(self, member: blackboard.Member) -> bool:
-        """Take a row that is not older than the known one."""
-        if member.host == self.me.host:
-            return False
-        known = self._board.members.get(member.host)
-        if known is not None:
-            age = (known.incarnation, known.generation)
-            if (member.incarnation, member.generation) < age:
-                return False
-            if known.incarnation == member.incarnation:
-                if known.state != 'dead' and member.state == 'alive':
-                    member = member._replace(state=known.state)
-        else:
-            self._heard.setdefault(member.host, anyio.current_time())
-        self._board.members.put(member.host, member)
-        self._peers.connect(member.host, member.peer_address)
-        return True
-
-    async def _take_beat(
-        self, peer: str, payload: typing.Any
-    ) -> result.Result[list[typing.Any], verdicts.Failure]:
-        member = blackboard.Member(*payload)
-        if self._learn(member):
-            self._heard[member.host] = anyio.current_time()
-        return result.Ok(list(self.me))
-
-    def _beat(self) -> None:
-        peer_port.broadcast(self._peers.port, METHOD_BEAT, list(self.me))
-
-    def _judge(self) -> None:
-        now = anyio.current_time()
-        for member in self._board.members.rows():
-            if member.host == self.me.host:
-                continue
-            silence = now - self._heard.get(member.host, now)
-            state = membership.state(member.state, silence)
-            if state != member.state:
-                events.log(
-                    events.MEMBER_CHANGED,
-                    host=self.me.host,
-                    member=member.host,
-                    state=state,
-                )
-                self._board.members.put(
-                    member.host, member._replace(state=state)
-                )
-        self._calls.set_hosts(len(self.live_hosts()))
+            if not listed or self._is_alone() or self._is_lister():
+                found = await self._port.list(PREFIX)
+                if isinstance(found, result.Ok):
+                    listed = True
+                    self._learn(map(decode_stored, found.ok_value))
+            soon = not listed or self._is_alone()
+            await anyio.sleep(RETRY_SECONDS if soon else LIST_SECONDS)
+
+    def _is_alone(self) -> bool:
+        return len(self.live_hosts()) <= 1
+
+    def _is_lister(self) -> bool:
+        ranked = shards.ranked(PREFIX, self.live_hosts())
+        return self._host in ranked[:LISTERS]
+
+    async def _forget_dead(self) -> None:
+        """Drop hosts that have been dead for long, and their objects.
+
+        One host removes the object, and only at the version of the dead
+        incarnation: a host that registered again keeps it.
+        """
+        while True:
+            await anyio.sleep(LIST_SECONDS)
+            for row in self._view.forgettable(anyio.current_time()):
+                key = PREFIX + row.host
+                if shards.owner(key, self.live_hosts()) == self._host:
+                    deleted = await self._port.delete(key, row.incarnation)
+                    if store_failed(deleted):
+                        continue
+                if self._view.get(row.host) == row:
+                    self._view.forget(row.host)
+                    self._board.members.remove(row.host)
+                    self._board.host_loads.remove(row.host)
+
+
+def store_failed(deleted: result.Result[None, verdicts.Failure]) -> bool:
+    """Return whether a conditional removal has to be repeated."""
+    if isinstance(deleted, result.Ok):
+        return False
+    return deleted.err_value.event != events.STORE_CONFLICT
+
+
+def encode_beat(beat: membership.Beat) -> list[typing.Any]:
+    """Return the wire form of a heartbeat."""
+    rows = [list(row) for row in beat.rows]
+    return [list(beat.row), rows, beat.digest, beat.load]
+
+
+def decode_beat(payload: typing.Any) -> membership.Beat:
+    """Read the wire form of a heartbeat.
+
+    :raises TypeError: if it is none
+    """
+    row, rows, digest, load = payload
+    return membership.Beat(
+        decode_row(row), [decode_row(other) for other in rows], digest, load
+    )
+
+
+def decode_row(payload: typing.Any) -> blackboard.Member:
+    """Read a row; fields that a newer release added are left out."""
+    return blackboard.Member(*payload[: len(blackboard.Member._fields)])
 
 
-def decode(data: bytes) -> blackboard.Member:
-    """Read a stored row."""
-    return blackboard.Member(*cbor2.loads(data))
+def decode_stored(stored: store.Stored) -> blackboard.Member:
+    """Read a registered row; its incarnation is the store's version."""
+    row = decode_row(cbor2.loads(stored.data)[0])
+    return row._replace(incarnation=stored.version)
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import socket
-import time
 import typing
 
 import anyio
@@ -28,6 +27,7 @@
 from persimmonpass import keys
 from persimmonpass import metrics
 from persimmonpass.peers import link
+from persimmonpass.peers import listener
 from persimmonpass import sends
 from persimmonpass import settings
 from persimmonpass import store
@@ -131,26 +131,31 @@
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
-        incarnation = time.time_ns()
         self._calls = budget.Budget(options.store_rate)
         self._store = store.connect(client, options.store_url, self._calls)
         self._engines = engine.connect(client)
         self._services = service.connect(client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
-            link.Identity(options.host, incarnation, options.peer_secret),
+            listener.Identity(options.host, options.peer_secret),
             handlers,
         )
         me = blackboard.Member(
             options.host,
-            incarnation,
+            0,
             options.availability_zone,
             self.addresses.caller,
             self.addresses.peer,
             has_disk=bool(options.data_dir),
         )
         self._membership = membership.Membership(
-            me, self.board, self._store, self._peers, self._calls
+            me,
+            self.board,
+            self._store,
+            self._peers.port,
+            self._peers.follow,
+            self._calls,
+            lambda: self._in_progress,
         )
         self._config = config.Config(
             options.host, self.board, self._store, self._peers.port
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -1,13 +1,14 @@
 """Links to peers over websockets.
 
-Each host opens one link to each peer and sends its own calls and notices on
-it; answers come back on the same link. A link on which a call times out is
-closed and opened anew, since something between the ends may have lost it.
+A host sends its own calls and notices on the links that it opens; answers
+come back on the same link. Some links are kept up, others are opened by the
+first call and closed when unused. A link on which nothing arrives while a
+call waits is closed and opened anew, since something between the ends may
+have lost it.
 """
 
 import collections.abc
 import contextlib
-import hmac
 import itertools
 import socket
 import typing
@@ -15,28 +16,20 @@
 import anyio
 import anyio.abc
 import result
-import websockets
 import websockets.asyncio.client
 import websockets.asyncio.server
 
 from persimmonpass import events
+from persimmonpass.peers import listener
 from persimmonpass.peers import messages
 from persimmonpass.peers import port
 from persimmonpass import verdicts
 
 RECONNECT_SECONDS = 0.5
-OPEN_TIMEOUT_SECONDS = 2.0
+IDLE_SECONDS = 30.0
 NOTICE_QUEUE_FRAMES = 10_000
 
-_CLOSED = (websockets.ConnectionClosed, OSError, TimeoutError)
-
-
-class Identity(typing.NamedTuple):
-    """How this host presents itself to peers."""
-
-    host: str
-    incarnation: int
-    secret: str
+_CLOSED = listener.CLOSED
 
 
 class _Pending:
@@ -48,12 +41,22 @@
 
 
 class _Link:
-    """This host's link to one peer."""
+    """This host's link to one peer.
 
-    def __init__(self, host: str, address: str) -> None:
+    :ivar kept: stays open when unused
+    :ivar tried: set after the first attempt to open it
+    :ivar used_at: time of the last call
+    :ivar heard_at: time of the last frame from the peer
+    """
+
+    def __init__(self, host: str, address: str, kept: bool) -> None:
         self.host = host
         self.address = address
+        self.kept = kept
         self.up = False
+        self.tried = anyio.Event()
+        self.used_at = anyio.current_time()
+        self.heard_at = self.used_at
         self.pending: dict[int, _Pending] = {}
         self.scope = anyio.CancelScope()
         self.reset = anyio.Event()
@@ -68,30 +71,34 @@
     :ivar port: calls for the rest of the daemon
     """
 
-    def __init__(self, identity: Identity, handlers: port.Handlers) -> None:
+    def __init__(
+        self, identity: listener.Identity, handlers: port.Handlers
+    ) -> None:
         self._identity = identity
-        self._handlers = handlers
+        self._listener = listener.Listener(identity, handlers)
         self._links: dict[str, _Link] = {}
+        self._addresses: dict[str, str] = {}
         self._numbers = itertools.count(1)
         self._tasks: anyio.abc.TaskGroup | None = None
         self.port = port.PeerPort(self._call, self._notify, self._connected)
 
     async def serve(
         self,
-        listener: socket.socket,
+        bound: socket.socket,
         *,
         task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept links and keep up those of :meth:`connect`.
 
-        :param listener: bound socket for peers
+        :param bound: bound socket for peers
         """
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(
                 websockets.asyncio.server.serve(
-                    self._accept,
-                    sock=listener,
+                    self._listener.accept,
+                    sock=bound,
                     max_size=messages.MAX_FRAME_BYTES,
+                    close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
                     compression=None,
                 )
             )
@@ -101,22 +108,37 @@
             task_status.started()
             await anyio.sleep_forever()
 
-    def connect(self, host: str, address: str) -> None:
-        """Keep a link to a peer up; a changed address replaces the link."""
-        present = self._links.get(host)
-        if present is not None and present.address == address:
-            return
-        self.disconnect(host)
-        link = _Link(host, address)
+    def follow(
+        self,
+        addresses: collections.abc.Mapping[str, str],
+        kept: collections.abc.Collection[str],
+    ) -> None:
+        """Keep links up and know where other hosts could be called.
+
+        :param addresses: ``ip:port`` by host
+        :param kept: hosts to which a link stays up
+        """
+        self._addresses = dict(addresses)
+        for host, link in list(self._links.items()):
+            link.kept = host in kept
+            if addresses.get(host) != link.address:
+                self._close(link)
+        for host in kept:
+            if host not in self._links:
+                self._open(host, addresses[host], kept=True)
+
+    def _open(self, host: str, address: str, *, kept: bool) -> _Link:
+        link = _Link(host, address, kept)
         self._links[host] = link
         if self._tasks is not None:
             self._tasks.start_soon(self._keep_up, link)
+        return link
 
-    def disconnect(self, host: str) -> None:
-        """Close the link to a peer."""
-        link = self._links.pop(host, None)
-        if link is not None:
-            link.scope.cancel()
+    def _close(self, link: _Link) -> None:
+        link.scope.cancel()
+        link.tried.set()
+        if self._links.get(link.host) is link:
+            del self._links[link.host]
 
     def _connected(self) -> list[str]:
         return [link.host for link in self._links.values() if link.up]
@@ -142,30 +164,45 @@
         payload: typing.Any,
         timeout: float = port.CALL_TIMEOUT_SECONDS,
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        link = self._links.get(host)
+        started = anyio.current_time()
         not_sent = port.unreachable(host, verdicts.Verdict.NOT_RUN)
-        if link is None or not link.up:
-            return result.Err(not_sent)
-        number = next(self._numbers)
         pending = _Pending()
-        link.pending[number] = pending
+        number = next(self._numbers)
         frame = messages.Frame(
             messages.FrameKind.REQUEST, number, method, payload
         )
-        try:
-            if not self._enqueue(link, frame):
+        link = None
+        with anyio.move_on_after(timeout) as scope:
+            link = await self._find_link(host)
+            if link is None or not self._enqueue(link, frame):
                 return result.Err(not_sent)
-            with anyio.move_on_after(timeout):
+            link.pending[number] = pending
+            try:
                 await pending.done.wait()
-        finally:
-            link.pending.pop(number, None)
+            finally:
+                link.pending.pop(number, None)
         if pending.outcome is not None:
             return pending.outcome
-        link.reset.set()
+        if link is None:
+            return result.Err(not_sent)
+        if scope.cancelled_caught and link.heard_at < started:
+            link.reset.set()
         return result.Err(
             port.unreachable(host, verdicts.Verdict.MAY_HAVE_RUN)
         )
 
+    async def _find_link(self, host: str) -> _Link | None:
+        """Return a link that is up; one that is not there is opened."""
+        link = self._links.get(host)
+        if link is None:
+            address = self._addresses.get(host)
+            if address is None:
+                return None
+            link = self._open(host, address, kept=False)
+        link.used_at = anyio.current_time()
+        await link.tried.wait()
+        return link if link.up else None
+
     async def _keep_up(self, link: _Link) -> None:
         with link.scope:
             while True:
@@ -175,6 +212,8 @@
                     pass
                 finally:
                     self._take_down(link)
+                if not link.kept:
+                    self._close(link)
                 await anyio.sleep(RECONNECT_SECONDS)
 
     def _take_down(self, link: _Link) -> None:
@@ -185,6 +224,7 @@
                 peer=link.host,
             )
         link.up = False
+        link.tried.set()
         link.reset = anyio.Event()
         failure = port.unreachable(link.host, verdicts.Verdict.MAY_HAVE_RUN)
         for pending in link.pending.values():
@@ -198,12 +238,15 @@
         async with websockets.asyncio.client.connect(
             f'ws://{link.address}',
             max_size=messages.MAX_FRAME_BYTES,
-            open_timeout=OPEN_TIMEOUT_SECONDS,
+            open_timeout=listener.OPEN_TIMEOUT_SECONDS,
+            close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
             compression=None,
             proxy=None,
         ) as connection:
             await connection.send(self._hello())
             link.up = True
+            link.heard_at = anyio.current_time()
+            link.tried.set()
             events.log(
                 events.PEER_CONNECTED,
                 host=self._identity.host,
@@ -213,13 +256,13 @@
                 lambda: self._write(link, connection),
                 lambda: self._read_answers(link, connection),
                 link.reset.wait,
+                lambda: _wait_idle(link),
             )
 
     def _hello(self) -> bytes:
         hello = messages.Hello(
             protocol=messages.PROTOCOL_VERSION,
             host=self._identity.host,
-            incarnation=self._identity.incarnation,
             secret=self._identity.secret,
         )
         return messages.encode(
@@ -240,6 +283,7 @@
         connection: websockets.asyncio.client.ClientConnection,
     ) -> None:
         async for data in connection:
+            link.heard_at = anyio.current_time()
             frame = messages.decode(typing.cast(bytes, data))
             pending = link.pending.pop(frame.number, None)
             if pending is None:
@@ -247,69 +291,6 @@
             pending.outcome = _to_outcome(frame)
             pending.done.set()
 
-    async def _accept(
-        self, connection: websockets.asyncio.server.ServerConnection
-    ) -> None:
-        try:
-            peer = self._check_hello(await connection.recv())
-            if peer is None:
-                await connection.close(code=1008, reason='not authenticated')
-                return
-            async with anyio.create_task_group() as tasks:
-                async for data in connection:
-                    frame = messages.decode(typing.cast(bytes, data))
-                    tasks.start_soon(self._handle, peer, frame, connection)
-        except _CLOSED + (ValueError,):
-            return
-
-    def _check_hello(self, data: str | bytes) -> str | None:
-        """Return the peer's id, or ``None`` if it may not talk to us."""
-        hello = messages.decode(typing.cast(bytes, data)).payload
-        same = hmac.compare_digest(
-            str(hello.get('secret')), self._identity.secret
-        )
-        if same and hello.get('protocol') == messages.PROTOCOL_VERSION:
-            return str(hello['host'])
-        events.log(
-            events.PEER_REJECTED,
-            host=self._identity.host,
-            peer=str(hello.get('host')),
-        )
-        return None
-
-    async def _handle(
-        self,
-        peer: str,
-        frame: messages.Frame,
-        connection: websockets.asyncio.server.ServerConnection,
-    ) -> None:
-        handler = self._handlers.get(frame.method)
-        if handler is None:
-            outcome: result.Result[typing.Any, verdicts.Failure] = result.Err(
-                verdicts.invalid('method', f'{frame.method!r} is unknown')
-            )
-        else:
-            outcome = await handler(peer, frame.payload)
-        if frame.kind != messages.FrameKind.REQUEST:
-            return
-        with contextlib.suppress(*_CLOSED):
-            await connection.send(_answer(frame.number, outcome))
-
-
-def _answer(
-    number: int, outcome: result.Result[typing.Any, verdicts.Failure]
-) -> bytes:
-    if isinstance(outcome, result.Ok):
-        frame = messages.Frame(
-            messages.FrameKind.RESPONSE, number, '', outcome.ok_value
-        )
-        return messages.encode(frame)
-    failure = outcome.err_value
-    payload = [failure.status, verdicts.to_body(failure)]
-    return messages.encode(
-        messages.Frame(messages.FrameKind.FAILURE, number, '', payload)
-    )
-
 
 def _to_outcome(
     frame: messages.Frame,
@@ -320,6 +301,15 @@
     return result.Err(verdicts.from_body(body, status))
 
 
+async def _wait_idle(link: _Link) -> None:
+    """Wait until a link that need not stay up is unused."""
+    while True:
+        unused = anyio.current_time() - link.used_at
+        if not link.kept and unused >= IDLE_SECONDS and not link.pending:
+            return
+        await anyio.sleep(IDLE_SECONDS)
+
+
 async def _first_of(
     *jobs: collections.abc.Callable[[], collections.abc.Awaitable[None]],
 ) -> None:
--- /dev/null
+++ b/src/persimmonpass/peers/listener.py
@@ -0,0 +1,135 @@
+"""Serves the calls that peers send on the links they open."""
+
+import contextlib
+import hmac
+import typing
+
+import anyio
+import result
+import websockets
+import websockets.asyncio.server
+
+from persimmonpass import events
+from persimmonpass.peers import messages
+from persimmonpass.peers import port
+from persimmonpass import verdicts
+
+OPEN_TIMEOUT_SECONDS = 2.0
+CLOSE_TIMEOUT_SECONDS = 0.5
+RETRY_AFTER_SECONDS = 1.0
+CLOSED = (websockets.ConnectionClosed, OSError, TimeoutError)
+
+
+class Identity(typing.NamedTuple):
+    """How this host presents itself to peers."""
+
+    host: str
+    secret: str
+
+
+class Listener:
+    """Checks who calls and runs the handlers."""
+
+    def __init__(self, identity: Identity, handlers: port.Handlers) -> None:
+        self._identity = identity
+        self._handlers = handlers
+
+    async def accept(
+        self, connection: websockets.asyncio.server.ServerConnection
+    ) -> None:
+        """Serve the calls that arrive on a link from a peer."""
+        with contextlib.suppress(*CLOSED, ValueError):
+            with anyio.fail_after(OPEN_TIMEOUT_SECONDS):
+                peer = self._check_hello(await connection.recv())
+            if peer is None:
+                await connection.close(code=1008, reason='not authenticated')
+                return
+            await self._read_calls(peer, connection)
+
+    async def _read_calls(
+        self,
+        peer: str,
+        connection: websockets.asyncio.server.ServerConnection,
+    ) -> None:
+        """Start the handlers of a peer's calls until its link closes.
+
+        Handlers that have begun finish, as their effect may be half made.
+        """
+        async with anyio.create_task_group() as tasks:
+            with contextlib.suppress(*CLOSED, ValueError):
+                async for data in connection:
+                    frame = messages.decode(typing.cast(bytes, data))
+                    tasks.start_soon(self._handle, peer, frame, connection)
+                return
+            await connection.close(code=1002, reason='not a frame')
+
+    def _check_hello(self, data: str | bytes) -> str | None:
+        """Return the peer's id, or ``None`` if it may not talk to us."""
+        hello = messages.decode(typing.cast(bytes, data)).payload
+        if not isinstance(hello, dict):
+            raise ValueError('the first frame is no hello')
+        same = hmac.compare_digest(
+            str(hello.get('secret')).encode(), self._identity.secret.encode()
+        )
+        if same and hello.get('protocol') == messages.PROTOCOL_VERSION:
+            return str(hello.get('host'))
+        events.log(
+            events.PEER_REJECTED,
+            host=self._identity.host,
+            peer=str(hello.get('host')),
+        )
+        return None
+
+    async def _handle(
+        self,
+        peer: str,
+        frame: messages.Frame,
+        connection: websockets.asyncio.server.ServerConnection,
+    ) -> None:
+        outcome = await self._run_handler(peer, frame)
+        if frame.kind != messages.FrameKind.REQUEST:
+            return
+        with contextlib.suppress(*CLOSED):
+            await connection.send(_answer(frame.number, outcome))
+
+    async def _run_handler(
+        self, peer: str, frame: messages.Frame
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        handler = self._handlers.get(frame.method)
+        if handler is None:
+            return result.Err(
+                verdicts.invalid('method', f'{frame.method!r} is unknown')
+            )
+        try:
+            return await handler(peer, frame.payload)
+        except Exception as error:
+            events.log(
+                events.TASK_FAILED,
+                host=self._identity.host,
+                task=frame.method,
+                message=repr(error),
+            )
+            return result.Err(
+                verdicts.Failure(
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                    events.TASK_FAILED,
+                    f'{frame.method} failed: {error!r}',
+                    500,
+                    RETRY_AFTER_SECONDS,
+                )
+            )
+
+
+def _answer(
+    number: int, outcome: result.Result[typing.Any, verdicts.Failure]
+) -> bytes:
+    if isinstance(outcome, result.Ok):
+        frame = messages.Frame(
+            messages.FrameKind.RESPONSE, number, '', outcome.ok_value
+        )
+        return messages.encode(frame)
+    failure = outcome.err_value
+    payload = [failure.status, verdicts.to_body(failure)]
+    return messages.encode(
+        messages.Frame(messages.FrameKind.FAILURE, number, '', payload)
+    )
--- a/src/persimmonpass/peers/messages.py
+++ b/src/persimmonpass/peers/messages.py
@@ -40,7 +40,6 @@
 
     protocol: int
     host: str
-    incarnation: int
     secret: str
 
 
--- a/src/persimmonpass/policy/entry.py
+++ b/src/persimmonpass/policy/entry.py
@@ -3,33 +3,54 @@
 import collections.abc
 import typing
 
+MAX_ADDRESSES = 32
+
 
 class EntryHost(typing.NamedTuple):
     """A host that may take callers.
 
-    :ivar load: requests in progress
+    :ivar state: as in the table of members
+    :ivar load: requests in progress, or ``None`` if unknown
     """
 
     host: str
     address: str
     availability_zone: str
-    load: int
+    state: str
+    load: int | None
+
+
+PREFERRED_STATES = ('alive', 'suspect', 'leaving')
 
 
 def order(
     hosts: collections.abc.Iterable[EntryHost],
     availability_zone: str,
     draw: collections.abc.Callable[[], float],
+    limit: int = MAX_ADDRESSES,
 ) -> list[str]:
     """Return addresses, those in the caller's zone first.
 
-    :param hosts: hosts that are alive and not leaving
+    Only if no host is alive are suspect ones given, and only if there is
+    none of these either the leaving ones; dead ones never.
+
+    :param hosts: all known hosts
     :param availability_zone: the caller's zone, or empty
     :param draw: random numbers in [0, 1)
+    :param limit: largest number of addresses
     """
+    usable: list[EntryHost] = []
+    known = list(hosts)
+    for state in PREFERRED_STATES:
+        usable = [host for host in known if host.state == state]
+        if usable:
+            break
+    loads = [host.load for host in usable if host.load is not None]
+    mean = sum(loads) / len(loads) if loads else 0.0
 
     def rank(host: EntryHost) -> tuple[bool, float]:
         far = host.availability_zone != availability_zone
-        return far, (host.load + 1) * draw()
+        load = mean if host.load is None else host.load
+        return far, -((1 - draw()) ** (load + 1))
 
-    return [host.address for host in sorted(hosts, key=rank)]
+    return [host.address for host in sorted(usable, key=rank)][:limit]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -151,11 +151,13 @@
 
     :ivar handlers: handlers by host
     :ivar cut: pairs of hosts that do not reach each other
+    :ivar silent: hosts whose calls and answers are lost
     """
 
     def __init__(self) -> None:
         self.handlers: dict[str, peer_port.Handlers] = {}
         self.cut: set[frozenset[str]] = set()
+        self.silent: set[str] = set()
         self.notices: list[tuple[str, str, str]] = []
 
     def port(
@@ -180,6 +182,11 @@
                 return result.Err(
                     peer_port.unreachable(other, verdicts.Verdict.NOT_RUN)
                 )
+            if self.silent & {host, other}:
+                await anyio.sleep(timeout or peer_port.CALL_TIMEOUT_SECONDS)
+                return result.Err(
+                    peer_port.unreachable(other, verdicts.Verdict.MAY_HAVE_RUN)
+                )
             return await self.handlers[other][method](host, payload)
 
         def notify(other: str, method: str, payload: typing.Any) -> bool:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,321 @@
+"""Membership under faults, on a paused clock."""
+
+import unittest
+
+import anyio
+import cbor2
+import parameterized
+
+from persimmonpass import blackboard
+from persimmonpass import budget
+from persimmonpass.controllers import membership
+from persimmonpass.policy import membership as policy
+from tests import fakes
+
+DETECT_SECONDS = 8.0
+HEAL_SECONDS = 10.0
+
+
+class Fleet:
+    """Membership controllers that share a store and a network."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.store = fakes.MemoryStore()
+        self.network = fakes.Network()
+        self.boards = {}
+        self.scopes = {}
+        self.controllers = {}
+        self.loads = {}
+
+    async def start(self, *hosts, settle=DETECT_SECONDS):
+        for host in hosts:
+            self._start(host)
+        await anyio.sleep(settle)
+
+    def _start(self, host):
+        board = blackboard.Blackboard()
+        me = blackboard.Member(
+            host, 0, f'zone-{host[0]}', f'caller-{host}', f'peer-{host}'
+        )
+        made = membership.Membership(
+            me,
+            board,
+            self.store.port,
+            self.network.port(host),
+            lambda addresses, kept: None,
+            budget.Budget(1000.0),
+            lambda: self.loads.get(host, 0),
+        )
+        self.network.handlers[host] = made.handlers
+        self.boards[host] = board
+        self.controllers[host] = made
+        self.scopes[host] = anyio.CancelScope()
+        self.tasks.start_soon(self._run, host, made)
+
+    async def _run(self, host, made):
+        with self.scopes[host]:
+            await made.run()
+
+    def kill(self, host):
+        self.scopes[host].cancel()
+        del self.network.handlers[host]
+        del self.boards[host]
+
+    def cut(self, left, right):
+        self.network.cut = {frozenset((a, b)) for a in left for b in right}
+
+    def states(self, host):
+        """Return what each running host thinks of a host."""
+        found = set()
+        for board in self.boards.values():
+            row = board.members.get(host)
+            found.add(row.state if row is not None else None)
+        return found
+
+
+def on_fleet(test):
+    """Run a test on a fleet, on a paused clock."""
+
+    def run(self, *arguments):
+        async def body():
+            async with anyio.create_task_group() as tasks:
+                await test(self, Fleet(tasks), *arguments)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(body)
+
+    run.__name__ = test.__name__
+    return run
+
+
+class TestFaults(unittest.TestCase):
+    """What the hosts think of each other after a fault."""
+
+    @parameterized.parameterized.expand([(1,), (2,), (3,), (8,)])
+    @on_fleet
+    async def test_all_know_all_and_write_once(self, fleet, count):
+        hosts = [f'h{n}' for n in range(count)]
+        await fleet.start(*hosts)
+        for host in hosts:
+            self.assertEqual({'alive'}, fleet.states(host))
+        before = fleet.store.calls['list']
+        await anyio.sleep(120)
+        self.assertEqual(count, fleet.store.calls['put'])
+        listers = min(count, membership.LISTERS)
+        if count > 1:
+            lists = fleet.store.calls['list'] - before
+            self.assertLessEqual(lists, listers * 5)
+
+    @parameterized.parameterized.expand([('kill',), ('silent',)])
+    @on_fleet
+    async def test_lost_host_is_dead_everywhere(self, fleet, fault):
+        await fleet.start('a1', 'a2', 'b1', 'b2')
+        if fault == 'kill':
+            fleet.kill('b2')
+        else:
+            fleet.network.silent.add('b2')
+            del fleet.boards['b2']
+        await anyio.sleep(DETECT_SECONDS)
+        self.assertEqual({'dead'}, fleet.states('b2'))
+        for host in ('a1', 'a2', 'b1'):
+            self.assertEqual({'alive'}, fleet.states(host))
+
+    @on_fleet
+    async def test_one_broken_path_is_no_death(self, fleet):
+        await fleet.start('a1', 'a2', 'b1', 'b2')
+        fleet.cut(['a1'], ['b1'])
+        for _ in range(40):
+            await anyio.sleep(0.5)
+            for host in fleet.boards:
+                self.assertEqual({'alive'}, fleet.states(host))
+
+    @on_fleet
+    async def test_silent_host_returns(self, fleet):
+        await fleet.start('a1', 'a2', 'b1')
+        row = fleet.controllers['b1'].me
+        fleet.network.silent.add('b1')
+        await anyio.sleep(DETECT_SECONDS)
+        self.assertEqual('dead', fleet.boards['a1'].members.get('b1').state)
+        fleet.network.silent.clear()
+        await anyio.sleep(HEAL_SECONDS)
+        for host in fleet.boards:
+            self.assertEqual({'alive'}, fleet.states(host))
+        back = fleet.boards['a1'].members.get('b1')
+        self.assertGreater(policy.age(back), policy.age(row))
+
+    @on_fleet
+    async def test_zone_cut_in_two_heals(self, fleet):
+        await fleet.start('a1', 'a2', 'b1', 'b2')
+        fleet.cut(['a1', 'a2'], ['b1', 'b2'])
+        await anyio.sleep(2 * DETECT_SECONDS)
+        for host, far in (('a1', 'b1'), ('b2', 'a2')):
+            members = fleet.boards[host].members
+            self.assertEqual('dead', members.get(far).state)
+        fleet.network.cut = set()
+        await anyio.sleep(2 * HEAL_SECONDS)
+        for host in fleet.boards:
+            self.assertEqual({'alive'}, fleet.states(host))
+
+    @parameterized.parameterized.expand([(False,), (True,)])
+    @on_fleet
+    async def test_new_start_at_an_old_address(self, fleet, outage):
+        await fleet.start('a1', 'a2', 'b1')
+        old = fleet.controllers['b1'].me
+        fleet.kill('b1')
+        await anyio.sleep(DETECT_SECONDS)
+        fleet.store.outage = outage
+        await fleet.start('b1', settle=HEAL_SECONDS)
+        self.assertEqual({'alive'}, fleet.states('b1'))
+        new = fleet.boards['a1'].members.get('b1')
+        self.assertGreater(policy.age(new), policy.age(old))
+        self.assertEqual(outage, new.incarnation == old.incarnation)
+        self.assertEqual(3, len(fleet.boards['b1'].members))
+        fleet.store.outage = False
+        await anyio.sleep(HEAL_SECONDS)
+        last = fleet.boards['a1'].members.get('b1')
+        self.assertGreater(last.incarnation, old.incarnation)
+
+    @parameterized.parameterized.expand(
+        [
+            ([],),
+            ([fakes.LOST_ANSWER],),
+            ([fakes.OUTAGE, fakes.LOST_ANSWER],),
+        ]
+    )
+    @on_fleet
+    async def test_incarnation_is_the_stored_version(self, fleet, faults):
+        fleet.store.faults.extend(faults)
+        await fleet.start('a1')
+        stored = fleet.store.objects['members/a1']
+        self.assertEqual(
+            stored.version, fleet.controllers['a1'].me.incarnation
+        )
+
+    @on_fleet
+    async def test_load_does_not_wake_readers_of_members(self, fleet):
+        await fleet.start('a1', 'a2')
+        before = fleet.boards['a1'].members.version
+        fleet.loads['a2'] = 7
+        await anyio.sleep(DETECT_SECONDS)
+        self.assertEqual(before, fleet.boards['a1'].members.version)
+        self.assertEqual(7, fleet.boards['a1'].host_loads.get('a2'))
+
+    @on_fleet
+    async def test_join_is_learned_without_the_store(self, fleet):
+        await fleet.start('a1', 'a2', 'b1')
+        before = fleet.store.calls['list']
+        await fleet.start('b2', settle=5)
+        self.assertEqual({'alive'}, fleet.states('b2'))
+        self.assertEqual(before + 1, fleet.store.calls['list'])
+
+    @parameterized.parameterized.expand([(False,), (True,)])
+    @on_fleet
+    async def test_object_of_a_dead_host_is_removed(self, fleet, returns):
+        await fleet.start('a1', 'a2', 'b1')
+        fleet.kill('b1')
+        await anyio.sleep(policy.FORGET_SECONDS - 60)
+        self.assertIn('members/b1', fleet.store.objects)
+        if returns:
+            await fleet.store.port.put(
+                'members/b1', fleet.store.objects['members/b1'].data
+            )
+        await anyio.sleep(60 + 2 * membership.LIST_SECONDS + DETECT_SECONDS)
+        self.assertEqual(returns, 'members/b1' in fleet.store.objects)
+        expected = 0 if returns else 1
+        self.assertEqual(expected, fleet.store.calls['delete'])
+
+
+class TestSize(unittest.TestCase):
+    """The policy alone, at the sizes that it is made for."""
+
+    @parameterized.parameterized.expand(
+        # hosts, longest time until all know of a death, seconds
+        [(3, 6.0), (32, 10.0), (900, 15.0)]
+    )
+    def test_detection_and_cost(self, count, limit):
+        found = simulate(count)
+        self.assertLessEqual(found['all_know_seconds'], limit)
+        self.assertLessEqual(found['bytes_per_second_mean'], 9_000)
+        self.assertLessEqual(found['bytes_per_second_max'], 9_000)
+        self.assertEqual(0, found['false_suspects'])
+
+
+PACKET_BYTES = 66 + 8
+FRAME_BYTES = 25
+ZONES = 26
+
+
+def simulate(count, seconds=20.0):
+    """Kill one host and run the views of the others in a plain loop.
+
+    :returns: what was measured, bytes with packet headers both ways
+    """
+    rows = [
+        blackboard.Member(
+            f'host-{n:04}', n + 1, f'zone-{n % ZONES:02}', '10.20.30.40:8000',
+            '10.20.30.40:8001',
+        )
+        for n in range(count)
+    ]  # fmt: skip
+    views = {row.host: policy.View(row, row.incarnation) for row in rows}
+    for view in views.values():
+        for row in rows:
+            view.merge(row, -100.0)
+        view.settle()
+    victim = rows[count // 2].host
+    dead = views.pop(victim)
+    sent = dict.fromkeys(views, 0)
+    beats = 0
+    waiting = []
+    found = {'links_max': max(len(view.links()) for view in views.values())}
+    false_suspects = 0
+    now = 0.0
+    while now < seconds:
+        for view in views.values():
+            view.judge(now)
+            for host in view.targets():
+                beats += 1
+                if host == victim:
+                    until = now + policy.BEAT_TIMEOUT_SECONDS + 1.0
+                    waiting.append((until, view, view.get(host)))
+                    sent[view.me.host] += _size(view.make_beat(0))
+                    continue
+                beat = view.make_beat(0)
+                views[host].take_beat(beat, now)
+                answer = views[host].make_beat(0)
+                view.take_beat(answer, now)
+                size = _size(beat) + _size(answer)
+                sent[view.me.host] += size
+                sent[host] += size
+        for until, view, seen in list(waiting):
+            if until <= now:
+                view.suspect(seen, now)
+                waiting.remove((until, view, seen))
+        now += policy.TICK_SECONDS
+        knowing = sum(
+            view.get(victim).state == 'dead' for view in views.values()
+        )
+        false_suspects += sum(
+            row.state != 'alive'
+            for row in next(iter(views.values())).rows()
+            if row.host != victim
+        )
+        if knowing:
+            found.setdefault('first_knows_seconds', now)
+        if knowing == len(views):
+            found.setdefault('all_know_seconds', now)
+    return {
+        'hosts': count,
+        **found,
+        'links_victim': len(dead.links()),
+        'beats_per_second': beats / seconds / count,
+        'bytes_per_second_mean': sum(sent.values()) / seconds / len(sent),
+        'bytes_per_second_max': max(sent.values()) / seconds,
+        'false_suspects': false_suspects,
+    }
+
+
+def _size(beat):
+    payload = membership.encode_beat(beat)
+    return len(cbor2.dumps(payload)) + FRAME_BYTES + PACKET_BYTES
