Drain by confirmed generations and give out only hosts that are ready

Cause: the drain asked peers one after the other, so that a silent one held up the rest; it counted a peer's plain answer as a confirmation; it took no account of other hosts' TTL or of peers that join during it; the server was cancelled 50 ms after the drain, and open connections were kept. A host was given out before it was ready.

--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -80,7 +80,8 @@
     :ivar host: the host's id
     :ivar incarnation: the store's version at the daemon's registration; 0
         before it
-    :ivar state: ``alive``, ``suspect``, ``leaving`` or ``dead``
+    :ivar state: ``starting`` until it is ready, ``alive``, ``suspect``,
+        ``leaving`` or ``dead``
     :ivar generation: rises when the host leaves the entry answers or
         overrules what others say of it
     :ivar caller_address: ``ip:port`` for callers
--- /dev/null
+++ b/src/persimmonpass/controllers/drain.py
@@ -0,0 +1,150 @@
+"""Takes this host out of the fleet without cutting a request.
+
+The host raises its generation as leaving. Each peer that is not dead has to
+confirm that it gives out the host's address no longer since that generation.
+When all have confirmed, the longest time for which callers may keep an answer
+has passed since, and nothing is in progress, the drain ends.
+"""
+
+import collections.abc
+import typing
+
+import anyio
+
+from persimmonpass import events
+
+POLL_SECONDS = 0.05
+RETRY_SECONDS = 0.2
+# Covers the way of an answer to the caller and of its request to this host.
+ANSWER_MARGIN_SECONDS = 0.5
+
+
+class Report(typing.NamedTuple):
+    """How a drain ended.
+
+    :ivar reason: ``confirmed``, ``limit`` or ``stopped`` by an operator
+    :ivar seconds: how long it took
+    :ivar unconfirmed: peers that did not confirm
+    :ivar in_progress: requests that were cut
+    """
+
+    reason: str
+    seconds: float
+    unconfirmed: list[str]
+    in_progress: int
+
+
+class DrainPorts(typing.NamedTuple):
+    """What a drain works with.
+
+    :ivar leave: raises this host's generation as leaving; tells whether its
+        address was ever given out
+    :ivar peers: the hosts that are not dead
+    :ivar confirm: asks a peer; the time for which its callers keep an
+        answer in seconds, or ``None`` if it does not confirm
+    :ivar in_progress: number of callers' requests in progress
+    """
+
+    leave: collections.abc.Callable[[], bool]
+    peers: collections.abc.Callable[[], list[str]]
+    confirm: collections.abc.Callable[
+        [str], collections.abc.Awaitable[float | None]
+    ]
+    in_progress: collections.abc.Callable[[], int]
+
+
+class Drain:
+    """The drain of one daemon.
+
+    :ivar started: set by the first signal
+    """
+
+    def __init__(
+        self,
+        host: str,
+        ports: DrainPorts,
+        entry_ttl_seconds: float,
+        limit_seconds: float,
+    ) -> None:
+        self.started = anyio.Event()
+        self._host = host
+        self._ports = ports
+        self._ttl = entry_ttl_seconds
+        self._limit = limit_seconds
+        self._scope = anyio.CancelScope()
+        self._stopped = False
+        self._confirmed: set[str] = set()
+        self._confirmed_at = 0.0
+
+    def stop(self) -> None:
+        """End the drain at once, whatever is in progress."""
+        self._stopped = True
+        self.started.set()
+        self._scope.cancel()
+
+    async def run(self) -> Report:
+        """Leave the entry answers and wait until nobody needs this host."""
+        began = anyio.current_time()
+        self._confirmed_at = began
+        events.log(events.DRAIN_STARTED, host=self._host)
+        given_out = self._ports.leave()
+        with self._scope as scope:
+            scope.deadline = began + self._limit
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._ask_peers)
+                while not self._is_over(given_out):
+                    await anyio.sleep(POLL_SECONDS)
+                tasks.cancel_scope.cancel()
+        reason = 'confirmed'
+        if scope.cancelled_caught:
+            reason = 'stopped' if self._stopped else 'limit'
+        report = Report(
+            reason,
+            anyio.current_time() - began,
+            sorted(self._unconfirmed()),
+            self._ports.in_progress(),
+        )
+        if reason != 'confirmed':
+            events.log(
+                events.DRAIN_UNCONFIRMED,
+                host=self._host,
+                reason=reason,
+                peers=report.unconfirmed,
+                in_progress=report.in_progress,
+            )
+        events.log(
+            events.DRAIN_FINISHED, host=self._host, seconds=report.seconds
+        )
+        return report
+
+    def _unconfirmed(self) -> set[str]:
+        return set(self._ports.peers()) - self._confirmed
+
+    def _is_over(self, given_out: bool) -> bool:
+        kept = self._ttl + ANSWER_MARGIN_SECONDS if given_out else 0.0
+        return (
+            not self._unconfirmed()
+            and anyio.current_time() - self._confirmed_at >= kept
+            and not self._ports.in_progress()
+        )
+
+    async def _ask_peers(self) -> None:
+        """Ask until all have confirmed, those too that join meanwhile."""
+        asked: set[str] = set()
+
+        async def ask(peer: str) -> None:
+            ttl = await self._ports.confirm(peer)
+            if ttl is not None:
+                self._confirmed.add(peer)
+                self._confirmed_at = anyio.current_time()
+                self._ttl = max(self._ttl, ttl)
+            else:
+                await anyio.sleep(RETRY_SECONDS)
+            asked.discard(peer)
+
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for peer in self._unconfirmed() - asked:
+                    asked.add(peer)
+                    tasks.start_soon(ask, peer)
+                await anyio.sleep(POLL_SECONDS)
--- a/src/persimmonpass/controllers/membership.py
+++ b/src/persimmonpass/controllers/membership.py
@@ -14,7 +14,7 @@
 from persimmonpass import budget
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
-from persimmonpass.policy import membership
+from persimmonpass.policy import membership as policy
 from persimmonpass.policy import shards
 from persimmonpass import store
 from persimmonpass import verdicts
@@ -28,6 +28,7 @@
 LIST_SECONDS = 30.0
 LISTERS = 3
 STALL_SECONDS = 1.0
+DEPART_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 2.0
 
 LIVE_STATES = ('alive', 'suspect')
@@ -53,6 +54,7 @@
         follow: Follow,
         calls: budget.Budget,
         load: collections.abc.Callable[[], int],
+        entry_ttl_seconds: float = 0.0,
     ) -> None:
         self.registered = anyio.Event()
         self._board = board
@@ -61,9 +63,10 @@
         self._follow = follow
         self._calls = calls
         self._load = load
+        self._entry_ttl_seconds = entry_ttl_seconds
         self._host = me.host
         self._token = uuid.uuid4().hex
-        self._view = membership.View(me, shards.score('draws', me.host))
+        self._view = policy.View(me, shards.score('draws', me.host))
         self._register_again = anyio.Event()
         board.members.put(me.host, me)
 
@@ -91,9 +94,9 @@
             while True:
                 began = anyio.current_time()
                 self._tick(tasks, began)
-                await anyio.sleep(membership.TICK_SECONDS)
-                late = anyio.current_time() - began - membership.TICK_SECONDS
-                if late > membership.SUSPECT_SECONDS:
+                await anyio.sleep(policy.TICK_SECONDS)
+                late = anyio.current_time() - began - policy.TICK_SECONDS
+                if late > policy.SUSPECT_SECONDS:
                     self._register_again.set()
 
     def live_hosts(self) -> list[str]:
@@ -104,27 +107,61 @@
             if member.state in LIVE_STATES
         ]
 
-    def leave(self) -> None:
-        """Take this host out of the entry answers and out of ownership."""
+    def other_hosts(self) -> list[str]:
+        """Return the other hosts that are not dead."""
+        return [
+            row.host
+            for row in self._view.rows()
+            if row.state != 'dead' and row.host != self._host
+        ]
+
+    def enter(self) -> None:
+        """Let this host be given out to callers."""
+        if self.me.state == 'starting':
+            self._set_me(self.me._replace(state='alive'))
+
+    def leave(self) -> bool:
+        """Take this host out of the entry answers and out of ownership.
+
+        :returns: whether it was ever given out
+        """
+        given_out = self.me.state != 'starting'
         me = self.me._replace(
             state='leaving', generation=self.me.generation + 1
         )
         self._set_me(me)
+        return given_out
 
-    async def confirm_leaving(self, host: str) -> bool:
+    async def confirm_leaving(self, host: str) -> float | None:
         """Ask a peer to stop giving out this host's address.
 
-        :returns: whether the peer says that it has known this host as leaving
-            since the present generation
+        :returns: for how long its callers keep an answer, in seconds, if it
+            has known this host as leaving since the present generation;
+            otherwise ``None``
         """
         me = self.me
         answered = await self._peers.call(host, METHOD_LEAVING, list(me))
         if isinstance(answered, result.Err):
-            return False
-        known = decode_row(answered.ok_value)
-        return known.state == 'leaving' and membership.age(
-            known
-        ) >= membership.age(me)
+            return None
+        row, ttl = answered.ok_value
+        known = decode_row(row)
+        if known.state not in ('leaving', 'dead'):
+            return None
+        return float(ttl) if policy.age(known) >= policy.age(me) else None
+
+    async def depart(self) -> None:
+        """Tell the peers and the store that this host has ended."""
+        self._set_me(self.me._replace(state='dead'))
+        with anyio.move_on_after(DEPART_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for host in self._view.links():
+                    tasks.start_soon(self._call_beat, host)
+                if self.registered.is_set():
+                    tasks.start_soon(
+                        self._port.delete,
+                        PREFIX + self._host,
+                        self.me.incarnation,
+                    )
 
     def _set_me(self, me: blackboard.Member) -> None:
         self._view.set_me(me, anyio.current_time())
@@ -177,7 +214,7 @@
             return
         if await self._reached_by_others(host):
             return
-        limit = membership.BEAT_TIMEOUT_SECONDS + PROBE_TIMEOUT_SECONDS
+        limit = policy.BEAT_TIMEOUT_SECONDS + PROBE_TIMEOUT_SECONDS
         now = anyio.current_time()
         if now - began > limit + STALL_SECONDS:
             # It was this process that stood still.
@@ -192,10 +229,10 @@
             host,
             METHOD_BEAT,
             encode_beat(beat),
-            membership.BEAT_TIMEOUT_SECONDS,
+            policy.BEAT_TIMEOUT_SECONDS,
         )
 
-    async def _heard(self, host: str, beat: membership.Beat) -> None:
+    async def _heard(self, host: str, beat: policy.Beat) -> None:
         now = anyio.current_time()
         self._board.host_loads.put(host, beat.load)
         self._publish(self._view.take_beat(beat, now))
@@ -250,7 +287,8 @@
         """Stop giving out a host; say what is in force from now on."""
         row = decode_row(payload)
         self._learn([row])
-        return result.Ok(list(self._board.members.get(row.host) or row))
+        known = self._board.members.get(row.host) or row
+        return result.Ok([list(known), self._entry_ttl_seconds])
 
     async def _keep_registered(self) -> None:
         """Register, and again after others may have removed the row."""
@@ -337,19 +375,19 @@
     return deleted.err_value.event != events.STORE_CONFLICT
 
 
-def encode_beat(beat: membership.Beat) -> list[typing.Any]:
+def encode_beat(beat: policy.Beat) -> list[typing.Any]:
     """Return the wire form of a heartbeat."""
     rows = [list(row) for row in beat.rows]
     return [list(beat.row), rows, beat.digest, beat.load]
 
 
-def decode_beat(payload: typing.Any) -> membership.Beat:
+def decode_beat(payload: typing.Any) -> policy.Beat:
     """Read the wire form of a heartbeat.
 
     :raises TypeError: if it is none
     """
     row, rows, digest, load = payload
-    return membership.Beat(
+    return policy.Beat(
         decode_row(row), [decode_row(other) for other in rows], digest, load
     )
 
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -15,10 +15,12 @@
 from persimmonpass.api import caller
 from persimmonpass.api import operator
 from persimmonpass.api import ports
+from persimmonpass.api import progress
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers import batch
 from persimmonpass.controllers import config
+from persimmonpass.controllers import drain
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
 from persimmonpass.controllers import online
@@ -38,7 +40,6 @@
 BACKLOG = 1024
 MAX_CONNECTIONS = 10_000
 RESTART_SECONDS = 0.5
-POLL_SECONDS = 0.05
 STOP_SECONDS = 1.0
 
 
@@ -59,15 +60,24 @@
     def __init__(self, options: settings.Settings) -> None:
         self._options = options
         self._in_progress = 0
-        self._draining = anyio.Event()
         self._stopped = anyio.Event()
-        self._hurry = anyio.CancelScope()
         self._sockets = [
             listen(options.listen),
             listen(options.peer_listen),
             listen(options.operator_listen),
         ]
         self.addresses = Addresses(*(map(address_of, self._sockets)))
+        self._drain = drain.Drain(
+            options.host,
+            drain.DrainPorts(
+                lambda: self._membership.leave(),
+                lambda: self._membership.other_hosts(),
+                lambda host: self._membership.confirm_leaving(host),
+                lambda: self._progress.in_progress,
+            ),
+            options.entry_ttl_seconds,
+            options.drain_seconds,
+        )
         self.board = blackboard.Blackboard()
         self.counters = metrics.Metrics()
         self.spans = tracing.Tracing(options.host, options.trace)
@@ -75,21 +85,20 @@
     @property
     def is_ready(self) -> bool:
         """Whether this host has a configuration and is not leaving."""
-        return self._config.ready.is_set() and not self._draining.is_set()
+        return self._config.ready.is_set() and not self.is_draining
 
     @property
     def is_draining(self) -> bool:
         """Whether this host is leaving."""
-        return self._draining.is_set()
+        return self._drain.started.is_set()
 
     def drain(self) -> None:
         """Leave the entry answers, finish what is in progress and stop."""
-        self._draining.set()
+        self._drain.started.set()
 
     def stop(self) -> None:
         """End a drain at once, whatever is in progress."""
-        self._draining.set()
-        self._hurry.cancel()
+        self._drain.stop()
 
     async def run(
         self,
@@ -111,7 +120,10 @@
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
-            tasks.start_soon(self._serve, self._caller_app(), 0)
+            self._progress = progress.Progress(
+                self._caller_app(), lambda: self.is_draining
+            )
+            tasks.start_soon(self._serve, self._progress, 0)
             tasks.start_soon(self._serve, self._operator_app(), 2)
             events.log(
                 events.DAEMON_STARTED,
@@ -120,10 +132,10 @@
             )
             task_status.started(self.addresses)
             tasks.start_soon(self._announce_ready)
-            await self._draining.wait()
-            await self._finish()
+            await self._drain.started.wait()
+            await self._drain.run()
             self._stopped.set()
-            await anyio.sleep(POLL_SECONDS)
+            await self._membership.depart()
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
@@ -146,6 +158,7 @@
             options.availability_zone,
             self.addresses.caller,
             self.addresses.peer,
+            state='starting',
             has_disk=bool(options.data_dir),
         )
         self._membership = membership.Membership(
@@ -156,6 +169,7 @@
             self._peers.follow,
             self._calls,
             lambda: self._in_progress,
+            options.entry_ttl_seconds,
         )
         self._config = config.Config(
             options.host, self.board, self._store, self._peers.port
@@ -247,6 +261,7 @@
 
     async def _announce_ready(self) -> None:
         await self._config.ready.wait()
+        self._membership.enter()
         events.log(events.DAEMON_READY, host=self._options.host)
 
     async def _follow_members(self) -> None:
@@ -255,39 +270,6 @@
             version = await self.board.members.wait(version)
             self._keys.drop_others()
 
-    async def _finish(self) -> None:
-        """Wait until no caller comes any more and nothing is in progress."""
-        host = self._options.host
-        events.log(events.DRAIN_STARTED, host=host)
-        self._membership.leave()
-        unconfirmed: set[str] = set()
-        with self._hurry as scope:
-            scope.deadline = anyio.current_time() + self._options.drain_seconds
-            unconfirmed = await self._confirm()
-            await anyio.sleep(self._options.entry_ttl_seconds)
-            while self._in_progress:
-                await anyio.sleep(POLL_SECONDS)
-        if scope.cancelled_caught or unconfirmed:
-            events.log(
-                events.DRAIN_UNCONFIRMED,
-                host=host,
-                peers=sorted(unconfirmed),
-                in_progress=self._in_progress,
-            )
-        events.log(events.DRAIN_FINISHED, host=host)
-
-    async def _confirm(self) -> set[str]:
-        """Ask each live peer to confirm that this host is leaving."""
-        waiting = set(self._membership.live_hosts())
-        waiting.discard(self._options.host)
-        while waiting:
-            for host in sorted(waiting):
-                if await self._membership.confirm_leaving(host):
-                    waiting.discard(host)
-            waiting &= set(self._membership.live_hosts())
-            await anyio.sleep(POLL_SECONDS)
-        return waiting
-
     async def _serve(self, app: types.ASGIApp, index: int) -> None:
         await serve_http(app, self._sockets[index], self._stopped)
 
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -57,7 +57,8 @@
     105,
     'drain_unconfirmed',
     Level.WARNING,
-    'The drain ended at its time limit; the named peers did not confirm.',
+    'The drain ended at its time limit or at a second signal; the named '
+    'peers did not confirm.',
 )
 TASK_FAILED = Event(
     106,
--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -27,7 +27,7 @@
 SYNC_BUCKETS = 16
 SYNC_AFTER_SECONDS = 5.0
 
-STATES = ('alive', 'suspect', 'leaving', 'dead')
+STATES = ('starting', 'alive', 'suspect', 'leaving', 'dead')
 
 Member = blackboard.Member
 
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,207 @@
+"""The drain of a host: on a paused clock, and as a process."""
+
+import signal
+import time
+import unittest
+
+import anyio
+import parameterized
+
+from persimmonpass.controllers import drain
+from tests import fakes
+from tests import processes
+from tests import test_membership
+
+TTL = 5.0
+LIMIT = 60.0
+KEPT = TTL + drain.ANSWER_MARGIN_SECONDS
+
+
+class Peers:
+    """Ports of a drain whose peers behave as a row of the table says.
+
+    :ivar behaviour: by peer: time after which it confirms with its TTL, time
+        at which it dies, or time at which it joins
+    """
+
+    def __init__(self, peers, in_progress_until=0.0, given_out=True):
+        self._peers = peers
+        self._until = in_progress_until
+        self._given_out = given_out
+        self.ports = drain.DrainPorts(
+            lambda: self._given_out, self._list, self._confirm, self._count
+        )
+
+    def _list(self):
+        now = anyio.current_time() - self.began
+        return [
+            host
+            for host, peer in self._peers.items()
+            if peer.get('joins', 0) <= now < peer.get('dies', LIMIT * 2)
+        ]
+
+    async def _confirm(self, host):
+        peer = self._peers[host]
+        await anyio.sleep(0.01)
+        if anyio.current_time() - self.began < peer.get('confirms', 0):
+            return None
+        return peer.get('ttl', TTL)
+
+    def _count(self):
+        return int(anyio.current_time() - self.began < self._until)
+
+
+NEVER = {'confirms': LIMIT * 2}
+ROWS = [
+    # name, peers, keywords, reason, seconds, unconfirmed, in progress
+    ('only host', {}, {}, 'confirmed', KEPT, [], 0),
+    ('all', {'a': {}, 'b': {}}, {}, 'confirmed', KEPT, [], 0),
+    ('late', {'a': {}, 'b': {'confirms': 9}}, {}, 'confirmed', 9 + KEPT,
+     [], 0),
+    ('longer ttl', {'a': {'ttl': 20.0}}, {}, 'confirmed', KEPT + 15, [], 0),
+    ('joins', {'a': {}, 'b': {'joins': 4}}, {}, 'confirmed', 4 + KEPT,
+     [], 0),
+    ('dies', {'a': {}, 'b': {**NEVER, 'dies': 30}}, {}, 'confirmed', 30,
+     [], 0),
+    ('never', {'a': {}, 'b': NEVER}, {}, 'limit', LIMIT, ['b'], 0),
+    ('busy', {'a': {}}, {'in_progress_until': 30}, 'confirmed', 30, [], 0),
+    ('too busy', {'a': {}}, {'in_progress_until': LIMIT * 2}, 'limit', LIMIT,
+     [], 1),
+    ('not ready', {'a': {}}, {'given_out': False}, 'confirmed', 0, [], 0),
+]  # fmt: skip
+
+
+class TestDrain(unittest.TestCase):
+    """When a drain ends and what it says."""
+
+    @parameterized.parameterized.expand(ROWS)
+    def test_end(self, name, peers, options, reason, seconds, hosts, busy):
+        report = self._drain(Peers(peers, **options))
+        self.assertEqual(reason, report.reason)
+        self.assertEqual(hosts, report.unconfirmed)
+        self.assertEqual(busy, report.in_progress)
+        self.assertGreaterEqual(report.seconds, seconds)
+        self.assertLess(report.seconds, seconds + 1)
+
+    @parameterized.parameterized.expand([(0.0,), (10.0,)])
+    def test_second_signal(self, after):
+        peers = Peers({'b': NEVER}, in_progress_until=LIMIT)
+        report = self._drain(peers, stop_after=after)
+        self.assertEqual(('stopped', ['b'], 1), report[0:1] + report[2:])
+        self.assertLess(report.seconds, after + 1)
+
+    def _drain(self, peers, stop_after=None):
+        reports = []
+
+        async def body():
+            peers.began = anyio.current_time()
+            made = drain.Drain('me', peers.ports, TTL, LIMIT)
+            async with anyio.create_task_group() as tasks:
+                if stop_after == 0:
+                    made.stop()
+                elif stop_after is not None:
+                    tasks.start_soon(stop, made)
+                reports.append(await made.run())
+
+        async def stop(made):
+            await anyio.sleep(stop_after)
+            made.stop()
+
+        fakes.run(body)
+        return reports[0]
+
+    @test_membership.on_fleet
+    async def test_confirmed_generation(self, fleet):
+        await fleet.start('a1', 'a2', 'b1')
+        leaving = fleet.controllers['b1']
+        self.assertTrue(leaving.leave())
+        fleet.network.silent.add('a2')
+        self.assertIsNone(await leaving.confirm_leaving('a2'))
+        fleet.network.silent.clear()
+        for host in ('a1', 'a2'):
+            self.assertEqual(0.0, await leaving.confirm_leaving(host))
+            row = fleet.boards[host].members.get('b1')
+            self.assertEqual(leaving.me, row)
+            self.assertNotIn('b1', fleet.controllers[host].live_hosts())
+        await leaving.depart()
+        fleet.kill('b1')
+        await anyio.sleep(1)
+        self.assertEqual({'dead'}, fleet.states('b1'))
+        self.assertNotIn('members/b1', fleet.store.objects)
+
+
+class TestProcess(unittest.TestCase):
+    """Three daemons, one of which gets a signal."""
+
+    def setUp(self):
+        self.fleet = processes.Fleet(('ruai', 'kasarani', 'embakasi'))
+        self.addCleanup(self.fleet.close)
+        self.fleet.start_service('crews', 'ruai')
+        applied = self.fleet.tool(
+            'apply', '-f', str(processes.ROOT / 'examples' / 'athi')
+        )
+        assert applied.returncode == 0, applied.stderr
+        self.fleet.wait_ready()
+        self.old, self.other = self.fleet.hosts[0], self.fleet.hosts[1]
+        processes.wait_until(lambda: self._call(self.old, 0) == 200)
+
+    def _call(self, host, number):
+        answer = processes.CLIENT.post(
+            f'{host.caller}/v1/services/crews/dispatch',
+            content=b'station 9',
+            headers={
+                'Authorization': 'Bearer athi-desk-token',
+                'Idempotency-Key': f'{host.host}-{number}',
+            },
+        )
+        self.connection = answer.headers.get('connection')
+        return answer.status_code
+
+    def test_kept_answers_are_served(self):
+        """Callers keep the address for its TTL after the last answer."""
+        entry = f'{self.other.caller}/v1/entry'
+        address = self.old.caller.removeprefix('http://')
+        statuses = []
+        last_given = time.monotonic()
+        self.old.send(signal.SIGTERM)
+        number = 1
+        while time.monotonic() - last_given < 0.5:
+            answer = processes.CLIENT.get(entry).json()
+            if address in answer['addresses']:
+                last_given = time.monotonic()
+            statuses.append(self._call(self.old, number))
+            number += 1
+        self.assertEqual({200}, set(statuses))
+        self.assertEqual('close', self.connection)
+        processes.wait_until(lambda: self.old.process.poll() is not None)
+        self.assertEqual(0, self.old.process.returncode)
+        self.assertIsNotNone(self.old.find_event('drain_finished'))
+        self.assertIsNone(self.old.find_event('drain_unconfirmed'))
+
+    def test_second_signal_with_a_frozen_peer(self):
+        self.other.send(signal.SIGSTOP)
+        self.old.send(signal.SIGTERM)
+        processes.wait_until(lambda: self.old.find_event('drain_started'))
+        self.old.send(signal.SIGTERM)
+        processes.wait_until(lambda: self.old.process.poll() is not None)
+        said = self.old.find_event('drain_unconfirmed')
+        self.assertEqual('stopped', said['reason'])
+        self.assertEqual([self.other.host], said['peers'])
+
+
+class TestNotReady(unittest.TestCase):
+    """A daemon that never got a configuration."""
+
+    def test_signal_before_ready(self):
+        platform = processes.Standin('platform')
+        self.addCleanup(platform.close)
+        platform.set_faults(outage=True)
+        host = processes.Host(
+            'alone', 'ruai', '--store-url', f'http://{platform.address}'
+        )
+        self.addCleanup(host.close)
+        self.assertFalse(host.is_ready())
+        host.send(signal.SIGTERM)
+        processes.wait_until(lambda: host.process.poll() is not None)
+        self.assertEqual(0, host.process.returncode)
+        self.assertIsNotNone(host.find_event('drain_finished'))
