Repair configuration by digests and let three hosts watch the store

Cause: every host listed and watched the store; a notice lost between peers stayed lost until the watch told; a watch was resumed after any failure, also over a cut log; a page of a list read before a change hid it; a peer without a configuration made a starting host ready; an object of a newer release was dropped, and so not passed on; a removed store object was not seen as deleted.

Documents are kept as they came, whoever wrote them.

--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -161,18 +161,26 @@
             state='starting',
             has_disk=bool(options.data_dir),
         )
-        self._membership = membership.Membership(
-            me,
+        self._config = config.Config(
+            options.host,
             self.board,
             self._store,
             self._peers.port,
-            self._peers.follow,
-            self._calls,
-            lambda: self._in_progress,
-            options.entry_ttl_seconds,
+            lambda: self._membership.other_hosts(),
         )
-        self._config = config.Config(
-            options.host, self.board, self._store, self._peers.port
+        self._membership = membership.Membership(
+            me,
+            self.board,
+            membership.MembershipPorts(
+                self._store,
+                self._peers.port,
+                self._peers.follow,
+                self._calls,
+                lambda: self._in_progress,
+                lambda: self._config.digest,
+                self._config.compare,
+                options.entry_ttl_seconds,
+            ),
         )
         self._targets = targets.Targets(
             options.host,
--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -39,12 +39,14 @@
     :ivar rows: rows of others that changed lately
     :ivar digest: digest of the sender's view
     :ivar load: requests in progress at the sender
+    :ivar config_digest: digest of the configuration in force at the sender
     """
 
     row: Member
     rows: list[Member]
     digest: int
     load: int
+    config_digest: int
 
 
 def age(row: Member) -> tuple[int, int, int]:
@@ -136,7 +138,7 @@
         """Take the present rows as known to all."""
         self._fresh.clear()
 
-    def make_beat(self, load: int) -> Beat:
+    def make_beat(self, load: int, config_digest: int = 0) -> Beat:
         """Return the next heartbeat with the least spread rows."""
         hosts = sorted(self._fresh, key=lambda host: -self._fresh[host])
         chosen = hosts[:GOSSIP_ROWS]
@@ -145,7 +147,7 @@
             if not self._fresh[host]:
                 del self._fresh[host]
         rows = [self._rows[host] for host in chosen]
-        return Beat(self.me, rows, self.digest, load)
+        return Beat(self.me, rows, self.digest, load, config_digest)
 
     def take_beat(self, beat: Beat, now: float) -> list[Member]:
         """Take a heartbeat or its answer.
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,284 @@
+"""Configuration on all hosts under faults, on a paused clock."""
+
+import unittest
+
+import anyio
+import msgspec
+import parameterized
+import result
+
+from persimmonpass.controllers import config
+from persimmonpass import objects
+from persimmonpass import store
+from persimmonpass import verdicts
+from tests import fakes
+from tests import test_membership
+
+HOSTS = ('a1', 'a2', 'b1', 'b2', 'b3')
+IN_FORCE_SECONDS = 5.0
+KEY = objects.Key('target', 'engine-1')
+
+
+def make(version=0, **labels):
+    """Return an object whose labels tell its contents."""
+    return objects.ConfigObject(
+        *KEY, labels, objects.TargetSpec(), version, 'ada'
+    )
+
+
+class Watched:
+    """A fleet, with a check that no version falls on any host."""
+
+    def __init__(self, test, fleet):
+        self.test = test
+        self.fleet = fleet
+        self.seen = {}
+
+    async def write(self, host, **labels):
+        """Write a new version and offer it on a host."""
+        port = self.fleet.store.port
+        found = await port.get(config.store_key(KEY))
+        version = found.ok_value.version if found.is_ok() else store.CREATE
+        written = await config.write(port, make(version, **labels))
+        item = written.unwrap()
+        if host is not None:
+            self.fleet.configs[host].offer(item)
+        return item
+
+    async def wait(self, seconds=IN_FORCE_SECONDS):
+        """Let time pass and check all versions meanwhile."""
+        for _ in range(int(seconds * 10)):
+            await anyio.sleep(0.1)
+            for host, board in self.fleet.boards.items():
+                item = board.objects.get(KEY)
+                if item is None:
+                    continue
+                last = self.seen.get((host, board), 0)
+                self.test.assertGreaterEqual(item.version, last)
+                self.seen[host, board] = item.version
+
+    def in_force(self):
+        """Return the version on each host."""
+        rows = [board.objects.get(KEY) for board in self.fleet.boards.values()]
+        return {row and row.version for row in rows}
+
+
+def on_watched(test):
+    """Run a test on a fleet of five hosts with one object in force."""
+
+    @test_membership.on_fleet
+    async def run(self, fleet, *arguments):
+        await fleet.start(*HOSTS)
+        watched = Watched(self, fleet)
+        await watched.write('a1', say='first')
+        await watched.wait()
+        await test(self, watched, *arguments)
+
+    run.__name__ = test.__name__
+    return run
+
+
+class TestSpread(unittest.TestCase):
+    """A change reaches every live host."""
+
+    @parameterized.parameterized.expand(
+        [
+            ('offered', 'b2', None),
+            ('writer died before it told anyone', None, None),
+            ('offers lost', 'b2', 'offers'),
+            ('one path cut', 'b2', 'cut'),
+            ('store down after the write', 'b2', 'outage'),
+        ]
+    )
+    @on_watched
+    async def test_in_force_on_all(self, watched, name, host, fault):
+        fleet = watched.fleet
+        if fault == 'cut':
+            fleet.cut(['b2'], ['a1', 'a2', 'b1'])
+        if fault == 'offers':
+            for handlers in fleet.network.handlers.values():
+                handlers[config.METHOD_OFFER] = _lose
+        item = await watched.write(host, say='second')
+        fleet.store.outage = fault == 'outage'
+        await watched.wait()
+        self.assertEqual({item.version}, watched.in_force())
+
+    @on_watched
+    async def test_log_cut_while_the_store_was_down(self, watched):
+        fleet = watched.fleet
+        fleet.store.outage = True
+        await watched.wait(store.WATCH_TIMEOUT_SECONDS + 5)
+        fleet.store.outage = False
+        item = await watched.write(None, say='second')
+        fleet.store.cut_log()
+        await watched.wait()
+        self.assertEqual({item.version}, watched.in_force())
+
+    @on_watched
+    async def test_change_between_pages_of_a_list(self, watched):
+        """An earlier page changes while a later one is read."""
+        fleet = watched.fleet
+        whole = fleet.store.port.list
+        big = msgspec.json.encode({'filler': 'x' * config.PAGE_BYTES})
+        changed = []
+
+        async def list_pages(prefix, priority=None):
+            found = await whole(prefix)
+            if prefix == config.PREFIX and not changed:
+                changed.append(await watched.write(None, say='second'))
+                await fleet.store.port.put('config/zone/z', big)
+                found = await whole(prefix)
+                rows = [
+                    row._replace(version=1)
+                    if row.key == config.store_key(KEY)
+                    else row
+                    for row in found.ok_value
+                ]
+                return result.Ok(rows)
+            return found
+
+        port = fleet.store.port._replace(list=list_pages)
+        made = config.Config('c1', fleet.boards['a1'], port, _NO_PEERS)
+        await made._list()
+        item = fleet.boards['a1'].objects.get(KEY)
+        self.assertEqual(changed[0].version, item.version)
+
+    @on_watched
+    async def test_few_hosts_watch(self, watched):
+        fleet = watched.fleet
+        await anyio.sleep(2 * store.WATCH_TIMEOUT_SECONDS)
+        before = fleet.store.calls['watch']
+        await anyio.sleep(120)
+        watches = fleet.store.calls['watch'] - before
+        most = (120 / store.WATCH_TIMEOUT_SECONDS + 1) * config.WATCHERS
+        self.assertLessEqual(watches, most)
+        for host in HOSTS[:3]:
+            fleet.kill(host)
+        await anyio.sleep(2 * store.WATCH_TIMEOUT_SECONDS)
+        item = await watched.write(None, say='second')
+        await watched.wait()
+        self.assertEqual({item.version}, watched.in_force())
+
+    @on_watched
+    async def test_spread_names_the_hosts(self, watched):
+        fleet = watched.fleet
+        fleet.network.silent.add('b3')
+        item = await watched.write('a1', say='second')
+        spread = await fleet.configs['a1'].spread(KEY, item.version)
+        self.assertEqual(['b3'], spread.waiting)
+        self.assertEqual(['a1', 'a2', 'b1', 'b2'], spread.in_force)
+        fleet.network.silent.clear()
+        await watched.wait(20)
+        spread = await fleet.configs['a1'].spread(KEY, item.version)
+        self.assertEqual(sorted(HOSTS), spread.in_force)
+        spread = await fleet.configs['a1'].spread(KEY, item.version + 1)
+        self.assertEqual(sorted(HOSTS), spread.waiting)
+
+
+class TestNeverBack(unittest.TestCase):
+    """What was accepted stays in force."""
+
+    @parameterized.parameterized.expand(
+        [('offer',), ('restart',), ('restart in outage',), ('returns',)]
+    )
+    @on_watched
+    async def test_old_version_comes_back(self, watched, source):
+        fleet = watched.fleet
+        old = fleet.boards['a1'].objects.get(KEY)
+        if source == 'returns':
+            fleet.network.silent.add('b1')
+            await watched.wait(15)
+            # Written where the silent host does not see it.
+            item = make(old.version + 100, say='second')
+            fleet.configs['a1'].offer(item)
+        else:
+            item = await watched.write('a1', say='second')
+        await watched.wait()
+        if source == 'offer':
+            for host in HOSTS:
+                fleet.configs[host].offer(old)
+        elif source == 'returns':
+            self.assertIn(old.version, watched.in_force())
+            fleet.network.silent.clear()
+        else:
+            fleet.store.outage = source == 'restart in outage'
+            fleet.kill('b1')
+            await watched.wait(10)
+            await fleet.start('b1', settle=0)
+        await watched.wait(15)
+        self.assertEqual({item.version}, watched.in_force())
+        self.assertTrue(fleet.configs['b1'].ready.is_set())
+
+    @on_watched
+    async def test_deletion_is_not_undone(self, watched):
+        """By a stale host, nor by the loss of the stored tombstone."""
+        fleet = watched.fleet
+        live = fleet.boards['a1'].objects.get(KEY)
+        deleted = await config.write(
+            fleet.store.port, live._replace(deleted=True)
+        )
+        fleet.configs['a2'].offer(deleted.ok_value)
+        await watched.wait()
+        await fleet.store.port.delete(config.store_key(KEY))
+        fleet.kill('b1')
+        await watched.wait(10)
+        await fleet.start('b1', settle=0)
+        fleet.configs['b1'].offer(live)
+        await watched.wait(10)
+        rows = [board.objects.get(KEY) for board in fleet.boards.values()]
+        self.assertEqual({True}, {row.deleted for row in rows})
+        self.assertEqual(1, len(watched.in_force()))
+
+    @on_watched
+    async def test_store_down(self, watched):
+        fleet = watched.fleet
+        fleet.store.outage = True
+        before = watched.in_force()
+        written = await config.write(fleet.store.port, make(1, say='no'))
+        self.assertIs(verdicts.Verdict.NOT_RUN, written.err_value.verdict)
+        await watched.wait(60)
+        self.assertEqual(before, watched.in_force())
+
+    @parameterized.parameterized.expand([(False,), (True,)])
+    @test_membership.on_fleet
+    async def test_not_ready_without_any(self, fleet, with_peer):
+        """A peer without a configuration is no source of one."""
+        fleet.store.outage = True
+        await fleet.start('a1', *(['a2'] if with_peer else []), settle=30)
+        self.assertFalse(fleet.configs['a1'].ready.is_set())
+        fleet.store.outage = False
+        await anyio.sleep(IN_FORCE_SECONDS)
+        self.assertTrue(fleet.configs['a1'].ready.is_set())
+
+    @parameterized.parameterized.expand(
+        [
+            ('field', {**objects.to_document(make()), 'spec': {'new': 1}}),
+            ('kind', {**objects.to_document(make()), 'kind': 'zone'}),
+        ]
+    )
+    @on_watched
+    async def test_object_of_a_newer_release(self, watched, name, document):
+        """It is kept and passed on; what could be read stays in force."""
+        fleet = watched.fleet
+        before = watched.in_force()
+        key = objects.Key(document['kind'], document['name'])
+        await fleet.store.port.put(
+            config.store_key(key), msgspec.json.encode(document)
+        )
+        await watched.wait()
+        fleet.store.outage = True
+        fleet.kill('b1')
+        await watched.wait(10)
+        await fleet.start('b1', settle=10)
+        self.assertEqual(before - {None}, watched.in_force() - {None})
+        kept = [fleet.configs[host]._documents.get(key) for host in HOSTS]
+        for row in kept:
+            self.assertEqual(document['spec'], row['spec'])
+            self.assertEqual(kept[0]['version'], row['version'])
+
+
+async def _lose(peer, payload):
+    return result.Ok(None)
+
+
+_NO_PEERS = fakes.Network().port('c1')
