--- a/src/persimmonpass/api/operator.py
+++ b/src/persimmonpass/api/operator.py
@@ -12,6 +12,7 @@
 from starlette import routing
 
 from persimmonpass.api import answers
+from persimmonpass.api import spread
 from persimmonpass import auth
 from persimmonpass import blackboard
 from persimmonpass.controllers import config
@@ -194,6 +195,7 @@
             routing.Route(path, patch_labels, methods=['PATCH']),
             routing.Route(path, delete_object, methods=['DELETE']),
             routing.Route('/v1/status', show_status),
+            spread.route(ports.config, check),
             routing.Route('/v1/drain', drain, methods=['POST']),
             routing.Route('/metrics', show_metrics),
             routing.Route('/healthz', show_health),
