--- a/src/persimmonpass/api/operator.py
+++ b/src/persimmonpass/api/operator.py
@@ -12,6 +12,7 @@
 from starlette import routing
 
 from persimmonpass.api import answers
+from persimmonpass.api import spread
 from persimmonpass import auth
 from persimmonpass import blackboard
 from persimmonpass.controllers import config
@@ -194,6 +195,7 @@
             routing.Route(path, patch_labels, methods=['PATCH']),
             routing.Route(path, delete_object, methods=['DELETE']),
             routing.Route('/v1/status', show_status),
+            spread.route(ports.config, check),
             routing.Route('/v1/drain', drain, methods=['POST']),
             routing.Route('/metrics', show_metrics),
             routing.Route('/healthz', show_health),
@@ -325,7 +327,11 @@
 
 def _status(ports: OperatorPorts) -> dict[str, typing.Any]:
     loads = dict(ports.board.loads.items())
-    members = [row._asdict() for row in ports.board.members.rows()]
+    host_loads = dict(ports.board.host_loads.items())
+    members = [
+        {**row._asdict(), 'load': host_loads.get(row.host)}
+        for row in ports.board.members.rows()
+    ]
     rows = []
     for target in ports.board.targets.rows():
         load = loads.get(target.name)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -130,6 +130,10 @@
             )
         )
 
+    def cut_log(self) -> None:
+        """Forget all changes, so that watches do not see them any more."""
+        self._log.clear()
+
     def _after(self, prefix: str, version: int) -> list[store.Stored]:
         return [
             stored
@@ -151,11 +155,13 @@
 
     :ivar handlers: handlers by host
     :ivar cut: pairs of hosts that do not reach each other
+    :ivar silent: hosts whose calls and answers are lost
     """
 
     def __init__(self) -> None:
         self.handlers: dict[str, peer_port.Handlers] = {}
         self.cut: set[frozenset[str]] = set()
+        self.silent: set[str] = set()
         self.notices: list[tuple[str, str, str]] = []
 
     def port(
@@ -180,13 +186,18 @@
                 return result.Err(
                     peer_port.unreachable(other, verdicts.Verdict.NOT_RUN)
                 )
+            if self.silent & {host, other}:
+                await anyio.sleep(timeout or peer_port.CALL_TIMEOUT_SECONDS)
+                return result.Err(
+                    peer_port.unreachable(other, verdicts.Verdict.MAY_HAVE_RUN)
+                )
             return await self.handlers[other][method](host, payload)
 
         def notify(other: str, method: str, payload: typing.Any) -> bool:
             if other not in connected():
                 return False
             self.notices.append((host, other, method))
-            if tasks is not None:
+            if tasks is not None and not self.silent & {host, other}:
                 handler = self.handlers[other][method]
                 tasks.start_soon(handler, host, payload)
             return True
