Bind appends to one ownership and compact the segments of a ledger

Cause, from reading the code against the design: a close during a commit left the ledger open with most values missing; an append that waited while the ledger was closed and opened again was written under the new ownership, though its caller had decided on it under the old one; an append whose caller was cancelled in the queue stayed there and was written with some later one; a batch or record above the store's limit failed for all that shared the write; segments were only ever added; a segment without a head stayed for ever.

Now a batch belongs to one epoch, a cancelled waiter leaves it, and batches are cut below the value limit (a larger append fails with LEDGER_FULL, not run). A segment is named by the commit id of the head whose records it holds, so a repeated try writes the same object and the next owner knows the only one that can be left over; removed names are carried in the head and deleted at the next spill. Small segments are merged, old ones dropped by a clock that the head carries and that owners advance by elapsed time. A write waits a little for more appends while writes are slower than the fastest one.

--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -101,6 +101,12 @@
     Level.WARNING,
     'Another host raised the epoch of a ledger; this one dropped its state.',
 )
+LEDGER_FULL = Event(
+    213,
+    'ledger_full',
+    Level.ERROR,
+    'Records are too large for a ledger, or it has too many segments.',
+)
 PEER_CONNECTED = Event(
     301, 'peer_connected', Level.INFO, 'A link to a peer is up.'
 )
--- a/src/persimmonpass/ledger.py
+++ b/src/persimmonpass/ledger.py
@@ -3,101 +3,101 @@
 The head holds an epoch, its owner, the latest records and the names of
 immutable segments with earlier records. Whoever raises the epoch owns the
 ledger; the next write of an earlier owner fails, because each write expects
-the version that its writer saw last. No clock and no lease takes part.
+the version that its writer saw last. No lease takes part and the clocks of
+hosts are never compared: the head carries a clock of its own, which its
+owners advance by the time that passed between their writes.
 """
 
 import collections.abc
 import typing
-import uuid
 
 import anyio
-import cbor2
 import result
 
 from persimmonpass import budget
 from persimmonpass import events
+from persimmonpass import heads
+from persimmonpass.policy import compaction
+from persimmonpass import segments
 from persimmonpass import store
 from persimmonpass import verdicts
 
-MAX_INLINE_BYTES = 256_000
-MAX_RECORD_BYTES = 900_000
-SETTLE_ATTEMPTS = 5
-SETTLE_BACKOFF_SECONDS = 0.1
+MAX_INLINE_BYTES = 64_000
+MAX_APPEND_BYTES = 800_000
 OPEN_ATTEMPTS = 5
+MIN_TICK_SECONDS = 0.000_001
+MAX_LINGER_SECONDS = 0.05
+LINGER_SHARE = 0.5
+SMOOTHING = 0.2
+
+Record = heads.Record
+Head = heads.Head
+decode_head = heads.decode_head
+lost = heads.lost
+read_records = segments.read_records
+read = segments.read
 
-
-class Record(typing.NamedTuple):
-    """One entry of a ledger.
-
-    :ivar key: what the record is about
-    :ivar kind: what happened to it
-    :ivar body: anything that CBOR can hold
-    """
-
-    key: str
-    kind: str
-    body: typing.Any
+Value = typing.TypeVar('Value')
+Merge = collections.abc.Callable[[Value | None, Record], Value]
 
 
-class Head(typing.NamedTuple):
-    """Contents of the head object.
+class _Batch:
+    """Appends that one write commits together.
 
-    :ivar epoch: number of take-overs so far
-    :ivar owner: host that raised the epoch last
-    :ivar commit: id of the write that made this head
-    :ivar segments: keys of the immutable segments, oldest first
-    :ivar records: records after those of the segments
+    :ivar epoch: ownership under which their callers decided on them
+    :ivar sealed: no append may join or leave any more
     """
 
-    epoch: int
-    owner: str
-    commit: str
-    segments: list[str]
-    records: list[Record]
-
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.appends: list[list[Record]] = []
+        self.size = 0
+        self.sealed = False
+        self.outcome: result.Result[None, verdicts.Failure] = result.Ok(None)
 
-Value = typing.TypeVar('Value')
-Merge = collections.abc.Callable[[Value | None, Record], Value]
-
-
-class _Batch:
-    """Records that one write commits together."""
+    @property
+    def records(self) -> list[Record]:
+        """All records in order."""
+        return [record for records in self.appends for record in records]
 
-    def __init__(self) -> None:
-        self.records: list[Record] = []
-        self.outcome: result.Result[None, verdicts.Failure] | None = None
+    def remove(self, records: list[Record], size: int) -> None:
+        """Take an append out that nobody waits for any more."""
+        self.appends = [one for one in self.appends if one is not records]
+        self.size -= size
 
 
-def encode_head(head: Head) -> bytes:
-    """Return the stored form of a head."""
-    return cbor2.dumps(
-        [head.epoch, head.owner, head.commit, head.segments, head.records]
-    )
+class _Pace:
+    """Decides how long a write waits for more appends.
 
+    A write that takes longer than the fastest one was held up by the store
+    or by its budget; waiting then costs little and saves writes.
+    """
 
-def decode_head(data: bytes) -> Head:
-    """Read the stored form of a head."""
-    epoch, owner, commit, segments, records = cbor2.loads(data)
-    return Head(
-        epoch, owner, commit, segments, [Record(*record) for record in records]
-    )
+    def __init__(self) -> None:
+        self._fastest: float | None = None
+        self._smoothed = 0.0
 
+    @property
+    def linger_seconds(self) -> float:
+        """Time for which the next write should wait."""
+        if self._fastest is None:
+            return 0.0
+        excess = self._smoothed - self._fastest
+        return min(MAX_LINGER_SECONDS, max(0.0, excess * LINGER_SHARE))
 
-def lost(path: str, verdict: verdicts.Verdict) -> verdicts.Failure:
-    """Return the failure of an append by a host that lost the ledger."""
-    return verdicts.Failure(
-        verdict,
-        events.LEDGER_LOST,
-        f'another host owns {path}',
-        503,
-        store.RETRY_AFTER_SECONDS,
-    )
+    def saw(self, seconds: float) -> None:
+        """Learn how long a write took."""
+        if self._fastest is None:
+            self._fastest = self._smoothed = seconds
+        self._fastest = min(self._fastest, seconds)
+        self._smoothed += (seconds - self._smoothed) * SMOOTHING
 
 
 class Ledger(typing.Generic[Value]):
     """A ledger that this host owns, folded into a value for each key.
 
     :ivar path: key of the head object
+    :ivar writes: number of head writes that committed appends
     """
 
     def __init__(
@@ -107,16 +107,30 @@
         owner: str,
         merge: Merge[Value],
         priority: budget.Priority = budget.Priority.RESULT,
+        retention_seconds: float | None = None,
     ) -> None:
+        """Make a closed ledger.
+
+        :param retention_seconds: records may be dropped, a segment at a
+            time, once they are that old by the ledger's own clock;
+            ``None`` keeps all
+        """
         self.path = path
+        self.writes = 0
         self._port = port
         self._owner = owner
         self._merge = merge
         self._priority = priority
+        self._retention = retention_seconds
         self._values: dict[str, Value] = {}
+        self._changed_at: dict[str, float] = {}
         self._head: Head | None = None
         self._version = 0
-        self._batch = _Batch()
+        self._inline_bytes = 0
+        self._clock_read_at = 0.0
+        self._closings = 0
+        self._batch = _Batch(0)
+        self._pace = _Pace()
         self._lock = anyio.Lock()
 
     @property
@@ -152,66 +166,105 @@
     ) -> result.Result[None, verdicts.Failure]:
         """Commit records; appends that wait at the same time share a write.
 
-        :param records: records in order
+        The records hold for the ownership under which they are appended: if
+        it ends while they wait, they are not written, also if this host has
+        opened the ledger again.
+
+        :param records: records in order, committed all or none
         :returns: success once they are durable. A failure with the verdict
             ``NOT_RUN`` means that they never will be, any other that they
             may be, which the next :meth:`open` finds out.
         """
-        batch = self._batch
-        batch.records += records
-        async with self._lock:
-            if batch.outcome is None:
-                self._batch = _Batch()
-                with anyio.CancelScope(shield=True):
-                    batch.outcome = await self._commit(batch.records)
+        if self._head is None:
+            return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
+        records = list(records)
+        size = segments.size_of(records)
+        if size > MAX_APPEND_BYTES:
+            detail = f'{size} bytes, allowed are {MAX_APPEND_BYTES}'
+            return result.Err(segments.full(self.path, detail, 413))
+        batch = self._join(records, size)
+        try:
+            async with self._lock:
+                if not batch.sealed:
+                    await anyio.sleep(self._pace.linger_seconds)
+                    batch.sealed = True
+                    with anyio.CancelScope(shield=True):
+                        batch.outcome = await self._commit(batch)
+        finally:
+            if not batch.sealed:
+                batch.remove(records, size)
         return batch.outcome
 
     def close(self) -> None:
         """Drop the state; the next append needs :meth:`open` first."""
+        self._closings += 1
         self._head = None
         self._values = {}
+        self._changed_at = {}
+
+    def _join(self, records: list[Record], size: int) -> _Batch:
+        """Add records to the batch that waits, or to a new one."""
+        batch = self._batch
+        fits = batch.size + size <= MAX_APPEND_BYTES
+        if batch.sealed or batch.epoch != self.epoch or not fits:
+            batch = self._batch = _Batch(self.epoch)
+        batch.appends.append(records)
+        batch.size += size
+        return batch
 
     async def _open(self) -> result.Result[None, verdicts.Failure]:
         self.close()
+        closings = self._closings
         failure = lost(self.path, verdicts.Verdict.NOT_RUN)
         for _ in range(OPEN_ATTEMPTS):
-            found = await self._read()
+            found = await heads.fetch(self._port, self.path, self._priority)
             if isinstance(found, result.Err):
                 return found
             head, version = found.ok_value
-            raised = head._replace(
-                epoch=head.epoch + 1, owner=self._owner, commit=_new_id()
+            raised = self._raise_epoch(head)
+            written = await heads.replace(
+                self._port, self.path, raised, version, self._priority
             )
-            written = await self._write(raised, version)
-            if isinstance(written, result.Err):
-                failure = written.err_value
-                if failure.event == events.LEDGER_LOST:
-                    continue
+            if isinstance(written, result.Ok):
+                return await self._load(raised, written.ok_value, closings)
+            failure = written.err_value
+            if failure.event != events.LEDGER_LOST:
                 return written
-            return await self._load(raised, written.ok_value)
         return result.Err(failure)
 
-    async def _read(
-        self,
-    ) -> result.Result[tuple[Head, int], verdicts.Failure]:
-        found = await self._port.get(self.path, self._priority)
-        if isinstance(found, result.Ok):
-            stored = found.ok_value
-            return result.Ok((decode_head(stored.data), stored.version))
-        if found.err_value.event == events.STORE_NOT_FOUND:
-            return result.Ok((Head(0, '', '', [], []), store.CREATE))
-        return found
+    def _raise_epoch(self, head: Head) -> Head:
+        removed = head.removed
+        if head.records:
+            # The owner until now may have written this segment without
+            # having named it; its head can't change any more.
+            orphan = segments.segment_key(self.path, head.commit)
+            removed = [*removed, orphan][-segments.MAX_REMOVED :]
+        return head._replace(
+            epoch=head.epoch + 1,
+            owner=self._owner,
+            commit=heads.new_id(),
+            removed=removed,
+        )
 
     async def _load(
-        self, head: Head, version: int
+        self, head: Head, version: int, closings: int
     ) -> result.Result[None, verdicts.Failure]:
-        loaded = await read_records(self._port, head, self._priority)
+        loaded = await segments.read_segments(
+            self._port, head.segments, self._priority
+        )
         if isinstance(loaded, result.Err):
-            return loaded
-        for record in loaded.ok_value:
-            self._fold(record)
+            return result.Err(loaded.err_value)
+        if self._closings != closings:
+            return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
+        for segment, records in zip(
+            head.segments, loaded.ok_value, strict=True
+        ):
+            self._fold(records, segment.clock)
+        self._fold(head.records, head.clock)
         self._head = head
         self._version = version
+        self._inline_bytes = segments.size_of(head.records)
+        self._clock_read_at = anyio.current_time()
         events.log(
             events.LEDGER_OPENED,
             path=self.path,
@@ -220,32 +273,73 @@
         )
         return result.Ok(None)
 
-    def _fold(self, record: Record) -> None:
-        value = self._merge(self._values.get(record.key), record)
-        self._values[record.key] = value
+    def _fold(self, records: list[Record], clock: float) -> None:
+        for record in records:
+            value = self._merge(self._values.get(record.key), record)
+            self._values[record.key] = value
+            if self._retention is not None:
+                self._changed_at[record.key] = clock
 
     async def _commit(
-        self, records: list[Record]
+        self, batch: _Batch
     ) -> result.Result[None, verdicts.Failure]:
-        if self._head is None:
+        base = self._head
+        if base is None or base.epoch != batch.epoch:
             return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
-        spilled = await self._spill(self._head)
-        if isinstance(spilled, result.Err):
-            return spilled
-        head = spilled.ok_value
+        head = base
+        if base.records and self._inline_bytes + batch.size > MAX_INLINE_BYTES:
+            spilled = await segments.spill(
+                self._port, self.path, base, self._retention, self._priority
+            )
+            if isinstance(spilled, result.Err):
+                return result.Err(spilled.err_value)
+            head = spilled.ok_value
+        now = anyio.current_time()
+        passed = max(now - self._clock_read_at, MIN_TICK_SECONDS)
+        records = batch.records
         head = head._replace(
-            commit=_new_id(), records=[*head.records, *records]
+            commit=heads.new_id(),
+            records=[*head.records, *records],
+            clock=base.clock + passed,
         )
-        written = await self._write(head, self._version)
+        written = await heads.replace(
+            self._port, self.path, head, self._version, self._priority
+        )
+        if self._head is not base:
+            # Closed meanwhile: the outcome stands, the state is gone.
+            return written.map(lambda _: None)
         if isinstance(written, result.Err):
             self._drop_unless_unchanged(written.err_value)
             return written
-        self._head = head
-        self._version = written.ok_value
-        for record in records:
-            self._fold(record)
+        self._pace.saw(anyio.current_time() - now)
+        self._keep(base, head, written.ok_value, batch)
+        self._clock_read_at = now
         return result.Ok(None)
 
+    def _keep(
+        self, base: Head, head: Head, version: int, batch: _Batch
+    ) -> None:
+        """Take a committed head into memory."""
+        self.writes += 1
+        self._head = head
+        self._version = version
+        if len(head.records) == len(batch.records):
+            self._inline_bytes = 0
+        self._inline_bytes += batch.size
+        self._fold(batch.records, head.clock)
+        if self._retention is not None:
+            self._forget(base, head)
+
+    def _forget(self, base: Head, head: Head) -> None:
+        """Drop the values all of whose records have expired."""
+        plan = compaction.plan(base.segments, base.clock, self._retention, 0)
+        if not plan.expired or plan.expired[0] in head.segments:
+            return
+        until = plan.expired[-1].clock
+        gone = [key for key, at in self._changed_at.items() if at <= until]
+        for key in gone:
+            del self._changed_at[key], self._values[key]
+
     def _drop_unless_unchanged(self, failure: verdicts.Failure) -> None:
         """Close the ledger unless the store certainly still has our head."""
         unchanged = (
@@ -255,106 +349,3 @@
         if not unchanged:
             events.log(events.LEDGER_LOST, path=self.path, host=self._owner)
             self.close()
-
-    async def _spill(
-        self, head: Head
-    ) -> result.Result[Head, verdicts.Failure]:
-        """Move the head's records to a segment once they are many."""
-        data = cbor2.dumps(head.records)
-        if len(data) <= MAX_INLINE_BYTES:
-            return result.Ok(head)
-        key = f'{self.path}.segment-{_new_id()}'
-        written = await self._port.put(key, data, store.CREATE, self._priority)
-        if isinstance(written, result.Err):
-            # A segment that no head names has no effect.
-            failure = written.err_value
-            return result.Err(
-                failure._replace(verdict=verdicts.Verdict.NOT_RUN)
-            )
-        return result.Ok(
-            head._replace(segments=[*head.segments, key], records=[])
-        )
-
-    async def _write(
-        self, head: Head, version: int
-    ) -> result.Result[int, verdicts.Failure]:
-        """Write a head; a lost answer is settled by writing it again.
-
-        Repeating the same conditional write is safe: at most one of them
-        takes effect, and the commit id tells whether one did.
-        """
-        data = encode_head(head)
-        unknown = None
-        for attempt in range(SETTLE_ATTEMPTS):
-            written = await self._port.put(
-                self.path, data, version, self._priority
-            )
-            if isinstance(written, result.Ok):
-                return written
-            failure = written.err_value
-            if failure.event == events.STORE_CONFLICT:
-                return await self._settle(head, unknown)
-            if failure.verdict != verdicts.Verdict.NOT_RUN:
-                unknown = failure
-            elif unknown is None:
-                return written
-            await anyio.sleep(SETTLE_BACKOFF_SECONDS * 2**attempt)
-        return result.Err(unknown or failure)
-
-    async def _settle(
-        self, head: Head, unknown: verdicts.Failure | None
-    ) -> result.Result[int, verdicts.Failure]:
-        """Decide after a conflict whether an earlier try took effect."""
-        if unknown is None:
-            return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
-        found = await self._read()
-        if isinstance(found, result.Err):
-            return result.Err(unknown)
-        present, version = found.ok_value
-        if present.commit == head.commit:
-            return result.Ok(version)
-        return result.Err(lost(self.path, verdicts.Verdict.MAY_HAVE_RUN))
-
-
-async def read_records(
-    port: store.StorePort,
-    head: Head,
-    priority: budget.Priority = budget.Priority.STATUS,
-) -> result.Result[list[Record], verdicts.Failure]:
-    """Read all records of a ledger without owning it.
-
-    :param port: the object store
-    :param head: head that names the segments
-    :param priority: class of the store calls
-    """
-    records: list[Record] = []
-    for key in head.segments:
-        found = await port.get(key, priority)
-        if isinstance(found, result.Err):
-            return found
-        segment = cbor2.loads(found.ok_value.data)
-        records += [Record(*record) for record in segment]
-    return result.Ok(records + head.records)
-
-
-async def read(
-    port: store.StorePort,
-    path: str,
-    priority: budget.Priority = budget.Priority.STATUS,
-) -> result.Result[list[Record], verdicts.Failure]:
-    """Read a ledger's committed records without taking it over.
-
-    :param port: the object store
-    :param path: key of the head object
-    :param priority: class of the store calls
-    """
-    found = await port.get(path, priority)
-    if isinstance(found, result.Err):
-        if found.err_value.event == events.STORE_NOT_FOUND:
-            return result.Ok([])
-        return found
-    return await read_records(port, decode_head(found.ok_value.data), priority)
-
-
-def _new_id() -> str:
-    return uuid.uuid4().hex
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -14,6 +14,8 @@
 from persimmonpass import verdicts
 
 LOST_ANSWER = 'lost answer'
+LOST_REQUEST = 'lost request'
+DELAYED = 'delayed'
 OUTAGE = 'outage'
 
 
@@ -30,6 +32,8 @@
     :ivar delay_seconds: every call takes that long
     :ivar faults: faults of the next writes, first one first; ``None`` for a
         write without one
+    :ivar delayed: writes whose answer was lost and which :meth:`land` lets
+        take effect
     :ivar calls: number of calls by name
     """
 
@@ -38,6 +42,7 @@
         self.outage = False
         self.delay_seconds = 0.0
         self.faults: collections.deque[str | None] = collections.deque()
+        self.delayed: list[tuple[str, bytes, int | None]] = []
         self.calls: collections.Counter[str] = collections.Counter()
         self.port = store.StorePort(
             self._get, self._put, self._delete, self._list, self._watch
@@ -76,18 +81,31 @@
         fault = self.faults.popleft() if self.faults else None
         if fault == OUTAGE:
             return result.Err(store.unavailable(fault))
-        present = self.objects.get(key)
-        at = present.version if present is not None else store.CREATE
-        if version is not None and version != at:
-            written = result.Err(store.conflict(key))
-        else:
-            stored = self._record(store.Stored(key, 0, data))
-            self.objects[key] = stored
-            written = result.Ok(stored.version)
+        if fault == DELAYED:
+            self.delayed.append((key, data, version))
+        if fault in (DELAYED, LOST_REQUEST):
+            return result.Err(store.outcome_unknown(fault))
+        written = self._apply(key, data, version)
         if fault == LOST_ANSWER:
             return result.Err(store.outcome_unknown(fault))
         return written
 
+    def land(self) -> None:
+        """Let the delayed writes take effect."""
+        while self.delayed:
+            self._apply(*self.delayed.pop(0))
+
+    def _apply(
+        self, key: str, data: bytes, version: int | None
+    ) -> result.Result[int, verdicts.Failure]:
+        present = self.objects.get(key)
+        at = present.version if present is not None else store.CREATE
+        if version is not None and version != at:
+            return result.Err(store.conflict(key))
+        stored = self._record(store.Stored(key, 0, data))
+        self.objects[key] = stored
+        return result.Ok(stored.version)
+
     async def _delete(
         self, key: str, version: int | None = None, priority: object = None
     ) -> result.Result[None, verdicts.Failure]:
--- /dev/null
+++ b/tests/test_ledger_property.py
@@ -0,0 +1,186 @@
+"""Drives writers of one ledger through faults in any order."""
+
+import collections
+import typing
+import unittest
+from unittest import mock
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import result
+
+from persimmonpass import heads
+from persimmonpass import ledger
+from persimmonpass.policy import compaction
+from persimmonpass import verdicts
+from tests import fakes
+
+PATH = 'keys/00001'
+EXAMPLES = 120
+INLINE_BYTES = 120
+LIMIT_SECONDS = 600.0
+
+FAULTS = [
+    *(None, None, None),
+    fakes.LOST_ANSWER,
+    fakes.LOST_REQUEST,
+    fakes.DELAYED,
+    fakes.OUTAGE,
+]
+# One more than the tries after which an outcome stays unknown.
+REPEATS = [1, 1, 1, heads.SETTLE_ATTEMPTS + 1]
+STEPS = ['append'] * 4 + [
+    'burst',
+    'cancel',
+    'churn',
+    'open',
+    'close',
+    'land',
+    'heal',
+]
+
+
+class Step(typing.NamedTuple):
+    """One step of a writer.
+
+    :ivar pause: steps of the clock to wait first
+    """
+
+    action: str
+    pause: int
+
+
+def count(value: int | None, record: ledger.Record) -> int:
+    """Merge by counting the records of a key."""
+    return (value or 0) + 1
+
+
+class Run:
+    """Writers, what they were told and the faulty store below them."""
+
+    def __init__(self, delays, faults):
+        self.store = fakes.MemoryStore()
+        self.store.faults.extend(faults)
+        self.delays = delays
+        self.told = {}
+        self.numbers = collections.Counter()
+
+    async def write(self, name, steps):
+        book = ledger.Ledger(self.store.port, PATH, name, count)
+        for index, step in enumerate(steps):
+            # Distinct times keep the order the same in each run.
+            await anyio.sleep(step.pause + int(name[-1]) / 1e4)
+            self.store.delay_seconds = self.delays[index % len(self.delays)]
+            if step.action == 'open':
+                await book.open()
+            elif step.action == 'close':
+                book.close()
+            elif step.action == 'land':
+                self.store.land()
+            elif step.action == 'heal':
+                self.store.faults.clear()
+            else:
+                await self.append(book, name, step.action)
+
+    async def append(self, book, name, action):
+        if not book.is_open:
+            await book.open()
+        async with anyio.create_task_group() as tasks:
+            for _ in range(1 if action == 'append' else 3):
+                tasks.start_soon(self.append_one, book, name)
+                await anyio.sleep(0.05)
+            if action == 'churn':
+                book.close()
+                await book.open()
+            if action == 'cancel':
+                await anyio.sleep(0.5)
+                tasks.cancel_scope.cancel()
+
+    async def append_one(self, book, name):
+        self.numbers[name] += 1
+        key = f'{name}-{self.numbers[name]}'
+        self.told[key] = None
+        record = ledger.Record(key, 'x', book.epoch)
+        self.told[key] = await book.append([record])
+
+
+def check(case, run, records, values, written):
+    """Compare what is kept with what the writers were told."""
+    kept = collections.Counter(record.key for record in records)
+    case.assertEqual(dict(kept), values)
+    case.assertLessEqual(set(kept.values()), {1})
+    for key, outcome in run.told.items():
+        if isinstance(outcome, result.Ok):
+            case.assertIn(key, kept)
+        elif outcome is not None:
+            if outcome.err_value.verdict == verdicts.Verdict.NOT_RUN:
+                case.assertNotIn(key, kept)
+    epochs = [record.body for record in records]
+    case.assertEqual(sorted(epochs), epochs)
+    owners = {}
+    last = 0
+    for head in written:
+        case.assertGreaterEqual(head.epoch, last)
+        last = head.epoch
+        case.assertEqual(head.owner, owners.setdefault(last, head.owner))
+
+
+class TestLedgerProperty(unittest.TestCase):
+    """No record is lost or doubled and no old owner commits."""
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES, derandomize=True, deadline=None, database=None
+    )
+    @hypothesis.given(
+        writers=strategies.lists(
+            strategies.lists(
+                strategies.builds(
+                    Step,
+                    strategies.sampled_from(STEPS),
+                    strategies.integers(0, 4),
+                ),
+                min_size=2,
+                max_size=14,
+            ),
+            min_size=2,
+            max_size=3,
+        ),
+        delays=strategies.lists(
+            strategies.sampled_from([0.0, 0.1, 0.7, 2.3]),
+            min_size=1,
+            max_size=5,
+        ),
+        faults=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(FAULTS),
+                strategies.sampled_from(REPEATS),
+            ),
+            max_size=20,
+        ),
+    )
+    @mock.patch.object(compaction, 'MERGE_SEGMENTS', 2)
+    @mock.patch.object(ledger, 'MAX_INLINE_BYTES', INLINE_BYTES)
+    def test_faults_in_any_order(self, writers, delays, faults):
+        async def main():
+            flat = [fault for fault, times in faults for _ in range(times)]
+            run = Run(delays, flat)
+            with anyio.fail_after(LIMIT_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    for index, steps in enumerate(writers):
+                        tasks.start_soon(run.write, f'host-{index}', steps)
+            run.store.faults.clear()
+            run.store.land()
+            port = run.store.port
+            records = (await ledger.read(port, PATH)).unwrap()
+            book = ledger.Ledger(port, PATH, 'reader', count)
+            (await book.open()).unwrap()
+            seen = (await port.watch(PATH, 0)).unwrap().changes
+            written = [
+                heads.decode_head(stored.data)
+                for stored in seen
+                if stored.key == PATH
+            ]
+            check(self, run, records, book.values(), written)
+
+        fakes.run(main)
