Tie attempts to their runner and keep answers through an outage

Cause, from reading the code: an attempt whose runner died kept its key "running" for ever; a non-owner opened the ledger when asked, so two hosts fought over it; one lock serialised the opening of all shards; a durable begin waited out the whole request limit while the store was down; an idempotent request could not start at all then, and its answer was lost if the store did not come back within two seconds; a reservation whose write had an unknown outcome read "may have run" though nothing was sent; each change of members closed ledgers that then had to be taken over again; every answer stayed in memory.

Now an attempt ends with its runner (host and incarnation) or its own time limit; the owner refuses what it should not own; ledgers open in the background, one that comes back is confirmed by one read, and two hosts that both believe in their ownership take turns ever more slowly. An answer that can't be committed is held by the owner for other callers (not recorded), queued on the running host and copied to a host of another zone; the queues commit once they can, and the first result wins. The running host announces its attempts to a new owner and repeats the release of what it never sent. Answers are read back from segments, with a bounded cache. Records that the merge ignores are no longer written, so a second finish of the same attempt leaves one record (before: two, seen in test_repeatable_request_in_an_outage).

A durable begin is refused as "not run" only where the ledger is open and lacks the key; if it can't be read, an earlier call with the key may have run, and the verdict says so.

Begun has a new field "recorded"; Begin has "runner" and "limit_seconds" instead of nothing; keys.KeyShards moved to key_shards; Keys.run is a job of the daemon. Online passes "recorded" on.

--- /dev/null
+++ b/src/persimmonpass/caches.py
@@ -0,0 +1,59 @@
+"""Bounded memory of the owner of key ledgers."""
+
+import collections
+
+from persimmonpass import keys
+
+MAX_ATTEMPTS = 10_000
+MAX_ANSWER_BYTES = 8_000_000
+
+Place = tuple[int, str]
+
+
+class Attempts:
+    """Ids of the latest attempts to which something happened."""
+
+    def __init__(self) -> None:
+        self._ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def __contains__(self, attempt: str) -> bool:
+        return attempt in self._ids
+
+    def add(self, attempt: str) -> None:
+        """Add an id in place of the oldest one."""
+        self._ids[attempt] = None
+        if len(self._ids) > MAX_ATTEMPTS:
+            self._ids.popitem(last=False)
+
+    def discard(self, attempt: str) -> None:
+        """Remove an id if it is there."""
+        self._ids.pop(attempt, None)
+
+
+class Answers:
+    """Answers that were used last, up to a number of bytes."""
+
+    def __init__(self) -> None:
+        self._rows: collections.OrderedDict[Place, keys.Answer] = (
+            collections.OrderedDict()
+        )
+        self._bytes = 0
+
+    def get(self, place: Place) -> keys.Answer | None:
+        """Return an answer if it is here."""
+        if place in self._rows:
+            self._rows.move_to_end(place)
+        return self._rows.get(place)
+
+    def put(self, place: Place, answer: keys.Answer) -> None:
+        """Keep an answer in place of those that were used longest ago."""
+        earlier = self._rows.pop(place, None)
+        if earlier is not None:
+            self._bytes -= len(earlier.body)
+        self._rows[place] = answer
+        self._bytes += len(answer.body)
+        while self._bytes > MAX_ANSWER_BYTES:
+            _, dropped = self._rows.popitem(last=False)
+            self._bytes -= len(dropped.body)
--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -7,19 +7,29 @@
 import result
 
 from persimmonpass import events
+from persimmonpass import key_shards
 from persimmonpass import keys
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import shards
+from persimmonpass import unrecorded
 from persimmonpass import verdicts
 
 METHOD_BEGIN = 'keys.begin'
 METHOD_FINISH = 'keys.finish'
 METHOD_RELEASE = 'keys.release'
 METHOD_LOOK_UP = 'keys.look_up'
+METHOD_HOLD = 'keys.hold'
 
 CALL_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.2
 WAIT_STEP_SECONDS = 1.0
+BEGIN_SECONDS = 3.0
+UNCHECKED_SECONDS = 1.5
+HOLD_SECONDS = 0.5
+FOLLOW_UP_SECONDS = 0.5
+KEEP_SECONDS = 5.0
+RELEASE_SECONDS = 600.0
+MAX_RELEASES = 10_000
 
 
 class KeyName(typing.NamedTuple):
@@ -32,22 +42,55 @@
     key: str
 
 
+class _Here:
+    """An attempt that runs on this host.
+
+    :ivar owner: host that knows of it
+    :ivar ends_at: local time at which it has certainly ended
+    """
+
+    def __init__(self, begin: keys.Begin, owner: str, ends_at: float) -> None:
+        self.begin = begin
+        self.owner = owner
+        self.ends_at = ends_at
+
+
 class Keys:
-    """The key controller of one daemon."""
+    """The key controller of one daemon.
+
+    An answer that :meth:`finish` can't commit is committed by :meth:`run`
+    once that is possible; a copy goes to a host of another availability
+    zone.
+    """
 
     def __init__(
         self,
         host: str,
-        owned: keys.KeyShards,
+        owned: key_shards.KeyShards,
         peers: peer_port.PeerPort,
         live_hosts: collections.abc.Callable[[], list[str]],
-        key_shards: int,
+        key_shards_count: int,
+        runner: str = '',
+        backup_hosts: collections.abc.Callable[[], list[str]] = list,
     ) -> None:
+        """Make the controller.
+
+        :param runner: name of this run of the daemon, which the ``is_gone``
+            of the shards understands
+        :param backup_hosts: hosts that may keep an uncommitted answer, the
+            best one first
+        """
         self._host = host
         self._owned = owned
         self._peers = peers
         self._live_hosts = live_hosts
-        self._key_shards = key_shards
+        self._key_shards = key_shards_count
+        self._runner = runner or host
+        self._backup_hosts = backup_hosts
+        self._seen_hosts: list[str] = []
+        self._here: dict[str, _Here] = {}
+        self._releases: dict[str, tuple[keys.Release, float]] = {}
+        self._unrecorded = unrecorded.Unrecorded(self._commit)
 
     @property
     def handlers(self) -> peer_port.Handlers:
@@ -57,8 +100,25 @@
             METHOD_FINISH: self._take_finish,
             METHOD_RELEASE: self._take_release,
             METHOD_LOOK_UP: self._take_look_up,
+            METHOD_HOLD: self._take_hold,
         }
 
+    @property
+    def uncommitted(self) -> int:
+        """Number of answers that this host still has to commit."""
+        return len(self._unrecorded)
+
+    async def run(self) -> None:
+        """Serve the owned shards and finish what was left open."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._owned.run)
+            tasks.start_soon(self._unrecorded.run)
+            while True:
+                self.drop_others()
+                await self._announce()
+                await self._repeat_releases()
+                await anyio.sleep(FOLLOW_UP_SECONDS)
+
     def owner(self, shard: int) -> str:
         """Return the host that should own a ledger."""
         return shards.owner(f'keys/{shard}', self._live_hosts()) or self._host
@@ -74,7 +134,9 @@
         """Start a request unless its key was used before.
 
         :param durable: commit the reservation first
-        :param limit_seconds: how long to try
+        :param limit_seconds: how long the request may take
+        :returns: a failure after which the request must not be sent; its
+            verdict says whether an earlier one with the key may have run
         """
         payload = keys.Begin(
             shard=self._shard(name),
@@ -82,8 +144,30 @@
             fingerprint=fingerprint,
             attempt=attempt,
             durable=durable,
+            runner=self._runner,
+            limit_seconds=limit_seconds,
         )
-        return await self._persist(METHOD_BEGIN, payload, limit_seconds)
+        begun = None
+        try:
+            limit = BEGIN_SECONDS if durable else UNCHECKED_SECONDS
+            begun = await self._persist(
+                METHOD_BEGIN, payload, min(limit_seconds, limit)
+            )
+        finally:
+            if begun is None or begun.is_err():
+                self._begin_failed(payload, begun)
+        if isinstance(begun, result.Err):
+            if durable or not _is_owner_lost(begun.err_value):
+                return begun.map_err(_unknown_to_unread)
+            # No owner is there to ask; a request that may be repeated does
+            # not wait for one.
+            self._track(payload, '')
+            return result.Ok(
+                keys.Begun(state=keys.STARTED, answer=None, recorded=True)
+            )
+        if begun.ok_value['state'] == keys.STARTED:
+            self._track(payload, self.owner(payload['shard']))
+        return begun
 
     async def finish(
         self,
@@ -93,7 +177,11 @@
         answer: keys.Answer,
         limit_seconds: float,
     ) -> result.Result[keys.Answer, verdicts.Failure]:
-        """Keep an answer and return the one that counts."""
+        """Keep an answer and return the one that counts.
+
+        :returns: a failure if it is not committed within the limit; it is
+            committed later then, if that is possible at all
+        """
         payload = keys.Finish(
             shard=self._shard(name),
             key=_full_key(name),
@@ -101,17 +189,35 @@
             attempt=attempt,
             answer=answer,
         )
-        kept = await self._persist(METHOD_FINISH, payload, limit_seconds)
-        return kept.map(lambda row: keys.Answer(*row))
+        kept = None
+        try:
+            kept = await self._persist(METHOD_FINISH, payload, limit_seconds)
+        finally:
+            self._here.pop(attempt, None)
+            if kept is None:
+                self._unrecorded.add(payload)
+        if isinstance(kept, result.Ok):
+            return result.Ok(keys.Answer(*kept.ok_value))
+        if keys.may_commit_later(kept.err_value):
+            self._unrecorded.add(payload)
+            await self._hand_over(payload)
+        return kept
 
     async def release(
         self, name: KeyName, attempt: str, limit_seconds: float
     ) -> result.Result[None, verdicts.Failure]:
-        """Free a key whose attempt certainly did not run."""
+        """Free a key whose attempt certainly did not run.
+
+        A release that fails is repeated in the background.
+        """
         payload = keys.Release(
             shard=self._shard(name), key=_full_key(name), attempt=attempt
         )
-        return await self._persist(METHOD_RELEASE, payload, limit_seconds)
+        self._here.pop(attempt, None)
+        released = await self._persist(METHOD_RELEASE, payload, limit_seconds)
+        if released.is_err():
+            self._release_later(payload)
+        return released
 
     async def look_up(
         self, name: KeyName, wait_seconds: float = 0.0
@@ -134,8 +240,80 @@
                 return found
 
     def drop_others(self) -> None:
-        """Close the ledgers that another host should own now."""
-        self._owned.drop_others(lambda shard: self.owner(shard) == self._host)
+        """Put aside the ledgers that another host should own now."""
+        hosts = sorted(self._live_hosts())
+        if hosts == self._seen_hosts:
+            return
+        self._seen_hosts = hosts
+        self._owned.own(
+            shard
+            for shard in range(self._key_shards)
+            if self.owner(shard) == self._host
+        )
+
+    async def _announce(self) -> None:
+        """Tell new owners of the attempts that run here."""
+        now = anyio.current_time()
+        for attempt, here in list(self._here.items()):
+            if now >= here.ends_at:
+                self._here.pop(attempt, None)
+                continue
+            owner = self.owner(here.begin['shard'])
+            if owner == here.owner:
+                continue
+            left = here.ends_at - now - KEEP_SECONDS
+            begin = here.begin | {'limit_seconds': max(0.0, left)}
+            begun = await self._call(METHOD_BEGIN, begin)
+            if begun.is_ok():
+                here.owner = owner
+
+    def _track(self, begin: keys.Begin, owner: str) -> None:
+        ends_at = anyio.current_time() + begin['limit_seconds'] + KEEP_SECONDS
+        self._here[begin['attempt']] = _Here(begin, owner, ends_at)
+
+    def _begin_failed(
+        self,
+        begin: keys.Begin,
+        begun: result.Err[verdicts.Failure] | None,
+    ) -> None:
+        """Free a key that its owner may have reserved for nothing.
+
+        :param begun: ``None`` if the caller did not wait for the answer
+        """
+        sure = begun is not None and begun.err_value.event in (
+            events.KEY_REUSED,
+            events.STORE_UNAVAILABLE,
+        )
+        if begin['durable'] and not sure:
+            self._release_later(_release_of(begin))
+
+    def _release_later(self, release: keys.Release) -> None:
+        until = anyio.current_time() + RELEASE_SECONDS
+        if len(self._releases) < MAX_RELEASES:
+            self._releases.setdefault(release['attempt'], (release, until))
+
+    async def _repeat_releases(self) -> None:
+        for attempt, (release, until) in list(self._releases.items()):
+            released = await self._call(METHOD_RELEASE, release)
+            if released.is_ok() or anyio.current_time() >= until:
+                del self._releases[attempt]
+            else:
+                return
+
+    async def _commit(
+        self, finish: keys.Finish
+    ) -> result.Result[keys.Answer, verdicts.Failure]:
+        kept = await self._call(METHOD_FINISH, finish)
+        return kept.map(lambda row: keys.Answer(*row))
+
+    async def _hand_over(self, finish: keys.Finish) -> None:
+        """Give a copy of an uncommitted answer to one other host."""
+        for host in self._backup_hosts():
+            held = await self._peers.call(
+                host, METHOD_HOLD, finish, HOLD_SECONDS
+            )
+            if held.is_ok():
+                return
 
     def _shard(self, name: KeyName) -> int:
         return shards.shard(name.account, name.key, self._key_shards)
@@ -149,12 +327,13 @@
         the owner that it is the same one.
         """
         started = anyio.current_time()
+        spent = 0.0
         while True:
-            answered = await self._call(method, payload)
+            timeout = min(limit_seconds - spent, CALL_TIMEOUT_SECONDS)
+            answered = await self._call(method, payload, timeout)
             if isinstance(answered, result.Ok):
                 return answered
-            failure = answered.err_value
-            if not _worth_repeating(failure):
+            if not _worth_repeating(method, answered.err_value):
                 return answered
             spent = anyio.current_time() - started
             if spent + RETRY_SECONDS >= limit_seconds:
@@ -162,46 +341,85 @@
             await anyio.sleep(RETRY_SECONDS)
 
     async def _call(
-        self, method: str, payload: typing.Any
+        self,
+        method: str,
+        payload: typing.Any,
+        timeout: float = CALL_TIMEOUT_SECONDS,
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        shard = payload[0] if isinstance(payload, list) else payload['shard']
-        owner = self.owner(shard)
+        owner = self.owner(_shard_of(payload))
         if owner == self._host:
             return await self.handlers[method](self._host, payload)
-        return await self._peers.call(
-            owner, method, payload, CALL_TIMEOUT_SECONDS
-        )
+        return await self._peers.call(owner, method, payload, timeout)
+
+    def _refuse(
+        self, payload: typing.Any
+    ) -> result.Err[verdicts.Failure] | None:
+        """Refuse a call about a shard that another host should own."""
+        shard = _shard_of(payload)
+        if self.owner(shard) == self._host:
+            return None
+        return result.Err(keys.not_owned(shard))
 
     async def _take_begin(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        return await self._owned.begin(payload)
+        return self._refuse(payload) or await self._owned.begin(payload)
 
     async def _take_finish(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        payload['answer'] = keys.Answer(*payload['answer'])
-        return await self._owned.finish(payload)
+        finish = _to_finish(payload)
+        return self._refuse(payload) or await self._owned.finish(finish)
 
     async def _take_release(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        return await self._owned.release(payload)
+        return self._refuse(payload) or await self._owned.release(payload)
 
     async def _take_look_up(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        return await self._owned.look_up(*payload)
+        return self._refuse(payload) or await self._owned.look_up(*payload)
+
+    async def _take_hold(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        return result.Ok(self._unrecorded.add(_to_finish(payload)))
 
 
 def _full_key(name: KeyName) -> str:
     return f'{name.account}/{name.key}'
 
 
-def _worth_repeating(failure: verdicts.Failure) -> bool:
-    return failure.event in (
-        events.PEER_UNREACHABLE,
-        events.LEDGER_LOST,
-        events.STORE_UNAVAILABLE,
-        events.STORE_OUTCOME_UNKNOWN,
+def _shard_of(payload: typing.Any) -> int:
+    return payload[0] if isinstance(payload, list) else payload['shard']
+
+
+def _to_finish(payload: typing.Any) -> keys.Finish:
+    return payload | {'answer': keys.Answer(*payload['answer'])}
+
+
+def _release_of(begin: keys.Begin) -> keys.Release:
+    return keys.Release(
+        shard=begin['shard'], key=begin['key'], attempt=begin['attempt']
     )
+
+
+def _unknown_to_unread(failure: verdicts.Failure) -> verdicts.Failure:
+    """Judge a begin whose owner did not answer."""
+    return keys.unread(failure) if _is_owner_lost(failure) else failure
+
+
+def _is_owner_lost(failure: verdicts.Failure) -> bool:
+    """Return whether a call found no host that owns the shard."""
+    return failure.event in (events.PEER_UNREACHABLE, events.LEDGER_LOST)
+
+
+def _worth_repeating(method: str, failure: verdicts.Failure) -> bool:
+    """Return whether another try may help soon.
+
+    A request that waits for the store is refused at once instead.
+    """
+    if _is_owner_lost(failure):
+        return True
+    return method == METHOD_FINISH and keys.may_commit_later(failure)
--- a/src/persimmonpass/controllers/online.py
+++ b/src/persimmonpass/controllers/online.py
@@ -324,7 +324,7 @@
     """Answer a request whose key was used before."""
     answer = begun['answer']
     if answer is not None:
-        return result.Ok(Finished(keys.Answer(*answer), True))
+        return result.Ok(Finished(keys.Answer(*answer), begun['recorded']))
     if begun['state'] == keys.RUNNING:
         return result.Err(
             verdicts.Failure(
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -25,7 +25,7 @@
 from persimmonpass.controllers import online
 from persimmonpass.controllers import targets
 from persimmonpass import events
-from persimmonpass import keys
+from persimmonpass import key_shards
 from persimmonpass import metrics
 from persimmonpass.peers import link
 from persimmonpass import sends
@@ -164,10 +164,14 @@
         )
         self._keys = key_controller.Keys(
             options.host,
-            keys.KeyShards(self._store, options.host),
+            key_shards.KeyShards(
+                self._store, options.host, self._membership_says_gone
+            ),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
+            f'{options.host}#{incarnation}',
+            self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
             options.host,
@@ -192,8 +196,28 @@
             self._targets.run,
             self._batch.run,
             self._follow_members,
+            self._keys.run,
         ]
 
+    def _membership_says_gone(self, runner: str) -> bool:
+        """Return whether a run of a daemon has certainly ended."""
+        host, _, incarnation = runner.partition('#')
+        member = self.board.members.get(host)
+        if member is None:
+            return False
+        return member.state == 'dead' or member.incarnation > int(incarnation)
+
+    def _hosts_elsewhere(self) -> list[str]:
+        """Return live hosts, those of other availability zones first."""
+        zone = self._options.availability_zone
+        members = [
+            member
+            for member in self.board.members.rows()
+            if member.state == 'alive' and member.host != self._options.host
+        ]
+        members.sort(key=lambda member: member.availability_zone == zone)
+        return [member.host for member in members]
+
     def _caller_app(self) -> types.ASGIApp:
         return caller.make_app(
             ports.CallerPorts(
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -230,6 +230,12 @@
     Level.INFO,
     'A request with this key runs and has no result yet.',
 )
+RESULT_DROPPED = Event(
+    521,
+    'result_dropped',
+    Level.ERROR,
+    'A delivered answer was not committed: no room, or its key was taken.',
+)
 JOB_ACCEPTED = Event(
     601, 'job_accepted', Level.INFO, 'A batch job is durable and will run.'
 )
--- a/src/persimmonpass/ledger.py
+++ b/src/persimmonpass/ledger.py
@@ -16,6 +16,7 @@
 
 from persimmonpass import budget
 from persimmonpass import events
+from persimmonpass import group_commit
 from persimmonpass import heads
 from persimmonpass.policy import compaction
 from persimmonpass import segments
@@ -26,9 +27,6 @@
 MAX_APPEND_BYTES = 800_000
 OPEN_ATTEMPTS = 5
 MIN_TICK_SECONDS = 0.000_001
-MAX_LINGER_SECONDS = 0.05
-LINGER_SHARE = 0.5
-SMOOTHING = 0.2
 
 Record = heads.Record
 Head = heads.Head
@@ -41,58 +39,6 @@
 Merge = collections.abc.Callable[[Value | None, Record], Value]
 
 
-class _Batch:
-    """Appends that one write commits together.
-
-    :ivar epoch: ownership under which their callers decided on them
-    :ivar sealed: no append may join or leave any more
-    """
-
-    def __init__(self, epoch: int) -> None:
-        self.epoch = epoch
-        self.appends: list[list[Record]] = []
-        self.size = 0
-        self.sealed = False
-        self.outcome: result.Result[None, verdicts.Failure] = result.Ok(None)
-
-    @property
-    def records(self) -> list[Record]:
-        """All records in order."""
-        return [record for records in self.appends for record in records]
-
-    def remove(self, records: list[Record], size: int) -> None:
-        """Take an append out that nobody waits for any more."""
-        self.appends = [one for one in self.appends if one is not records]
-        self.size -= size
-
-
-class _Pace:
-    """Decides how long a write waits for more appends.
-
-    A write that takes longer than the fastest one was held up by the store
-    or by its budget; waiting then costs little and saves writes.
-    """
-
-    def __init__(self) -> None:
-        self._fastest: float | None = None
-        self._smoothed = 0.0
-
-    @property
-    def linger_seconds(self) -> float:
-        """Time for which the next write should wait."""
-        if self._fastest is None:
-            return 0.0
-        excess = self._smoothed - self._fastest
-        return min(MAX_LINGER_SECONDS, max(0.0, excess * LINGER_SHARE))
-
-    def saw(self, seconds: float) -> None:
-        """Learn how long a write took."""
-        if self._fastest is None:
-            self._fastest = self._smoothed = seconds
-        self._fastest = min(self._fastest, seconds)
-        self._smoothed += (seconds - self._smoothed) * SMOOTHING
-
-
 class Ledger(typing.Generic[Value]):
     """A ledger that this host owns, folded into a value for each key.
 
@@ -129,8 +75,8 @@
         self._inline_bytes = 0
         self._clock_read_at = 0.0
         self._closings = 0
-        self._batch = _Batch(0)
-        self._pace = _Pace()
+        self._batch = group_commit.Batch(0)
+        self._pace = group_commit.Pace()
         self._lock = anyio.Lock()
 
     @property
@@ -166,6 +112,9 @@
     ) -> result.Result[None, verdicts.Failure]:
         """Commit records; appends that wait at the same time share a write.
 
+        A record that the merge function ignores, which then returns the
+        very value it was given, is not written.
+
         The records hold for the ownership under which they are appended: if
         it ends while they wait, they are not written, also if this host has
         opened the ledger again.
@@ -195,6 +144,42 @@
                 batch.remove(records, size)
         return batch.outcome
 
+    async def confirm(self) -> result.Result[None, verdicts.Failure]:
+        """Check with one read that no other host has taken the ledger over.
+
+        :returns: a failure if the store did not answer; the ledger is closed
+            if it was taken over
+        """
+        async with self._lock:
+            found = await heads.fetch(self._port, self.path, self._priority)
+            if isinstance(found, result.Err):
+                return result.Err(found.err_value)
+            if found.ok_value[1] != self._version:
+                self.close()
+            return result.Ok(None)
+
+    async def find(
+        self, key: str
+    ) -> result.Result[list[Record], verdicts.Failure]:
+        """Read the records back among which is the last that changed a key.
+
+        :returns: records of the head or of one segment, in order
+        """
+        while self._head is not None:
+            head = self._head
+            at = self._changed_at.get(key, head.clock)
+            holders = [one for one in head.segments if one.clock >= at]
+            if not holders:
+                return result.Ok(head.records)
+            found = await segments.read_segments(
+                self._port, holders[:1], self._priority
+            )
+            if isinstance(found, result.Ok):
+                return result.Ok(found.ok_value[0])
+            if self._head is head:
+                return result.Err(found.err_value)
+        return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
+
     def close(self) -> None:
         """Drop the state; the next append needs :meth:`open` first."""
         self._closings += 1
@@ -202,12 +187,12 @@
         self._values = {}
         self._changed_at = {}
 
-    def _join(self, records: list[Record], size: int) -> _Batch:
+    def _join(self, records: list[Record], size: int) -> group_commit.Batch:
         """Add records to the batch that waits, or to a new one."""
         batch = self._batch
         fits = batch.size + size <= MAX_APPEND_BYTES
         if batch.sealed or batch.epoch != self.epoch or not fits:
-            batch = self._batch = _Batch(self.epoch)
+            batch = self._batch = group_commit.Batch(self.epoch)
         batch.appends.append(records)
         batch.size += size
         return batch
@@ -275,17 +260,21 @@
 
     def _fold(self, records: list[Record], clock: float) -> None:
         for record in records:
-            value = self._merge(self._values.get(record.key), record)
-            self._values[record.key] = value
-            if self._retention is not None:
+            present = self._values.get(record.key)
+            value = self._merge(present, record)
+            if value is not present:
+                self._values[record.key] = value
                 self._changed_at[record.key] = clock
 
     async def _commit(
-        self, batch: _Batch
+        self, batch: group_commit.Batch
     ) -> result.Result[None, verdicts.Failure]:
         base = self._head
         if base is None or base.epoch != batch.epoch:
             return result.Err(lost(self.path, verdicts.Verdict.NOT_RUN))
+        records = self._effective(batch.records)
+        if not records:
+            return result.Ok(None)
         head = base
         if base.records and self._inline_bytes + batch.size > MAX_INLINE_BYTES:
             spilled = await segments.spill(
@@ -296,7 +285,6 @@
             head = spilled.ok_value
         now = anyio.current_time()
         passed = max(now - self._clock_read_at, MIN_TICK_SECONDS)
-        records = batch.records
         head = head._replace(
             commit=heads.new_id(),
             records=[*head.records, *records],
@@ -312,21 +300,30 @@
             self._drop_unless_unchanged(written.err_value)
             return written
         self._pace.saw(anyio.current_time() - now)
-        self._keep(base, head, written.ok_value, batch)
+        self._keep(base, head, written.ok_value)
+        self._inline_bytes += batch.size
+        self._fold(records, head.clock)
         self._clock_read_at = now
         return result.Ok(None)
 
-    def _keep(
-        self, base: Head, head: Head, version: int, batch: _Batch
-    ) -> None:
+    def _effective(self, records: list[Record]) -> list[Record]:
+        """Return the records that change the value of their key."""
+        values: dict[str, Value | None] = {}
+        kept = []
+        for record in records:
+            present = values.get(record.key, self._values.get(record.key))
+            values[record.key] = self._merge(present, record)
+            if values[record.key] is not present:
+                kept.append(record)
+        return kept
+
+    def _keep(self, base: Head, head: Head, version: int) -> None:
         """Take a committed head into memory."""
         self.writes += 1
         self._head = head
         self._version = version
-        if len(head.records) == len(batch.records):
+        if head.segments != base.segments:
             self._inline_bytes = 0
-        self._inline_bytes += batch.size
-        self._fold(batch.records, head.clock)
         if self._retention is not None:
             self._forget(base, head)
 
