--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -102,6 +102,12 @@
     Level.WARNING,
     'Another host raised the epoch of a ledger; this one dropped its state.',
 )
+LEDGER_FULL = Event(
+    213,
+    'ledger_full',
+    Level.ERROR,
+    'Records are too large for a ledger, or it has too many segments.',
+)
 PEER_CONNECTED = Event(
     301, 'peer_connected', Level.INFO, 'A link to a peer is up.'
 )
@@ -225,6 +231,12 @@
     Level.INFO,
     'A request with this key runs and has no result yet.',
 )
+RESULT_DROPPED = Event(
+    521,
+    'result_dropped',
+    Level.ERROR,
+    'A delivered answer was not committed: no room, or its key was taken.',
+)
 JOB_ACCEPTED = Event(
     601, 'job_accepted', Level.INFO, 'A batch job is durable and will run.'
 )
