Split batch into job table, claims, chunks, runner and preemption

Cause: one controller polled the store for other hosts' chunks, committed each result on its own, lost attempts with its host and knew of no online request at its targets.

Jobs are followed by list, watch and peer notices; claims are a table that notices fill; results are committed in groups after a read of the job's head; an attempt on which a target died is committed before the item runs again, alone. The coordinator of a target hears of online requests before they are sent and cancels batch streams at once.

--- a/src/persimmonpass/api/jobs.py
+++ b/src/persimmonpass/api/jobs.py
@@ -1,6 +1,7 @@
 """Routes for batch jobs."""
 
 import collections.abc
+import typing
 
 import msgspec
 import result
@@ -11,15 +12,25 @@
 from persimmonpass.api import answers
 from persimmonpass.api import ports as caller_ports
 from persimmonpass import auth
+from persimmonpass.controllers import batch
 from persimmonpass.controllers import config
 from persimmonpass import jobs
-from persimmonpass import store
 from persimmonpass import verdicts
 
 DEFAULT_DUE_SECONDS = 86_400.0
 NDJSON = 'application/x-ndjson'
 
 
+class ItemRow(typing.TypedDict):
+    """Result of an item, or its state while it has none."""
+
+    id: str
+    status: str
+    text: str
+    attempts: int
+    cause: str
+
+
 def routes(ports: caller_ports.CallerPorts) -> list[routing.Route]:
     """Make the routes for batch jobs."""
 
@@ -38,8 +49,7 @@
         if isinstance(due, result.Err):
             return answers.fail(verdicts.invalid('due_seconds', due.err_value))
         with ports.enter():
-            accepted = await jobs.submit(
-                ports.store,
+            accepted = await ports.batch.submit(
                 key.ok_value,
                 name,
                 due.ok_value,
@@ -58,58 +68,52 @@
         key = _job_key(ports, request)
         if isinstance(key, result.Err):
             return key
-        found = await ports.store.get(jobs.head_key(key.ok_value))
-        if isinstance(found, result.Err):
-            return found
-        return result.Ok(jobs.decode(found.ok_value))
+        return await ports.batch.find(key.ok_value)
 
     async def show(request: requests.Request) -> responses.Response:
-        found = await find(request)
-        if isinstance(found, result.Err):
-            return answers.fail(found.err_value)
-        job = found.ok_value
-        counts = {jobs.ITEM_DONE: 0, jobs.ITEM_FAILED: 0}
-        async for row in jobs.read_results(ports.store, job):
-            if isinstance(row, result.Err):
-                return answers.fail(row.err_value)
-            item_result = row.ok_value[1]
-            if item_result is not None:
-                counts[item_result.status] += 1
-        return responses.JSONResponse(
-            {
-                'job': job.job,
-                'service': job.service,
-                'state': _job_state(job, sum(counts.values())),
-                'items': job.items,
-                **counts,
-            }
-        )
+        key = _job_key(ports, request)
+        if isinstance(key, result.Err):
+            return answers.fail(key.err_value)
+        status = await ports.batch.show(key.ok_value)
+        if isinstance(status, result.Err):
+            return answers.fail(status.err_value)
+        return responses.JSONResponse(status.ok_value)
 
     async def cancel(request: requests.Request) -> responses.Response:
         key = _job_key(ports, request)
         if isinstance(key, result.Err):
             return answers.fail(key.err_value)
-        cancelled = await jobs.cancel(ports.store, key.ok_value)
+        cancelled = await ports.batch.cancel(key.ok_value)
         if isinstance(cancelled, result.Err):
             return answers.fail(cancelled.err_value)
-        return responses.JSONResponse(
-            {'job': cancelled.ok_value.job, 'state': jobs.CANCELLED}
-        )
+        job = cancelled.ok_value
+        return responses.JSONResponse({'job': job.job, 'state': job.state})
 
     async def read(request: requests.Request) -> responses.Response:
         found = await find(request)
         if isinstance(found, result.Err):
             return answers.fail(found.err_value)
         return responses.StreamingResponse(
-            _result_lines(ports.store, found.ok_value), media_type=NDJSON
+            _result_lines(ports.batch, found.ok_value), media_type=NDJSON
         )
 
+    async def read_item(request: requests.Request) -> responses.Response:
+        key = _job_key(ports, request)
+        if isinstance(key, result.Err):
+            return answers.fail(key.err_value)
+        item_id = request.path_params['item']
+        found = await ports.batch.read_item(key.ok_value, item_id)
+        if isinstance(found, result.Err):
+            return answers.fail(found.err_value)
+        return responses.JSONResponse(_to_row(*found.ok_value))
+
     path = '/v1/jobs/{job}'
     return [
         routing.Route(path, submit, methods=['PUT']),
         routing.Route(path, show),
         routing.Route(f'{path}/cancel', cancel, methods=['POST']),
         routing.Route(f'{path}/results', read),
+        routing.Route(f'{path}/items/{{item:path}}', read_item),
     ]
 
 
@@ -124,25 +128,16 @@
     )
 
 
-def _job_state(job: jobs.Job, finished: int) -> str:
-    if finished == job.items:
-        return 'finished'
-    return job.state
-
-
 async def _result_lines(
-    port: store.StorePort, job: jobs.Job
+    controller: batch.Batch, job: jobs.Job
 ) -> collections.abc.AsyncGenerator[bytes, None]:
-    async for row in jobs.read_results(port, job):
+    async for row in controller.read_results(job):
         if isinstance(row, result.Err):
             body = dict(verdicts.to_body(row.err_value))
             yield msgspec.json.encode(body) + b'\n'
             return
-        item, item_result = row.ok_value
-        if item_result is None:
-            status = 'waiting'
-            if job.state == jobs.CANCELLED:
-                status = jobs.CANCELLED
-            item_result = jobs.ItemResult(status, '', 0)
-        line = {'id': item.id, **item_result._asdict()}
-        yield msgspec.json.encode(line) + b'\n'
+        yield msgspec.json.encode(_to_row(*row.ok_value)) + b'\n'
+
+
+def _to_row(item: jobs.Item, item_result: jobs.ItemResult) -> ItemRow:
+    return ItemRow(id=item.id, **item_result._asdict())
--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -5,10 +5,10 @@
 import typing
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import batch
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import online
 from persimmonpass import metrics
-from persimmonpass import store
 from persimmonpass import tracing
 
 
@@ -22,7 +22,7 @@
     board: blackboard.Blackboard
     online: online.Online
     key_calls: key_controller.Keys
-    store: store.StorePort
+    batch: batch.Batch
     counters: metrics.Metrics
     spans: tracing.Tracing
     entry_ttl_seconds: float
--- a/src/persimmonpass/controllers/batch.py
+++ b/src/persimmonpass/controllers/batch.py
@@ -1,53 +1,56 @@
-"""Runs batch items on the targets that this host coordinates."""
+"""Runs batch jobs on the targets that this host coordinates."""
 
-import collections
 import collections.abc
-import contextlib
 import typing
-import uuid
 
 import anyio
 import result
 
 from persimmonpass import blackboard
-from persimmonpass import budget
-from persimmonpass.controllers import targets
-from persimmonpass import events
+from persimmonpass.controllers import batch_claims
+from persimmonpass.controllers import batch_jobs
+from persimmonpass.controllers import batch_runner
+from persimmonpass.controllers import preemption
+from persimmonpass import job_results
 from persimmonpass import jobs
-from persimmonpass import ledger
 from persimmonpass import metrics
-from persimmonpass import objects
-from persimmonpass.policy import shards
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import batch
 from persimmonpass import sends
 from persimmonpass import store
+from persimmonpass import submissions
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
-RETRY_SECONDS = 0.5
-FIND_SECONDS = 0.2
-WIDTH = 4
+FIND_SECONDS = 0.25
 
 
-class _Chunk:
-    """A part of a job that this host claimed."""
+class JobStatus(typing.TypedDict):
+    """Progress of a job.
 
-    def __init__(
-        self,
-        job: jobs.Job,
-        number: int,
-        book: ledger.Ledger[jobs.ItemResult],
-        items: list[jobs.Item],
-    ) -> None:
-        self.job = job
-        self.number = number
-        self.book = book
-        self.waiting = collections.deque(items)
-        self.left = len(items)
-        self.attempts: collections.Counter[str] = collections.Counter()
+    :ivar rate_per_second: results a second since the job was accepted
+    :ivar end_seconds: estimated time until its end, ``None`` if unknown
+    :ivar due_in_seconds: time until it is due, ``None`` if it has ended
+    :ivar causes: failed items by cause
+    """
+
+    job: str
+    service: str
+    state: str
+    items: int
+    done: int
+    failed: int
+    causes: dict[str, int]
+    rate_per_second: float
+    end_seconds: float | None
+    due_in_seconds: float | None
 
 
 class Batch:
-    """The batch controller of one daemon."""
+    """The batch controller of one daemon.
+
+    :ivar preemption: tells coordinators of online requests
+    """
 
     def __init__(
         self,
@@ -58,237 +61,172 @@
         sent: sends.Sends,
         counters: metrics.Metrics,
         live_hosts: collections.abc.Callable[[], list[str]],
+        peers: peer_port.PeerPort,
     ) -> None:
+        self.preemption = preemption.Preemption(host, board, peers, live_hosts)
         self._host = host
         self._board = board
         self._port = port
-        self._engines = engines
-        self._sent = sent
-        self._counters = counters
-        self._live_hosts = live_hosts
-        self._jobs: dict[jobs.JobKey, jobs.Job] = {}
-        self._finished: set[tuple[jobs.JobKey, int]] = set()
-        self._chunks: dict[tuple[jobs.JobKey, int], _Chunk] = {}
-        self._workers: dict[str, int] = {}
-        self._claiming = anyio.Lock()
+        self._peers = peers
+        self._table = batch_jobs.JobTable(host, port, peers)
+        self._claims = batch_claims.Claims(host, port, self._table, live_hosts)
+
+        def observe(service: str, status: str) -> None:
+            counters.batch_items.labels(service, status).inc()
+
+        self._ports = batch_runner.RunnerPorts(
+            board, engines, sent, self._claims, self.preemption, observe
+        )
+        self._runners: set[str] = set()
+
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of peers' calls and notices."""
+        table = self._table.handlers
+        taken = table[batch_jobs.METHOD_CLAIMED]
+
+        async def take_claimed(
+            peer: str, payload: typing.Any
+        ) -> result.Result[typing.Any, verdicts.Failure]:
+            account, job, number = payload
+            self._claims.check_claim(jobs.JobKey(account, job), number)
+            return await taken(peer, payload)
+
+        return {
+            **table,
+            **self._claims.handlers,
+            **self.preemption.handlers,
+            batch_jobs.METHOD_CLAIMED: take_claimed,
+        }
 
     async def run(self) -> None:
         """Follow the jobs and run their items for ever."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._follow_jobs)
+            tasks.start_soon(self._table.run)
+            tasks.start_soon(self._claims.run)
+            tasks.start_soon(self.preemption.run)
             while True:
-                for target in self._coordinated():
-                    while self._workers.get(target.name, 0) < WIDTH:
-                        self._workers[target.name] = (
-                            self._workers.get(target.name, 0) + 1
-                        )
-                        tasks.start_soon(self._work, target.name)
+                for target in self._board.targets.rows():
+                    name = target.name
+                    if name not in self._runners and self._coordinates(name):
+                        self._runners.add(name)
+                        tasks.start_soon(self._run_target, name)
                 await anyio.sleep(FIND_SECONDS)
 
-    def _coordinated(self) -> list[blackboard.Target]:
-        """Return the engines on which only this host runs batch items."""
-        hosts = self._live_hosts()
-        return [
-            target
-            for target in self._board.targets.rows()
-            if target.kind == 'engine'
-            and not target.leaving
-            and shards.owner(f'target/{target.name}', hosts) == self._host
-        ]
-
-    async def _follow_jobs(self) -> None:
-        version = 0
-        while True:
-            seen = await self._port.watch(jobs.PREFIX, version)
-            if isinstance(seen, result.Err):
-                await anyio.sleep(RETRY_SECONDS)
-                continue
-            version = seen.ok_value.version
-            for stored in seen.ok_value.changes:
-                if not stored.deleted:
-                    job = jobs.decode(stored)
-                    self._jobs[job.key] = job
-
-    async def _work(self, name: str) -> None:
-        """Run one item after another on a target."""
-        try:
-            while name in {row.name for row in self._coordinated()}:
-                target = self._board.targets.get(name)
-                chunk = await self._find_chunk(target) if target else None
-                if target is None or chunk is None:
-                    await anyio.sleep(FIND_SECONDS)
-                    continue
-                await self._run_item(target, chunk, chunk.waiting.popleft())
-        finally:
-            self._workers[name] -= 1
-
-    async def _find_chunk(self, target: blackboard.Target) -> _Chunk | None:
-        """Return a claimed chunk with work for a target, or claim one."""
-        async with self._claiming:
-            for chunk in self._chunks.values():
-                if chunk.waiting and self._may_run(target, chunk.job):
-                    return chunk
-            for job in list(self._jobs.values()):
-                if not self._may_run(target, job):
-                    continue
-                chunk = await self._claim_part_of(job)
-                if chunk is not None and chunk.waiting:
-                    return chunk
-        return None
-
-    def _may_run(self, target: blackboard.Target, job: jobs.Job) -> bool:
-        present = self._jobs.get(job.key, job)
-        if present.state != jobs.ACCEPTED:
-            return False
-        spec = self._spec(job)
-        if spec is None:
-            return False
-        return target in targets.matching(self._board, spec)
-
-    def _spec(self, job: jobs.Job) -> objects.ServiceSpec | None:
-        item = self._board.objects.get(objects.Key('service', job.service))
-        if item is None or item.deleted:
-            return None
-        return typing.cast(objects.ServiceSpec, item.spec)
-
-    async def _claim_part_of(self, job: jobs.Job) -> _Chunk | None:
-        """Claim an open part, those first that prefer this host."""
-        hosts = self._live_hosts()
+    async def submit(
+        self,
+        key: jobs.JobKey,
+        service: str,
+        due_seconds: float,
+        lines: collections.abc.AsyncIterator[bytes],
+    ) -> result.Result[jobs.Job, verdicts.Failure]:
+        """Accept a job; see :func:`submissions.submit`."""
+        return await submissions.submit(
+            self._port, key, service, due_seconds, lines
+        )
 
-        def rank(number: int) -> int:
-            path = jobs.ledger_key(job.key, number)
-            return -shards.score(path, self._host)
+    async def cancel(
+        self, key: jobs.JobKey
+    ) -> result.Result[jobs.Job, verdicts.Failure]:
+        """Cancel a job unless it is finished; return it as it is then."""
+        return await self._table.cancel(key)
+
+    async def show(
+        self, key: jobs.JobKey
+    ) -> result.Result[JobStatus, verdicts.Failure]:
+        """Return a job's progress from summaries and its owners' counts."""
+        found = await jobs.read_head(self._port, key)
+        if isinstance(found, result.Err):
+            return found
+        job = found.ok_value
+        summaries = await jobs.read_summaries(self._port, key)
+        if isinstance(summaries, result.Err):
+            return summaries
+        counted = dict(summaries.ok_value)
+        age = 0.0
+        for progress in await self._ask_all(key):
+            age = max(age, progress['age_seconds'])
+            for number, summary in progress['held']:
+                counted.setdefault(number, summary)
+        total = jobs.Summary()
+        for summary in counted.values():
+            total = jobs.add(total, summary)
+        return result.Ok(_status(job, total, age))
+
+    def read_results(
+        self, job: jobs.Job
+    ) -> collections.abc.AsyncGenerator[
+        result.Result[job_results.ItemRow, verdicts.Failure], None
+    ]:
+        """Read all items of a job."""
+        return job_results.read_all(self._port, self._host, job)
+
+    async def read_item(
+        self, key: jobs.JobKey, item_id: str
+    ) -> result.Result[job_results.ItemRow, verdicts.Failure]:
+        """Read one item of a job."""
+        found = await jobs.read_head(self._port, key)
+        if isinstance(found, result.Err):
+            return found
+        return await job_results.read_one(
+            self._port, self._host, found.ok_value, item_id
+        )
 
-        for number in sorted(range(len(job.parts)), key=rank):
-            if (job.key, number) in self._finished:
-                continue
-            if (job.key, number) in self._chunks:
-                continue
-            chunk = await self._claim(job, number, hosts)
-            if chunk is not None:
-                return chunk
-        return None
+    async def find(
+        self, key: jobs.JobKey
+    ) -> result.Result[jobs.Job, verdicts.Failure]:
+        """Read a job's head."""
+        return await jobs.read_head(self._port, key)
 
-    async def _claim(
-        self, job: jobs.Job, number: int, hosts: list[str]
-    ) -> _Chunk | None:
-        path = jobs.ledger_key(job.key, number)
-        found = await self._port.get(path, budget.Priority.CLAIM)
-        if isinstance(found, result.Ok):
-            head = ledger.decode_head(found.ok_value.data)
-            records = await ledger.read_records(self._port, head)
-            if isinstance(records, result.Err):
-                return None
-            done = {record.key for record in records.ok_value}
-            if len(done) >= job.parts[number].items:
-                self._finished.add((job.key, number))
-                return None
-            if head.owner in hosts and head.owner != self._host:
-                return None
-        elif found.err_value.event != events.STORE_NOT_FOUND:
-            return None
-        return await self._open_chunk(job, number, path)
+    async def _ask_all(self, key: jobs.JobKey) -> list[batch_jobs.Progress]:
+        found = [self._claims.progress(key)]
 
-    async def _open_chunk(
-        self, job: jobs.Job, number: int, path: str
-    ) -> _Chunk | None:
-        book = ledger.Ledger(self._port, path, self._host, jobs.merge)
-        opened = await book.open()
-        if isinstance(opened, result.Err):
-            return None
-        stored = await self._port.get(
-            job.parts[number].key, budget.Priority.CLAIM
-        )
-        if isinstance(stored, result.Err):
-            return None
-        done = book.values()
-        items = [
-            item
-            for item in jobs.decode_items(stored.ok_value.data)
-            if item.id not in done
-        ]
-        chunk = _Chunk(job, number, book, items)
-        self._chunks[(job.key, number)] = chunk
-        events.log(
-            events.CHUNK_CLAIMED,
-            host=self._host,
-            job=job.job,
-            chunk=number,
-            items=len(items),
-        )
-        return chunk
+        async def ask(host: str) -> None:
+            progress = await self._table.ask(host, key)
+            if progress is not None:
+                found.append(progress)
 
-    async def _run_item(
-        self, target: blackboard.Target, chunk: _Chunk, item: jobs.Item
-    ) -> None:
-        spec = self._spec(chunk.job)
-        if spec is None:
-            chunk.waiting.append(item)
-            return
-        chunk.attempts[item.id] += 1
-        with self._sent.track(self._sent.batch, target.name):
-            outcome = await self._complete(target, spec, item)
-        attempts = chunk.attempts[item.id]
-        if isinstance(outcome, result.Ok):
-            final = jobs.ItemResult(jobs.ITEM_DONE, outcome.ok_value, attempts)
-        elif attempts >= spec.max_attempts:
-            final = jobs.ItemResult(
-                jobs.ITEM_FAILED, outcome.err_value.message, attempts
-            )
-            events.log(events.ITEM_FAILED, job=chunk.job.job, item=item.id)
-        else:
-            chunk.waiting.append(item)
-            await anyio.sleep(RETRY_SECONDS)
-            return
-        await self._keep(chunk, item, final)
-
-    async def _complete(
-        self,
-        target: blackboard.Target,
-        spec: objects.ServiceSpec,
-        item: jobs.Item,
-    ) -> result.Result[str, verdicts.Failure]:
-        completion = engine.Completion(
-            uuid.uuid4().hex,
-            spec.model,
-            spec.version,
-            spec.adapter,
-            item.prompt,
-            item.max_tokens,
+        async with anyio.create_task_group() as tasks:
+            for host in self._peers.connected():
+                tasks.start_soon(ask, host)
+        return found
+
+    def _coordinates(self, name: str) -> bool:
+        target = self._board.targets.get(name)
+        return (
+            target is not None
+            and target.kind == 'engine'
+            and not target.leaving
+            and self.preemption.coordinator(name) == self._host
         )
-        text = ''
-        pieces = self._engines.stream(target, completion, {})
-        async with contextlib.aclosing(pieces):
-            async for piece in pieces:
-                if isinstance(piece, result.Err):
-                    return piece
-                text += piece.ok_value.text
-        return result.Ok(text)
 
-    async def _keep(
-        self, chunk: _Chunk, item: jobs.Item, final: jobs.ItemResult
-    ) -> None:
-        """Commit a result, for as long as this host owns the chunk."""
-        record = ledger.Record(item.id, final.status, list(final))
-        key = (chunk.job.key, chunk.number)
-        while chunk.book.is_open:
-            kept = await chunk.book.append([record])
-            if isinstance(kept, result.Ok):
-                break
-            await anyio.sleep(RETRY_SECONDS)
-        else:
-            self._chunks.pop(key, None)
-            return
-        self._counters.batch_items.labels(
-            chunk.job.service, final.status
-        ).inc()
-        chunk.left -= 1
-        if chunk.left == 0:
-            self._finished.add(key)
-            self._chunks.pop(key, None)
-            events.log(
-                events.CHUNK_FINISHED,
-                host=self._host,
-                job=chunk.job.job,
-                chunk=chunk.number,
-            )
+    async def _run_target(self, name: str) -> None:
+        try:
+            runner = batch_runner.Runner(name, self._ports)
+            await runner.run(self._coordinates, self._table.changed.wait)
+        finally:
+            self._runners.discard(name)
+
+
+def _status(job: jobs.Job, total: jobs.Summary, age: float) -> JobStatus:
+    rate = total.finished / age if age else 0.0
+    state = job.state
+    if state == jobs.ACCEPTED and total.finished >= job.items:
+        state = jobs.FINISHED
+    is_open = state == jobs.ACCEPTED
+    return JobStatus(
+        job=job.job,
+        service=job.service,
+        state=state,
+        items=job.items,
+        done=total.done,
+        failed=total.failed,
+        causes=total.causes,
+        rate_per_second=rate,
+        end_seconds=(
+            batch.estimate_seconds(job.items, total.finished, rate)
+            if is_open
+            else None
+        ),
+        due_in_seconds=job.due_seconds - age if is_open else None,
+    )
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -177,7 +177,9 @@
             self._sent,
             self.counters,
             self._membership.live_hosts,
+            self._peers.port,
         )
+        handlers |= self._batch.handlers
         handlers |= self._membership.handlers
         handlers |= self._config.handlers
         handlers |= self._targets.handlers
@@ -201,7 +203,7 @@
                 online.Online(
                     self.board,
                     self._keys,
-                    self._engines,
+                    self._batch.preemption.observe(self._engines),
                     self._services,
                     self._sent,
                     self.counters,
@@ -209,7 +211,7 @@
                     self._options.availability_zone,
                 ),
                 self._keys,
-                self._store,
+                self._batch,
                 self.counters,
                 self.spans,
                 self._options.entry_ttl_seconds,
--- /dev/null
+++ b/src/persimmonpass/job_results.py
@@ -0,0 +1,114 @@
+"""Reads the results of batch jobs."""
+
+import collections.abc
+
+import result
+
+from persimmonpass import events
+from persimmonpass import jobs
+from persimmonpass import ledger
+from persimmonpass import store
+from persimmonpass import verdicts
+
+ItemRow = tuple[jobs.Item, jobs.ItemResult]
+
+
+async def read_all(
+    port: store.StorePort, host: str, job: jobs.Job
+) -> collections.abc.AsyncGenerator[
+    result.Result[ItemRow, verdicts.Failure], None
+]:
+    """Read all items in order, each with its result or its state.
+
+    :param host: this host, for the seal of a cancelled job's chunks
+    """
+    for number in range(len(job.parts)):
+        rows = await _read_part(port, host, job, number)
+        if isinstance(rows, result.Err):
+            yield rows
+            return
+        for row in rows.ok_value:
+            yield result.Ok(row)
+
+
+async def read_one(
+    port: store.StorePort, host: str, job: jobs.Job, item_id: str
+) -> result.Result[ItemRow, verdicts.Failure]:
+    """Read one item with its result or its state."""
+    for number, part in enumerate(job.parts):
+        items = await port.get(jobs.items_key(job.key, part.digest))
+        if isinstance(items, result.Err):
+            return items
+        for item in jobs.decode_items(items.ok_value.data):
+            if item.id == item_id:
+                states = await _read_states(port, host, job, number)
+                return states.map(lambda found: _row(job, item, found))
+    return result.Err(store.not_found(f'item {item_id!r}'))
+
+
+async def _read_part(
+    port: store.StorePort, host: str, job: jobs.Job, number: int
+) -> result.Result[list[ItemRow], verdicts.Failure]:
+    key = jobs.items_key(job.key, job.parts[number].digest)
+    items = await port.get(key)
+    if isinstance(items, result.Err):
+        return items
+    states = await _read_states(port, host, job, number)
+    if isinstance(states, result.Err):
+        return states
+    return result.Ok(
+        [
+            _row(job, item, states.ok_value)
+            for item in jobs.decode_items(items.ok_value.data)
+        ]
+    )
+
+
+def _row(
+    job: jobs.Job, item: jobs.Item, states: dict[str, jobs.ItemState]
+) -> ItemRow:
+    state = states.get(item.id, jobs.ItemState())
+    if state.result is not None:
+        return item, state.result
+    status = jobs.ITEM_WAITING
+    if job.state == jobs.CANCELLED:
+        status = jobs.CANCELLED
+    return item, jobs.ItemResult(status, '', state.attempts)
+
+
+async def _read_states(
+    port: store.StorePort, host: str, job: jobs.Job, number: int
+) -> result.Result[dict[str, jobs.ItemState], verdicts.Failure]:
+    """Read a chunk's ledger.
+
+    An owner that has not heard of the cancellation may still commit a
+    result. So that an item that was read as cancelled stays so, the reader
+    takes the ledger of an unfinished chunk over first and seals it.
+    """
+    path = jobs.ledger_key(job.key, number)
+    found = await port.get(path)
+    if isinstance(found, result.Err):
+        if found.err_value.event == events.STORE_NOT_FOUND:
+            return result.Ok({})
+        return found
+    head = ledger.decode_head(found.ok_value.data)
+    records = await ledger.read_records(port, head)
+    if isinstance(records, result.Err):
+        return records
+    states = jobs.fold(records.ok_value)
+    finished = sum(state.result is not None for state in states.values())
+    is_final = (
+        job.state != jobs.CANCELLED
+        or jobs.SEAL_KEY in states
+        or finished == job.parts[number].items
+    )
+    if is_final:
+        return result.Ok(states)
+    book = ledger.Ledger(port, path, host, jobs.merge)
+    sealed = await book.open()
+    if isinstance(sealed, result.Ok):
+        record = ledger.Record(jobs.SEAL_KEY, jobs.SEALED, None)
+        sealed = await book.append([record])
+    if isinstance(sealed, result.Err):
+        return sealed
+    return result.Ok(book.values())
--- a/src/persimmonpass/jobs.py
+++ b/src/persimmonpass/jobs.py
@@ -1,34 +1,42 @@
 """Batch jobs as the store keeps them.
 
-A job is one head object. Its items lie in immutable parts, and the results
-of each part in a ledger of its own.
+A job is one head object. Its items lie in immutable parts; the results of
+each part lie in a ledger of its own, and a small summary of a part that is
+finished saves readers of the progress from reading its results.
 """
 
+import collections
 import collections.abc
-import hashlib
 import typing
 
 import cbor2
 import msgspec
 import result
 
+from persimmonpass import budget
 from persimmonpass import events
 from persimmonpass import ledger
 from persimmonpass import store
 from persimmonpass import verdicts
 
 PREFIX = 'jobs/'
+ITEMS_PREFIX = 'items/'
 RESULT_PREFIX = 'results/'
-MAX_PART_BYTES = 512_000
-FIRST_PART_ITEMS = 16
-MAX_PART_ITEMS = 2_000
-MAX_ITEM_BYTES = 64_000
+SUMMARY_PREFIX = 'summaries/'
+UPDATE_ATTEMPTS = 8
 
 ACCEPTED = 'accepted'
 CANCELLED = 'cancelled'
+FINISHED = 'finished'
 
+ITEM_WAITING = 'waiting'
 ITEM_DONE = 'done'
 ITEM_FAILED = 'failed'
+# Records of a chunk's ledger that are no results.
+ATTEMPT_FAILED = 'attempt'
+TARGET_LOST = 'lost'
+SEALED = 'sealed'
+SEAL_KEY = ''
 
 ItemId = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 
@@ -54,11 +62,11 @@
 class Part(typing.NamedTuple):
     """A chunk of a job's items.
 
-    :ivar key: the store's key of the items
+    :ivar digest: digest of the stored items, which names their object
     :ivar items: number of items
     """
 
-    key: str
+    digest: bytes
     items: int
 
 
@@ -67,7 +75,7 @@
 
     :ivar digest: digest of all items
     :ivar due_seconds: when it should be done, counted from its acceptance
-    :ivar state: ``ACCEPTED`` or ``CANCELLED``
+    :ivar state: ``ACCEPTED``, ``CANCELLED`` or ``FINISHED``
     :ivar version: the store's version of the head
     """
 
@@ -96,11 +104,42 @@
 
     :ivar status: ``ITEM_DONE`` or ``ITEM_FAILED``
     :ivar text: the text, or why the item failed
+    :ivar cause: name of the event that made it fail
     """
 
     status: str
     text: str
     attempts: int
+    cause: str = ''
+
+
+class ItemState(typing.NamedTuple):
+    """What a chunk's ledger knows of an item.
+
+    :ivar result: its result once there is one
+    :ivar attempts: attempts that ran and failed
+    :ivar lost: attempts during which the target died
+    """
+
+    result: ItemResult | None = None
+    attempts: int = 0
+    lost: int = 0
+
+
+class Summary(typing.NamedTuple):
+    """Counts of the results of some items.
+
+    :ivar causes: failed items by cause
+    """
+
+    done: int = 0
+    failed: int = 0
+    causes: dict[str, int] = {}
+
+    @property
+    def finished(self) -> int:
+        """Items with a result."""
+        return self.done + self.failed
 
 
 def head_key(key: JobKey) -> str:
@@ -108,11 +147,26 @@
     return f'{PREFIX}{key.account}/{key.job}'
 
 
+def items_key(key: JobKey, digest: bytes) -> str:
+    """Return the store's key of a part's items."""
+    return f'{ITEMS_PREFIX}{key.account}/{key.job}/{digest.hex()}'
+
+
 def ledger_key(key: JobKey, part: int) -> str:
     """Return the store's key of the ledger with a part's results."""
     return f'{RESULT_PREFIX}{key.account}/{key.job}/{part:06d}'
 
 
+def summary_key(key: JobKey, part: int) -> str:
+    """Return the store's key of the summary of a finished part."""
+    return f'{summaries_prefix(key)}{part:06d}'
+
+
+def summaries_prefix(key: JobKey) -> str:
+    """Return what the keys of all summaries of a job begin with."""
+    return f'{SUMMARY_PREFIX}{key.account}/{key.job}/'
+
+
 def encode(job: Job) -> bytes:
     """Return the stored form of a job's head."""
     return cbor2.dumps(list(job._replace(version=0)))
@@ -137,168 +191,108 @@
     return [Item(*row) for row in cbor2.loads(data)]
 
 
-def merge(value: ItemResult | None, record: ledger.Record) -> ItemResult:
-    """Fold a record into an item's result; the first result wins."""
-    return value if value is not None else ItemResult(*record.body)
+def encode_summary(summary: Summary) -> bytes:
+    """Return the stored form of a summary."""
+    return cbor2.dumps(list(summary))
 
 
-async def submit(
-    port: store.StorePort,
-    key: JobKey,
-    service: str,
-    due_seconds: float,
-    lines: collections.abc.AsyncIterator[bytes],
-) -> result.Result[Job, verdicts.Failure]:
-    """Store a job's items, then its head, which accepts the job.
-
-    :param lines: items as lines of JSON
-    :returns: the job, the same one if it was submitted before
-    """
-    digest = hashlib.sha256(f'{service}\n'.encode())
-    seen: set[bytes] = set()
-    parts: list[Part] = []
-    batch: list[Item] = []
-    size = 0
-    limit = FIRST_PART_ITEMS
-    number = 0
-    async for line in lines:
-        number += 1
-        parsed = _parse_item(line, number, seen)
-        if isinstance(parsed, result.Err):
-            return parsed
-        digest.update(line.strip() + b'\n')
-        batch.append(parsed.ok_value)
-        size += len(line)
-        if len(batch) < limit and size + MAX_ITEM_BYTES < MAX_PART_BYTES:
-            continue
-        stored = await _store_part(port, key, batch)
-        if isinstance(stored, result.Err):
-            return stored
-        parts.append(stored.ok_value)
-        batch, size = [], 0
-        limit = min(limit * 2, MAX_PART_ITEMS)
-    if batch:
-        stored = await _store_part(port, key, batch)
-        if isinstance(stored, result.Err):
-            return stored
-        parts.append(stored.ok_value)
-    if not parts:
-        return result.Err(verdicts.invalid('items', 'the job has no items'))
-    job = Job(
-        key.account, key.job, service, digest.hexdigest(), due_seconds, parts
-    )
-    return await _accept(port, job)
-
-
-async def _store_part(
-    port: store.StorePort, key: JobKey, items: list[Item]
-) -> result.Result[Part, verdicts.Failure]:
-    """Store items under the digest of their bytes, so that a repeat is one."""
-    data = encode_items(items)
-    name = hashlib.sha256(data).hexdigest()[:32]
-    path = f'items/{key.account}/{key.job}/{name}'
-    written = await port.put(path, data)
-    if isinstance(written, result.Err):
-        failure = written.err_value
-        return result.Err(failure._replace(verdict=verdicts.Verdict.NOT_RUN))
-    return result.Ok(Part(path, len(items)))
+def decode_summary(data: bytes) -> Summary:
+    """Read the stored form of a summary."""
+    return Summary(*cbor2.loads(data))
 
 
-async def _accept(
-    port: store.StorePort, job: Job
-) -> result.Result[Job, verdicts.Failure]:
-    """Write the head unless the job exists."""
-    written = await port.put(head_key(job.key), encode(job), store.CREATE)
-    if isinstance(written, result.Ok):
-        events.log(
-            events.JOB_ACCEPTED,
-            account=job.account,
-            job=job.job,
-            items=job.items,
+def merge(value: ItemState | None, record: ledger.Record) -> ItemState:
+    """Fold a record into an item's state; the first result wins."""
+    state = value if value is not None else ItemState()
+    if state.result is not None:
+        return state
+    if record.kind in (ATTEMPT_FAILED, TARGET_LOST):
+        # Totals, so that a record that is written twice counts once.
+        attempts, lost = record.body
+        return state._replace(
+            attempts=max(state.attempts, attempts), lost=max(state.lost, lost)
         )
-        return result.Ok(job._replace(version=written.ok_value))
-    failure = written.err_value
-    settled = (
-        failure.event == events.STORE_CONFLICT
-        or failure.verdict != verdicts.Verdict.NOT_RUN
+    if record.kind == SEALED:
+        return state
+    return state._replace(result=ItemResult(*record.body))
+
+
+def fold(records: list[ledger.Record]) -> dict[str, ItemState]:
+    """Fold all records of a chunk's ledger into a state for each item."""
+    states: dict[str, ItemState] = {}
+    for record in records:
+        states[record.key] = merge(states.get(record.key), record)
+    return states
+
+
+def summarise(results: collections.abc.Iterable[ItemResult]) -> Summary:
+    """Count results."""
+    counts: collections.Counter[str] = collections.Counter()
+    causes: collections.Counter[str] = collections.Counter()
+    for item_result in results:
+        counts[item_result.status] += 1
+        if item_result.status == ITEM_FAILED:
+            causes[item_result.cause] += 1
+    return Summary(counts[ITEM_DONE], counts[ITEM_FAILED], dict(causes))
+
+
+def add(first: Summary, second: Summary) -> Summary:
+    """Add two summaries."""
+    causes = collections.Counter(first.causes)
+    causes.update(second.causes)
+    return Summary(
+        first.done + second.done, first.failed + second.failed, dict(causes)
     )
-    if not settled:
-        return written
-    found = await port.get(head_key(job.key))
-    if isinstance(found, result.Err):
-        return result.Err(failure)
-    present = decode(found.ok_value)
-    if present.digest != job.digest:
-        return result.Err(
-            verdicts.Failure(
-                verdicts.Verdict.NOT_RUN,
-                events.JOB_CONFLICT,
-                f'job {job.job!r} exists with other items',
-                409,
-                None,
-                'job',
-            )
-        )
-    return result.Ok(present)
 
 
-def _parse_item(
-    line: bytes, number: int, seen: set[bytes]
-) -> result.Result[Item, verdicts.Failure]:
-    field = f'line {number}'
-    if len(line) > MAX_ITEM_BYTES:
-        return result.Err(
-            verdicts.invalid(field, f'longer than {MAX_ITEM_BYTES} bytes')
-        )
-    try:
-        item = msgspec.json.decode(line, type=Item)
-    except msgspec.MsgspecError as error:
-        return result.Err(verdicts.invalid(field, str(error)))
-    mark = hashlib.blake2b(item.id.encode(), digest_size=8).digest()
-    if mark in seen:
-        return result.Err(
-            verdicts.invalid(f'{field}.id', f'{item.id!r} is there twice')
-        )
-    seen.add(mark)
-    return result.Ok(item)
+async def read_head(
+    port: store.StorePort,
+    key: JobKey,
+    priority: budget.Priority = budget.Priority.STATUS,
+) -> result.Result[Job, verdicts.Failure]:
+    """Read a job's head."""
+    found = await port.get(head_key(key), priority)
+    return found.map(decode)
 
 
-async def cancel(
-    port: store.StorePort, key: JobKey
+async def change_state(
+    port: store.StorePort, key: JobKey, state: str
 ) -> result.Result[Job, verdicts.Failure]:
-    """Mark a job cancelled; a cancelled one stays as it is."""
-    while True:
-        found = await port.get(head_key(key))
+    """Move an accepted job to a final state; a final state stays.
+
+    :returns: the job as it is then. A failure with the verdict
+        ``MAY_HAVE_RUN`` means that the change may have been made.
+    """
+    unknown: verdicts.Failure | None = None
+    for _ in range(UPDATE_ATTEMPTS):
+        found = await read_head(port, key)
         if isinstance(found, result.Err):
-            return found
-        job = decode(found.ok_value)
-        if job.state == CANCELLED:
+            return result.Err(unknown or found.err_value)
+        job = found.ok_value
+        if job.state != ACCEPTED:
             return result.Ok(job)
-        cancelled = job._replace(state=CANCELLED)
-        written = await port.put(head_key(key), encode(cancelled), job.version)
+        changed = job._replace(state=state)
+        written = await port.put(head_key(key), encode(changed), job.version)
         if isinstance(written, result.Ok):
-            return result.Ok(cancelled._replace(version=written.ok_value))
-        if written.err_value.event != events.STORE_CONFLICT:
-            return written
-
-
-async def read_results(
-    port: store.StorePort, job: Job
-) -> collections.abc.AsyncGenerator[
-    result.Result[tuple[Item, ItemResult | None], verdicts.Failure], None
-]:
-    """Read all items in order, each with its result if it has one."""
-    for number, part in enumerate(job.parts):
-        items = await port.get(part.key)
-        if isinstance(items, result.Err):
-            yield items
-            return
-        records = await ledger.read(port, ledger_key(job.key, number))
-        if isinstance(records, result.Err):
-            yield records
-            return
-        results: dict[str, ItemResult] = {}
-        for record in records.ok_value:
-            results.setdefault(record.key, ItemResult(*record.body))
-        for item in decode_items(items.ok_value.data):
-            yield result.Ok((item, results.get(item.id)))
+            return result.Ok(changed._replace(version=written.ok_value))
+        failure = written.err_value
+        if failure.verdict != verdicts.Verdict.NOT_RUN:
+            unknown = failure
+        elif failure.event != events.STORE_CONFLICT:
+            return result.Err(unknown or failure)
+    return result.Err(unknown or failure)
+
+
+async def read_summaries(
+    port: store.StorePort, key: JobKey
+) -> result.Result[dict[int, Summary], verdicts.Failure]:
+    """Read the summaries of a job's finished parts by number."""
+    listed = await port.list(summaries_prefix(key))
+    if isinstance(listed, result.Err):
+        return listed
+    return result.Ok(
+        {
+            int(stored.key.rpartition('/')[2]): decode_summary(stored.data)
+            for stored in listed.ok_value
+        }
+    )
--- /dev/null
+++ b/src/persimmonpass/policy/preemption.py
@@ -0,0 +1,106 @@
+"""Decides how many batch streams run beside online requests."""
+
+import collections.abc
+import typing
+
+MAX_WIDTH = 32
+HOLD_SECONDS = 0.1
+QUIET_SECONDS = 1.0
+GROW_SECONDS = 0.5
+RECOVER_SECONDS = 10.0
+MIN_SAMPLES = 24
+PROBE_WIDTH = 1
+
+
+class Limits(typing.NamedTuple):
+    """Widths that the measured delay of online requests has left.
+
+    :ivar shared: batch streams while online requests run
+    :ivar idle: batch streams just after the last online request
+    """
+
+    shared: int = 0
+    idle: int = PROBE_WIDTH
+
+
+class Delay(typing.NamedTuple):
+    """Mean delays of online requests in seconds, and their samples."""
+
+    alone_seconds: float
+    alone_samples: int
+    beside_seconds: float
+    beside_samples: int
+
+
+class Stream(typing.NamedTuple):
+    """A running batch stream.
+
+    :ivar tokens: tokens that it has produced, which a resume reads again
+    :ivar left_seconds: time until its job is due
+    """
+
+    attempt: str
+    tokens: int
+    left_seconds: float
+
+
+def allowed(
+    limits: Limits, online: int, quiet_seconds: float, is_certain: bool
+) -> int:
+    """Return the number of batch streams that may run on a target.
+
+    :param online: online requests at the target
+    :param quiet_seconds: time since the last of them ended
+    :param is_certain: whether every host that may send there is heard
+    """
+    if online or not is_certain or quiet_seconds < HOLD_SECONDS:
+        return limits.shared
+    if quiet_seconds < QUIET_SECONDS:
+        return max(limits.shared, limits.idle)
+    doublings = int((quiet_seconds - QUIET_SECONDS) / GROW_SECONDS) + 1
+    width = max(limits.shared, limits.idle, PROBE_WIDTH)
+    return min(MAX_WIDTH, width << min(doublings, MAX_WIDTH))
+
+
+def victims(
+    streams: collections.abc.Iterable[Stream], width: int
+) -> list[str]:
+    """Return the attempts to cancel so that a width is kept.
+
+    Those go that lose least: the latest due first, of these the one with
+    the shortest text, which is the cheapest to read again.
+    """
+    ranked = sorted(
+        streams, key=lambda stream: (stream.left_seconds, -stream.tokens)
+    )
+    return [stream.attempt for stream in ranked[width:]]
+
+
+def adjust(
+    width: int,
+    delay: Delay,
+    harm_percent: float,
+    since_shrink_seconds: float,
+) -> int:
+    """Return the next width: at most one more, or half at once.
+
+    The width grows only if the delay, drawn on in a straight line, stays
+    within the bound.
+
+    :param harm_percent: how much batch may delay online requests
+    :param since_shrink_seconds: time since the width last went down
+    """
+    if delay.alone_samples < MIN_SAMPLES:
+        return width
+    if width == 0:
+        return PROBE_WIDTH if since_shrink_seconds >= RECOVER_SECONDS else 0
+    if delay.beside_samples < MIN_SAMPLES or delay.alone_seconds <= 0:
+        return width
+    harm = 100 * (delay.beside_seconds / delay.alone_seconds - 1)
+    if harm > harm_percent:
+        return width // 2
+    expected = max(harm, 0.0) * (width + 1) / width
+    is_recovered = since_shrink_seconds >= RECOVER_SECONDS
+    if expected <= harm_percent and is_recovered:
+        return min(width + 1, MAX_WIDTH)
+    return width
