--- a/src/persimmonpass/controllers/batch_chunk.py
+++ b/src/persimmonpass/controllers/batch_chunk.py
@@ -16,6 +16,7 @@
 
 RETRY_SECONDS = 0.5
 LINGER_SECONDS = 5.0
+STALL_SECONDS = 10.0
 GROUP_RECORDS = 500
 GROUP_BYTES = 250_000
 MAX_RESULT_BYTES = 250_000
@@ -70,6 +71,7 @@
         self._is_urgent = False
         self._is_closed = False
         self._left = 0
+        self._moved_at = anyio.current_time()
         states = book.values()
         for item in items:
             state = states.get(item.id, jobs.ItemState())
@@ -92,6 +94,17 @@
         """Whether every item has a committed result."""
         return self._left == 0
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether its items found no target for a while.
+
+        Another host may coordinate a target that takes them. Results that
+        wait for a commit go first.
+        """
+        idle = anyio.current_time() - self._moved_at
+        is_idle = self.waiting == self._left and not self._pending
+        return is_idle and idle >= STALL_SECONDS
+
     @property
     def pending_bytes(self) -> int:
         """Size of the results that are not committed."""
@@ -119,6 +132,10 @@
         queue = self._suspects if suspects else self._waiting
         return queue.popleft() if queue and not self._is_closed else None
 
+    def note_progress(self) -> None:
+        """Note that a target works on one of its items."""
+        self._moved_at = anyio.current_time()
+
     def give_back(self, work: Work) -> None:
         """Queue an item again, before those that were never tried."""
         queue = self._suspects if work.lost else self._waiting
--- a/src/persimmonpass/controllers/batch_claims.py
+++ b/src/persimmonpass/controllers/batch_claims.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import typing
+import uuid
 
 import anyio
 import anyio.abc
@@ -21,6 +22,9 @@
 
 LOW_WATER_ITEMS = 32
 RETRY_SECONDS = 1.0
+RELEASE_SECONDS = 20.0
+CHECK_SECONDS = 30.0
+ORDER_SECONDS = 0.25
 MAX_PENDING_BYTES = 16_000_000
 
 ChunkKey = tuple[jobs.JobKey, int]
@@ -44,8 +48,12 @@
         self._port = port
         self._table = table
         self._live_hosts = live_hosts
-        self._claiming: set[jobs.JobKey] = set()
-        self._served: dict[str, float] = {}
+        self._claiming: dict[jobs.JobKey, int] = {}
+        self._share = batch.Share()
+        self._sorted: dict[
+            frozenset[str],
+            tuple[float, dict[str, list[batch_jobs.JobEntry]]],
+        ] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
 
     @property
@@ -59,41 +67,36 @@
             self._tasks = tasks
             while True:
                 for chunk in list(self.chunks.values()):
-                    if not self._table.is_accepted(chunk.job.key):
+                    is_open = self._table.is_accepted(chunk.job.key)
+                    if not is_open or chunk.is_stalled:
                         chunk.close()
                 await self._table.changed.wait(RETRY_SECONDS)
 
     def next_work(
-        self,
-        may_run: collections.abc.Callable[[jobs.Job], bool],
-        *,
-        alone: bool,
+        self, services: frozenset[str], *, alone: bool
     ) -> tuple[batch_chunk.Chunk, batch_chunk.Work] | None:
         """Return the item to run next on a target, in a fair order.
 
-        :param may_run: whether the target serves a job
+        :param services: services of the target
         :param alone: whether no batch item runs there, so that an item on
             which a target died may run
         """
         if self._pending_bytes() >= MAX_PENDING_BYTES:
             return None
-        for entry in self._ordered(may_run):
-            held = self._held(entry.job.key)
-            if sum(chunk.waiting for chunk in held) < LOW_WATER_ITEMS:
-                self._start_claim(entry)
-            for chunk in held:
-                work = self._take(chunk, alone)
-                if work is not None:
-                    self._served[entry.job.account] += work.item.max_tokens
-                    return chunk, work
+        queues = self._queues(services)
+        for account in batch.order_accounts(self._share, queues):
+            for entry in queues[account]:
+                found = self._next_of(entry, alone)
+                if found is not None:
+                    tokens = found[1].item.max_tokens
+                    self._share = batch.serve(self._share, account, tokens)
+                    return found
         return None
 
-    def wants_alone(
-        self, may_run: collections.abc.Callable[[jobs.Job], bool]
-    ) -> bool:
+    def wants_alone(self, services: frozenset[str]) -> bool:
         """Return whether an item waits until a target runs nothing else."""
         return any(
-            chunk.has_suspects and may_run(chunk.job)
+            chunk.has_suspects and chunk.job.service in services
             for chunk in self.chunks.values()
         )
 
@@ -126,35 +129,45 @@
             chunk for chunk in self.chunks.values() if chunk.job.key == key
         ]
 
-    def _ordered(
-        self, may_run: collections.abc.Callable[[jobs.Job], bool]
-    ) -> list[batch_jobs.JobEntry]:
+    def _queues(
+        self, services: frozenset[str]
+    ) -> dict[str, list[batch_jobs.JobEntry]]:
+        """Return the jobs of each account by due time, sorted now and then."""
         now = anyio.current_time()
-        entries = {
-            key: entry
-            for key, entry in self._table.entries.items()
-            if may_run(entry.job) and self._has_work(entry, now)
+        sorted_at, queues = self._sorted.get(services, (-ORDER_SECONDS, {}))
+        if now - sorted_at < ORDER_SECONDS:
+            return queues
+        by_account: dict[str, list[batch.Candidate]] = {}
+        for key, entry in self._table.entries.items():
+            if entry.job.service in services:
+                age = now - entry.learned_at
+                left = entry.job.due_seconds - age
+                candidate = batch.Candidate(*key, left, age)
+                by_account.setdefault(key.account, []).append(candidate)
+        queues = {
+            account: [
+                self._table.entries[jobs.JobKey(job.account, job.job)]
+                for job in batch.order_jobs(candidates)
+            ]
+            for account, candidates in by_account.items()
         }
-        accounts = {key.account for key in entries}
-        self._served = batch.admit(self._served, accounts)
-        candidates = [
-            batch.Candidate(
-                *key,
-                entry.job.due_seconds - (now - entry.learned_at),
-                now - entry.learned_at,
-            )
-            for key, entry in entries.items()
-        ]
-        return [
-            entries[jobs.JobKey(job.account, job.job)]
-            for job in batch.order(candidates, self._served)
-        ]
+        self._sorted[services] = now, queues
+        return queues
 
-    def _has_work(self, entry: batch_jobs.JobEntry, now: float) -> bool:
-        key = entry.job.key
-        if any(chunk.waiting for chunk in self._held(key)):
-            return True
-        return key in self._claiming or self._pick(entry, now) is not None
+    def _next_of(
+        self, entry: batch_jobs.JobEntry, alone: bool
+    ) -> tuple[batch_chunk.Chunk, batch_chunk.Work] | None:
+        """Return an item of a job, and claim more before they run out."""
+        if not self._table.is_accepted(entry.job.key):
+            return None
+        held = self._held(entry.job.key)
+        if sum(chunk.waiting for chunk in held) < LOW_WATER_ITEMS:
+            self._start_claim(entry)
+        for chunk in held:
+            work = self._take(chunk, alone)
+            if work is not None:
+                return chunk, work
+        return None
 
     def _pick(self, entry: batch_jobs.JobEntry, now: float) -> int | None:
         """Return a part that no live host works on."""
@@ -166,8 +179,9 @@
                 return False
             if entry.retry_at.get(number, now) > now:
                 return False
-            claimed_by = entry.claims.get(number)
-            return claimed_by == self._host or claimed_by not in hosts
+            owner, heard_at = entry.claims.get(number, ('', now))
+            is_quiet = now - heard_at >= CHECK_SECONDS
+            return owner == self._host or owner not in hosts or is_quiet
 
         parts = len(entry.job.parts)
         start = shards.score('/'.join(key), self._host) % parts
@@ -175,10 +189,14 @@
 
     def _start_claim(self, entry: batch_jobs.JobEntry) -> None:
         key = entry.job.key
-        number = self._pick(entry, anyio.current_time())
-        if number is None or key in self._claiming or self._tasks is None:
+        now = anyio.current_time()
+        if key in self._claiming or self._tasks is None or now < entry.look_at:
             return
-        self._claiming.add(key)
+        number = self._pick(entry, now)
+        if number is None:
+            entry.look_at = now + ORDER_SECONDS
+            return
+        self._claiming[key] = number
         self._tasks.start_soon(self._claim, entry, number)
 
     async def _claim(self, entry: batch_jobs.JobEntry, number: int) -> None:
@@ -186,7 +204,7 @@
         try:
             chunk = await self._open(entry, number)
         finally:
-            self._claiming.discard(key)
+            self._claiming.pop(key, None)
         if chunk is None:
             entry.retry_at[number] = anyio.current_time() + RETRY_SECONDS
         self._table.changed.fire()
@@ -199,14 +217,9 @@
         """Take a chunk over unless a live host works on it."""
         job = entry.job
         path = jobs.ledger_key(job.key, number)
-        found = await self._port.get(path, budget.Priority.CLAIM)
-        if isinstance(found, result.Ok):
-            head = ledger.decode_head(found.ok_value.data)
-            if await self._is_held(head.owner, entry, number):
-                return None
-        elif found.err_value.event != events.STORE_NOT_FOUND:
+        if not await self._win(entry, number, path):
             return None
-        self._table.tell_claimed(job.key, number)
+        self._table.tell_claimed(entry, number)
         book = ledger.Ledger(self._port, path, self._host, jobs.merge)
         opened = await book.open()
         if isinstance(opened, result.Err):
@@ -227,6 +240,34 @@
         self.chunks[chunk.key] = chunk
         return chunk
 
+    async def _win(
+        self, entry: batch_jobs.JobEntry, number: int, path: str
+    ) -> bool:
+        """Become a chunk's owner, if no other host does at the same time.
+
+        Opening a ledger takes it from whoever owns it. So the claim is one
+        conditional write on what was read: of hosts that claim together,
+        one wins and the others leave the chunk to it.
+        """
+        found = await self._port.get(path, budget.Priority.CLAIM)
+        if isinstance(found, result.Ok):
+            version = found.ok_value.version
+            head = ledger.decode_head(found.ok_value.data)
+            if await self._is_held(head.owner, entry, number):
+                return False
+        elif found.err_value.event == events.STORE_NOT_FOUND:
+            version = store.CREATE
+            head = ledger.Head(0, '', '', [], [])
+        else:
+            return False
+        claimed = head._replace(
+            epoch=head.epoch + 1, owner=self._host, commit=uuid.uuid4().hex
+        )
+        written = await self._port.put(
+            path, ledger.encode_head(claimed), version, budget.Priority.CLAIM
+        )
+        return isinstance(written, result.Ok)
+
     async def _read_items(
         self,
         job: jobs.Job,
@@ -272,7 +313,7 @@
             held = {held_number for held_number, _ in progress['held']}
             if number not in held:
                 return False
-            entry.claims[number] = owner
+        entry.note_claim(number, owner)
         return True
 
     async def _keep(self, chunk: batch_chunk.Chunk) -> None:
@@ -292,8 +333,8 @@
             )
             await self._table.finish_part(*chunk.key, summary)
         elif entry is not None:
-            entry.claims.pop(chunk.number, None)
-            retry_at = anyio.current_time() + RETRY_SECONDS
+            self._table.tell_released(entry, chunk.number)
+            retry_at = anyio.current_time() + RELEASE_SECONDS
             entry.retry_at[chunk.number] = retry_at
 
     async def _take_progress(
@@ -307,4 +348,6 @@
         now = anyio.current_time()
         age = now - entry.learned_at if entry is not None else 0.0
         held = [(chunk.number, chunk.summary()) for chunk in self._held(key)]
+        if key in self._claiming:
+            held.append((self._claiming[key], jobs.Summary()))
         return batch_jobs.Progress(age_seconds=age, held=held)
--- a/src/persimmonpass/controllers/batch_jobs.py
+++ b/src/persimmonpass/controllers/batch_jobs.py
@@ -15,16 +15,19 @@
 from persimmonpass import events
 from persimmonpass import jobs
 from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import shards
 from persimmonpass import store
 from persimmonpass import verdicts
 
 METHOD_CANCELLED = 'batch.cancelled'
 METHOD_CLAIMED = 'batch.claimed'
 METHOD_FINISHED = 'batch.finished'
+METHOD_RELEASED = 'batch.released'
 METHOD_PROGRESS = 'batch.progress'
 
 RETRY_SECONDS = 0.5
 MAX_RETRY_SECONDS = 4.0
+SPREAD_STEPS = 8
 MAX_ENDED_JOBS = 10_000
 CALL_TIMEOUT_SECONDS = 1.0
 
@@ -64,16 +67,23 @@
 
     :ivar learned_at: local clock at which the job was accepted, or learned
     :ivar summaries: finished parts
-    :ivar claims: hosts that claimed the other parts
+    :ivar claims: hosts that claimed other parts, and the local clock when
+        that was last heard
     :ivar retry_at: local clock before which a part is left alone
+    :ivar look_at: local clock before which no part is looked for
     """
 
     def __init__(self, job: jobs.Job, learned_at: float) -> None:
         self.job = job
         self.learned_at = learned_at
         self.summaries: dict[int, jobs.Summary] = {}
-        self.claims: dict[int, str] = {}
+        self.claims: dict[int, tuple[str, float]] = {}
         self.retry_at: dict[int, float] = {}
+        self.look_at = 0.0
+
+    def note_claim(self, number: int, host: str) -> None:
+        """Note that a host works on a part."""
+        self.claims[number] = host, anyio.current_time()
 
     @property
     def is_finished(self) -> bool:
@@ -108,6 +118,7 @@
             METHOD_CANCELLED: self._take_cancelled,
             METHOD_CLAIMED: self._take_claimed,
             METHOD_FINISHED: self._take_finished,
+            METHOD_RELEASED: self._take_released,
         }
 
     async def run(self) -> None:
@@ -164,12 +175,18 @@
         """Whether a job's items may be dispatched."""
         return key in self.entries
 
-    def tell_claimed(self, key: jobs.JobKey, number: int) -> None:
+    def tell_claimed(self, entry: JobEntry, number: int) -> None:
         """Tell the peers of a claim."""
-        self.entries[key].claims[number] = self._host
-        payload = [*key, number]
+        entry.note_claim(number, self._host)
+        payload = [*entry.job.key, number]
         peer_port.broadcast(self._peers, METHOD_CLAIMED, payload)
 
+    def tell_released(self, entry: JobEntry, number: int) -> None:
+        """Tell the peers that this host does not work on a part any more."""
+        entry.claims.pop(number, None)
+        payload = [*entry.job.key, number]
+        peer_port.broadcast(self._peers, METHOD_RELEASED, payload)
+
     async def finish_part(
         self, key: jobs.JobKey, number: int, summary: jobs.Summary
     ) -> None:
@@ -195,6 +212,15 @@
                 return
             await anyio.sleep(RETRY_SECONDS)
 
+    async def _finish_later(self, key: jobs.JobKey) -> None:
+        """End a job whose last parts finished together, or whose host died.
+
+        Hosts wait for different times, so that as a rule one writes.
+        """
+        spread = shards.score('/'.join(key), self._host) % SPREAD_STEPS
+        await anyio.sleep(RETRY_SECONDS * (1 + spread))
+        await self._finish_job(key)
+
     def _take_list(self, listed: list[store.Stored]) -> int:
         """Take all heads and return the version to watch from."""
         found = {job.key: job for job in map(jobs.decode, listed)}
@@ -231,7 +257,7 @@
             learned = anyio.current_time() - progress['age_seconds']
             entry.learned_at = min(entry.learned_at, learned)
             for number, _ in progress['held']:
-                entry.claims.setdefault(number, host)
+                entry.note_claim(number, host)
         while key in self.entries:
             found = await jobs.read_summaries(self._port, key)
             if isinstance(found, result.Ok):
@@ -274,7 +300,15 @@
         account, job, number = payload
         entry = self.entries.get(jobs.JobKey(account, job))
         if entry is not None:
-            entry.claims[number] = peer
+            entry.note_claim(number, peer)
+            self.changed.fire()
+        return result.Ok(None)
+
+    async def _take_released(self, peer: str, payload: typing.Any) -> Ask:
+        account, job, number = payload
+        entry = self.entries.get(jobs.JobKey(account, job))
+        if entry is not None and entry.claims.get(number, ('', 0))[0] == peer:
+            del entry.claims[number]
             self.changed.fire()
         return result.Ok(None)
 
@@ -282,6 +316,9 @@
         account, job, number, summary = payload
         key = jobs.JobKey(account, job)
         self._note_finished(key, number, jobs.Summary(*summary))
+        entry = self.entries.get(key)
+        if entry is not None and entry.is_finished and self._tasks is not None:
+            self._tasks.start_soon(self._finish_later, key)
         return result.Ok(None)
 
 
--- a/src/persimmonpass/controllers/batch_runner.py
+++ b/src/persimmonpass/controllers/batch_runner.py
@@ -141,16 +141,13 @@
         if anyio.current_time() < self._retry_at:
             return
         specs = dict(_specs(self._ports.board, self._name))
-
-        def may_run(job: jobs.Job) -> bool:
-            return job.service in specs
-
+        services = frozenset(specs)
         width = self._width()
-        if self._running and self._ports.claims.wants_alone(may_run):
+        if self._running and self._ports.claims.wants_alone(services):
             return
         while len(self._running) < width and not self._is_alone:
             alone = not self._running
-            found = self._ports.claims.next_work(may_run, alone=alone)
+            found = self._ports.claims.next_work(services, alone=alone)
             if found is None:
                 return
             chunk, work = found
@@ -216,6 +213,7 @@
                     return piece
                 work.text += piece.ok_value.text
                 running.tokens += 1
+                running.chunk.note_progress()
                 if piece.ok_value.finish_reason is not None:
                     break
         return result.Ok(None)
--- a/src/persimmonpass/policy/batch.py
+++ b/src/persimmonpass/policy/batch.py
@@ -5,7 +5,7 @@
 
 
 class Candidate(typing.NamedTuple):
-    """A job that has items to run.
+    """A job that may have items to run.
 
     :ivar left_seconds: time until it is due, negative if it is late
     :ivar age_seconds: time since it was accepted
@@ -17,37 +17,47 @@
     age_seconds: float
 
 
-def admit(
-    served: dict[str, float], active: collections.abc.Iterable[str]
-) -> dict[str, float]:
-    """Return what each active account was served.
+class Share(typing.NamedTuple):
+    """State of start-time fair queueing between accounts.
 
-    An account that becomes active starts level with the least served one,
-    so that a pause earns it no credit.
+    :ivar virtual: start tag of the item that was served last
+    :ivar finish: finish tag of each account's last item
+    """
+
+    virtual: float = 0.0
+    finish: dict[str, float] = {}
+
+
+def start_tag(share: Share, account: str) -> float:
+    """Return the start tag of an account's next item.
 
-    :param served: tokens served to the accounts that were active before
-    :param active: accounts with items to run now
+    It is never before the present virtual time, so that a pause earns an
+    account no credit.
     """
-    wanted = set(active)
-    known = [tokens for name, tokens in served.items() if name in wanted]
-    floor = min(known, default=0.0)
-    return {name: served.get(name, floor) for name in wanted}
+    return max(share.virtual, share.finish.get(account, 0.0))
+
+
+def serve(share: Share, account: str, tokens: int) -> Share:
+    """Return the state after an item was served to an account."""
+    start = start_tag(share, account)
+    finish = {name: tag for name, tag in share.finish.items() if tag > start}
+    return Share(start, {**finish, account: start + tokens})
+
+
+def order_accounts(
+    share: Share, accounts: collections.abc.Iterable[str]
+) -> list[str]:
+    """Sort accounts: that which was served least goes first."""
+    return sorted(accounts, key=lambda name: (start_tag(share, name), name))
 
 
-def order(
+def order_jobs(
     candidates: collections.abc.Iterable[Candidate],
-    served: collections.abc.Mapping[str, float],
 ) -> list[Candidate]:
-    """Sort jobs: least served account, then earliest due, then oldest."""
+    """Sort the jobs of an account: earliest due, then oldest."""
     return sorted(
         candidates,
-        key=lambda job: (
-            served.get(job.account, 0.0),
-            job.account,
-            job.left_seconds,
-            -job.age_seconds,
-            job.job,
-        ),
+        key=lambda job: (job.left_seconds, -job.age_seconds, job.job),
     )
 
 
