--- /dev/null
+++ b/bench/preemption.py
@@ -0,0 +1,235 @@
+"""Measures what batch costs online requests, and what it gets itself.
+
+Usage: ``python -m bench.preemption [--harm PERCENT] [--seconds N]``. One
+engine in this process, two daemons as processes. Each mode serves the same
+arrivals: a steady rate with bursts of ten times that rate.
+"""
+
+import argparse
+import functools
+import json
+import random
+import time
+import typing
+
+import anyio
+import httpx
+
+from bench import fleets
+from persimmonpass.standins import engine
+
+HOSTS = 2
+RATE_PER_SECOND = 3.0
+BURST_FACTOR = 10
+BURST_EVERY_SECONDS = 3.0
+BURST_SECONDS = 0.5
+TOKENS = 12
+BATCH_TOKENS = 40
+BATCH_ITEMS = 8_000
+WARM_UP_SECONDS = 4.0
+SEED = 7
+MODES = ('off', 'preemption', 'fixed_share', 'no_preemption')
+
+
+class Sample(typing.NamedTuple):
+    """Times of one online request in seconds.
+
+    :ivar gaps: times between its tokens
+    """
+
+    sent_at: float
+    first: float
+    gaps: list[float]
+    ended_at: float
+
+
+class Run(typing.NamedTuple):
+    """What one mode measured.
+
+    :ivar preempted: times from a burst's first request to the last cancelled
+        batch stream
+    :ivar idle_share: share of the time without an online request
+    """
+
+    first_p50: float
+    first_p99: float
+    gap_p50: float
+    gap_p99: float
+    requests: int
+    batch_tokens_per_second: float
+    idle_share: float
+    preempted: list[float]
+
+
+def arrivals(seconds: float) -> list[float]:
+    """Return the times of arrivals, the same in each run."""
+    draw = random.Random(SEED)
+    times, now = [], 0.0
+    while now < seconds:
+        in_burst = now % BURST_EVERY_SECONDS > (
+            BURST_EVERY_SECONDS - BURST_SECONDS
+        )
+        rate = RATE_PER_SECOND * (BURST_FACTOR if in_burst else 1)
+        now += draw.expovariate(rate)
+        times.append(now)
+    return times
+
+
+async def request(
+    client: httpx.AsyncClient, url: str, number: int, samples: list[Sample]
+) -> None:
+    """Run one streamed completion."""
+    sent_at = last = time.monotonic()
+    first, gaps = 0.0, []
+    body = {
+        'model': 'pumpread',
+        'prompt': f'alarm {number}',
+        'max_tokens': TOKENS,
+        'stream': True,
+    }
+    async with client.stream(
+        'POST',
+        f'{url}/v1/completions',
+        json=body,
+        headers=fleets.ACCOUNT,
+        timeout=20,
+    ) as answer:
+        answer.raise_for_status()
+        async for line in answer.aiter_lines():
+            if not line.startswith('data: ') or '"text":""' in line:
+                continue
+            now = time.monotonic()
+            if not first:
+                first = now - sent_at
+            elif len(gaps) < TOKENS - 1:
+                gaps.append(now - last)
+            last = now
+    samples.append(Sample(sent_at, first, gaps, last))
+
+
+async def serve(
+    fleet: fleets.Fleet, times: list[float], samples: list[Sample]
+) -> None:
+    """Send all arrivals, through the hosts in turn."""
+    started = time.monotonic()
+    async with (
+        httpx.AsyncClient(trust_env=False) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        for number, at in enumerate(times):
+            await anyio.sleep(max(0.0, started + at - time.monotonic()))
+            url = fleet.hosts[number % HOSTS].caller
+            tasks.start_soon(request, client, url, number, samples)
+
+
+def preemption_times(samples: list[Sample], drops: list[float]) -> list[float]:
+    """Return the time from each first request to its last cancelled stream.
+
+    A request is a first one if no other ran when it was sent.
+    """
+    found = []
+    ordered = sorted(samples)
+    busy_until = 0.0
+    for index, sample in enumerate(ordered):
+        following = [other.sent_at for other in ordered[index + 1 :]]
+        end = min([sample.ended_at, *following[:1]])
+        mine = [drop for drop in drops if sample.sent_at <= drop <= end]
+        if sample.sent_at > busy_until and mine:
+            found.append(max(mine) - sample.sent_at)
+        busy_until = max(busy_until, sample.ended_at)
+    return found
+
+
+def idle_share(samples: list[Sample], start: float, end: float) -> float:
+    """Return the share of a time without an online request."""
+    busy, until = 0.0, start
+    for sample in sorted(samples):
+        began = max(sample.sent_at, until)
+        busy += max(0.0, min(sample.ended_at, end) - began)
+        until = max(until, min(sample.ended_at, end))
+    return 1 - busy / (end - start)
+
+
+async def measure(mode: str, harm: float, seconds: float, step: float) -> Run:
+    """Run one mode; ``alone`` is batch without online requests."""
+    variant = mode if mode in MODES[1:] else 'preemption'
+    make = functools.partial(fleets.Fleet, variant, HOSTS, harm)
+    fleet = await anyio.to_thread.run_sync(make)
+    try:
+        speed = engine.Speed(step_seconds=step)
+        async with fleets.run_engines(fleet, 1, speed) as (made,):
+            await anyio.sleep(2)
+            if mode != 'off':
+                await anyio.to_thread.run_sync(
+                    fleet.submit, 'lot', BATCH_ITEMS, BATCH_TOKENS
+                )
+            await anyio.sleep(2)
+            times = arrivals(seconds + WARM_UP_SECONDS)
+            samples: list[Sample] = []
+            start = time.monotonic() + WARM_UP_SECONDS
+            end = start + seconds
+            async with anyio.create_task_group() as tasks:
+                if mode != 'alone':
+                    tasks.start_soon(serve, fleet, times, samples)
+                await anyio.sleep(WARM_UP_SECONDS)
+                before = made.batch_tokens
+                await anyio.sleep(end - time.monotonic())
+                tokens = made.batch_tokens - before
+            kept = [row for row in samples if start <= row.sent_at < end]
+            firsts = [row.first for row in kept]
+            gaps = [gap for row in kept for gap in row.gaps]
+            return Run(
+                fleets.quantile(firsts, 0.5),
+                fleets.quantile(firsts, 0.99),
+                fleets.quantile(gaps, 0.5),
+                fleets.quantile(gaps, 0.99),
+                len(kept),
+                tokens / seconds,
+                idle_share(kept, start, end),
+                preemption_times(samples, made.drops),
+            )
+    finally:
+        await anyio.to_thread.run_sync(fleet.close)
+
+
+async def main() -> None:
+    """Measure all modes and print a table."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--harm', type=float, default=5.0)
+    parser.add_argument('--seconds', type=float, default=9.0)
+    parser.add_argument('--step', type=float, default=0.01)
+    parser.add_argument('--modes', default=','.join((*MODES, 'alone')))
+    options = parser.parse_args()
+    runs: dict[str, Run] = {}
+    for mode in options.modes.split(','):
+        runs[mode] = await measure(
+            mode, options.harm, options.seconds, options.step
+        )
+    off, alone = runs.get('off'), runs.get('alone')
+    print('mode           first p50  p99   gap p50  p99   batch tok/s  idle')
+    for mode, run in runs.items():
+        base = off or run
+        print(
+            f'{mode:14} {run.first_p50 / base.first_p50:6.2f}'
+            f' {run.first_p99 / base.first_p99:6.2f}'
+            f' {run.gap_p50 / base.gap_p50:6.2f}'
+            f' {run.gap_p99 / base.gap_p99:6.2f}'
+            f' {run.batch_tokens_per_second:10.0f} {run.idle_share:6.2f}'
+        )
+        if alone and mode not in ('off', 'alone'):
+            ideal = alone.batch_tokens_per_second * run.idle_share
+            share = run.batch_tokens_per_second / ideal
+            print(f'{"":14} of batch alone on the idle share: {share:.2f}')
+    moved = runs['preemption'].preempted if 'preemption' in runs else []
+    if moved:
+        print(
+            f'last stream cancelled after {len(moved)} first requests: '
+            f'p50 {1000 * fleets.quantile(moved, 0.5):.1f} ms, '
+            f'p99 {1000 * fleets.quantile(moved, 0.99):.1f} ms'
+        )
+    rows = {mode: run._asdict() for mode, run in runs.items()}
+    print(json.dumps(rows))
+
+
+if __name__ == '__main__':
+    anyio.run(main)
--- /dev/null
+++ b/bench/variants.py
@@ -0,0 +1,36 @@
+"""Runs a daemon with another way of sharing targets, as a baseline.
+
+Usage: ``python -m bench.variants VARIANT [flags of persimmonpassd]``.
+"""
+
+import sys
+
+from persimmonpass.cli import daemon
+from persimmonpass.policy import preemption
+
+FIXED_WIDTH = 8
+
+
+def _always_full(limits, online, quiet_seconds, is_certain):
+    return preemption.MAX_WIDTH
+
+
+def _fixed_share(limits, online, quiet_seconds, is_certain):
+    return FIXED_WIDTH
+
+
+VARIANTS = {
+    'preemption': preemption.allowed,
+    'no_preemption': _always_full,
+    'fixed_share': _fixed_share,
+}
+
+
+def main() -> None:
+    """Replace the decision and run the daemon."""
+    preemption.allowed = VARIANTS[sys.argv.pop(1)]
+    daemon.main()
+
+
+if __name__ == '__main__':
+    main()
