--- a/src/persimmonpass/ledger.py
+++ b/src/persimmonpass/ledger.py
@@ -31,6 +31,7 @@
 Record = heads.Record
 Head = heads.Head
 decode_head = heads.decode_head
+encode_head = heads.encode_head
 lost = heads.lost
 read_records = segments.read_records
 read = segments.read
