--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -70,7 +70,7 @@
         peers: peer_port.PeerPort,
         live_hosts: collections.abc.Callable[[], list[str]],
         key_shards_count: int,
-        runner: str = '',
+        runner: collections.abc.Callable[[], str] | None = None,
         backup_hosts: collections.abc.Callable[[], list[str]] = list,
     ) -> None:
         """Make the controller.
@@ -85,7 +85,7 @@
         self._peers = peers
         self._live_hosts = live_hosts
         self._key_shards = key_shards_count
-        self._runner = runner or host
+        self._runner = runner or (lambda: host)
         self._backup_hosts = backup_hosts
         self._seen_hosts: list[str] = []
         self._here: dict[str, _Here] = {}
@@ -144,7 +144,7 @@
             fingerprint=fingerprint,
             attempt=attempt,
             durable=durable,
-            runner=self._runner,
+            runner=self._runner(),
             limit_seconds=limit_seconds,
         )
         begun = None
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -197,7 +197,7 @@
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
-            f'{options.host}#{incarnation}',
+            self._runner,
             self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
@@ -228,6 +228,10 @@
             self._keys.run,
         ]
 
+    def _runner(self) -> str:
+        """Return the name of this run of the daemon."""
+        return f'{self._options.host}#{self._membership.me.incarnation}'
+
     def _membership_says_gone(self, runner: str) -> bool:
         """Return whether a run of a daemon has certainly ended."""
         host, _, incarnation = runner.partition('#')
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -55,7 +55,7 @@
             self.network.port(host),
             lambda: list(self.live),
             SHARDS,
-            host,
+            lambda: host,
             lambda: [name for name in self.live if name != host],
         )
         self.hosts[host] = one
