Spread leaving marks between hosts and poll each target once

Cause: a mark was sent as one notice and never again, so a host that was cut off kept sending work to a leaving target; one gap in the lagging list dropped a target; each host polled each target (hosts x targets polls a second).

The coordinator (first of the rendezvous order) polls and sends changed reports in batches; the second host stands in after 3 s.

--- /dev/null
+++ b/src/persimmonpass/controllers/reports.py
@@ -0,0 +1,187 @@
+"""Keeps the table of targets' load.
+
+Only a target's coordinator polls it; the other hosts get its reports in
+batches. The host that ranks second stands in when the reports stop.
+"""
+
+import collections.abc
+import random
+import typing
+
+import anyio
+import msgspec
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import shards
+from persimmonpass.targets import engine
+from persimmonpass import verdicts
+
+METHOD_REPORTS = 'targets.reports'
+REPORT_SECONDS = 1.0
+REFRESH_SECONDS = 3.0
+STALE_SECONDS = 3.0
+MAX_REPORTS_PER_NOTICE = 500
+
+
+class ReportRow(typing.NamedTuple):
+    """One target's report on its way to a peer.
+
+    :ivar age_seconds: time since the report arrived; clocks of hosts are
+        never compared
+    """
+
+    name: str
+    address: str
+    running: int
+    pending_tokens: int
+    models: tuple[str, ...]
+    age_seconds: float
+
+
+def coordinator_key(name: str) -> str:
+    """Return the key under which a target's coordinator is chosen."""
+    return f'target/{name}'
+
+
+class Reports:
+    """Polls the targets of one host and exchanges reports with peers."""
+
+    def __init__(
+        self,
+        host: str,
+        board: blackboard.Blackboard,
+        engines: engine.EnginePort,
+        peers: peer_port.PeerPort,
+        live_hosts: collections.abc.Callable[[], list[str]],
+    ) -> None:
+        self._host = host
+        self._board = board
+        self._engines = engines
+        self._peers = peers
+        self._live_hosts = live_hosts
+        self._sent: dict[str, tuple[typing.Any, float]] = {}
+        self._linked: set[str] = set()
+
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of peers' calls."""
+        return {METHOD_REPORTS: self._take}
+
+    async def run(self) -> None:
+        """Poll and send for ever."""
+        while True:
+            polled = [
+                target
+                for target in self._board.targets.rows()
+                if target.kind == 'engine' and self._polls(target.name)
+            ]
+            async with anyio.create_task_group() as tasks:
+                for target in polled:
+                    tasks.start_soon(self._poll, target)
+            self._send([target.name for target in polled])
+            await anyio.sleep(REPORT_SECONDS)
+
+    def _polls(self, name: str) -> bool:
+        """Return whether this host polls a target."""
+        hosts = self._live_hosts()
+        ranked = shards.ranked(coordinator_key(name), hosts)[:2]
+        if not ranked or ranked[0] == self._host:
+            return True
+        return self._host in ranked and self._age(name) > STALE_SECONDS
+
+    def _age(self, name: str) -> float:
+        """Return the seconds since a target's last report."""
+        load = self._board.loads.get(name)
+        if load is None:
+            return float('inf')
+        return anyio.current_time() - load.report_time
+
+    async def _poll(self, target: blackboard.Target) -> None:
+        reported = await self._engines.report(target)
+        if isinstance(reported, result.Err):
+            return
+        report = reported.ok_value
+        self._put(
+            target.name,
+            target.address,
+            blackboard.Load(
+                report.running,
+                report.pending_tokens,
+                anyio.current_time(),
+                tuple(report.models),
+            ),
+        )
+
+    def _put(self, name: str, address: str, load: blackboard.Load) -> None:
+        """Keep a report that is newer and of the present target."""
+        target = self._board.targets.get(name)
+        if target is None or target.address != address:
+            return
+        present = self._board.loads.get(name)
+        if present is None or present.report_time < load.report_time:
+            self._board.loads.put(name, load)
+
+    def _send(self, names: list[str]) -> None:
+        """Send changed reports to all peers and all of them to new ones."""
+        linked = set(self._peers.connected())
+        changed = [name for name in names if self._is_due(name)]
+        for host in linked:
+            wanted = changed if host in self._linked else names
+            rows = [row for name in wanted for row in self._row(name)]
+            for start in range(0, len(rows), MAX_REPORTS_PER_NOTICE):
+                notice = rows[start : start + MAX_REPORTS_PER_NOTICE]
+                self._peers.notify(host, METHOD_REPORTS, notice)
+        self._linked = linked
+
+    def _is_due(self, name: str) -> bool:
+        """Return whether peers need a report again, and remember it."""
+        load = self._board.loads.get(name)
+        if load is None:
+            return False
+        now = anyio.current_time()
+        contents = load._replace(report_time=0.0)
+        sent, sent_at = self._sent.get(name, (None, 0.0))
+        if contents == sent and now - sent_at < REFRESH_SECONDS:
+            return False
+        jitter = random.random() * REPORT_SECONDS
+        self._sent[name] = contents, now - jitter
+        return True
+
+    def _row(self, name: str) -> list[ReportRow]:
+        load = self._board.loads.get(name)
+        target = self._board.targets.get(name)
+        if load is None or target is None:
+            return []
+        return [
+            ReportRow(
+                name,
+                target.address,
+                load.reported,
+                load.reported_tokens,
+                load.models,
+                anyio.current_time() - load.report_time,
+            )
+        ]
+
+    async def _take(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[None, verdicts.Failure]:
+        try:
+            rows = msgspec.convert(payload, list[ReportRow])
+        except msgspec.ValidationError as error:
+            return result.Err(verdicts.invalid('reports', str(error)))
+        now = anyio.current_time()
+        for row in rows:
+            self._put(
+                row.name,
+                row.address,
+                blackboard.Load(
+                    row.running,
+                    row.pending_tokens,
+                    now - max(0.0, row.age_seconds),
+                    row.models,
+                ),
+            )
+        return result.Ok(None)
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -24,6 +24,7 @@
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
 from persimmonpass.controllers import online
+from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
 from persimmonpass import events
 from persimmonpass import key_shards
@@ -186,8 +187,15 @@
             options.host,
             self.board,
             targets.connect_list(client, options.store_url, self._calls),
+            self._peers.port,
+            self._membership.live_hosts,
+        )
+        self._reports = reports.Reports(
+            options.host,
+            self.board,
             self._engines,
             self._peers.port,
+            self._membership.live_hosts,
         )
         self._keys = key_controller.Keys(
             options.host,
@@ -214,6 +222,7 @@
         handlers |= self._membership.handlers
         handlers |= self._config.handlers
         handlers |= self._targets.handlers
+        handlers |= self._reports.handlers
         handlers |= self._keys.handlers
 
     def _jobs(
@@ -223,6 +232,7 @@
             self._membership.run,
             self._config.run,
             self._targets.run,
+            self._reports.run,
             self._batch.run,
             self._follow_members,
             self._keys.run,
--- a/src/persimmonpass/objects.py
+++ b/src/persimmonpass/objects.py
@@ -6,7 +6,7 @@
 import msgspec
 import result
 
-from persimmonpass import selectors
+from persimmonpass.policy import selectors
 from persimmonpass import verdicts
 
 MAX_NAME_LENGTH = 63
--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,313 @@
+"""Leaving marks, the lagging list and reports of load, under faults."""
+
+import contextlib
+import itertools
+import unittest
+
+import anyio
+import parameterized
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import reports
+from persimmonpass.controllers import targets
+from persimmonpass import objects
+from persimmonpass.policy import marks
+from persimmonpass.policy import shards
+from persimmonpass.targets import engine
+from tests import fakes
+
+SPREAD_SECONDS = 2.0
+A = blackboard.Target('t', '10.0.0.1:1', 'engine', 'ruai', {})
+B = A._replace(address='10.0.0.2:1')
+HOSTS = ('h1', 'h2', 'h3')
+
+
+class FakeFleet:
+    """Target and report controllers of some hosts on fake ports.
+
+    :ivar lists: what each host's next reads of the list show
+    :ivar polls: polls of each target by each host
+    """
+
+    def __init__(self, hosts=HOSTS):
+        self.network = fakes.Network()
+        self.boards = {host: blackboard.Blackboard() for host in hosts}
+        self.lists = {host: [A] for host in hosts}
+        self.live = {host: list(hosts) for host in hosts}
+        self.models = ('pumpread@3',)
+        self.polls = {host: 0 for host in hosts}
+        self.reads = 0
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            self.controllers = {
+                host: self._start(host, tasks) for host in self.boards
+            }
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def _start(self, host, tasks):
+        async def list_targets():
+            self.reads += 1
+            return result.Ok(list(self.lists[host]))
+
+        async def report(target):
+            self.polls[host] += 1
+            return result.Ok(engine.Report(3, 30, self.models))
+
+        port = self.network.port(host, tasks)
+        made = targets.Targets(
+            host,
+            self.boards[host],
+            list_targets,
+            port,
+            lambda: self.live[host],
+        )
+        loads = reports.Reports(
+            host,
+            self.boards[host],
+            engine.EnginePort(None, report),
+            port,
+            lambda: self.live[host],
+        )
+        self.network.handlers[host] = {**made.handlers, **loads.handlers}
+        tasks.start_soon(made.run)
+        tasks.start_soon(loads.run)
+        return made
+
+    def takes_work(self):
+        """Return for each host the addresses that get work."""
+        return [
+            [row.address for row in board.targets.rows() if not row.leaving]
+            for board in self.boards.values()
+        ]
+
+    def list_everywhere(self, *rows):
+        for host in self.lists:
+            self.lists[host] = list(rows)
+
+
+def by_list(fleet):
+    fleet.lists['h2'] = [A._replace(leaving=True)]
+
+
+def by_answer(fleet):
+    fleet.controllers['h2'].mark_leaving(A.name, A.address)
+
+
+def by_peer(fleet):
+    fleet.controllers['h3'].mark_leaving(A.name, A.address, 1.0)
+
+
+def by_operator(fleet):
+    spec = objects.TargetSpec(leaving=True)
+    item = objects.ConfigObject('target', 't', {}, spec, 1)
+    for board in fleet.boards.values():
+        board.objects.put(item.key, item)
+
+
+class TestLeaving(unittest.TestCase):
+    """A leaving target gets no new work anywhere."""
+
+    @parameterized.parameterized.expand(
+        [
+            ('list', by_list),
+            ('answer', by_answer),
+            ('peer', by_peer),
+            ('operator', by_operator),
+        ]
+    )
+    def test_mark_is_in_force_everywhere_and_stays(self, _, mark):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                await anyio.sleep(1.5)
+                self.assertEqual([[A.address]] * 3, fleet.takes_work())
+                mark(fleet)
+                await anyio.sleep(SPREAD_SECONDS)
+                self.assertEqual([[]] * 3, fleet.takes_work())
+                # The other hosts' lists keep showing it as live.
+                await anyio.sleep(120)
+                self.assertEqual([[]] * 3, fleet.takes_work())
+
+        fakes.run(test)
+
+    def test_cut_off_host_gets_the_mark_when_healed(self):
+        async def test():
+            fleet = FakeFleet()
+            fleet.network.cut = {
+                frozenset(('h1', 'h3')),
+                frozenset(('h2', 'h3')),
+            }
+            async with fleet.running():
+                await anyio.sleep(1)
+                by_answer(fleet)
+                await anyio.sleep(60)
+                self.assertEqual([[], [], [A.address]], fleet.takes_work())
+                fleet.network.cut.clear()
+                await anyio.sleep(SPREAD_SECONDS)
+                self.assertEqual([[]] * 3, fleet.takes_work())
+
+        fakes.run(test)
+
+    def test_lost_notice_is_repeated(self):
+        async def test():
+            async with FakeFleet(('h2', 'h3')).running() as fleet:
+                await anyio.sleep(1.25)
+                # The link is down for a moment that nobody notices.
+                fleet.network.cut.add(frozenset(('h2', 'h3')))
+                by_answer(fleet)
+                fleet.network.cut.clear()
+                await anyio.sleep(0)
+                self.assertEqual([A.address], fleet.takes_work()[1])
+                rounds = targets.EXCHANGE_ROUNDS + 1
+                await anyio.sleep(rounds * targets.LINK_SECONDS)
+                self.assertEqual([[]] * 2, fleet.takes_work())
+
+        fakes.run(test)
+
+    def test_replacement_at_another_address_gets_work(self):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                await anyio.sleep(1)
+                by_answer(fleet)
+                fleet.list_everywhere(B)
+                await anyio.sleep(SPREAD_SECONDS)
+                self.assertEqual([[B.address]] * 3, fleet.takes_work())
+                # One older read of the list does not bring back the first.
+                fleet.list_everywhere(A)
+                await anyio.sleep(targets.LIST_SECONDS)
+                fleet.list_everywhere(B)
+                self.assertEqual([[B.address]] * 3, fleet.takes_work())
+
+        fakes.run(test)
+
+    def test_mark_ends_once_nobody_repeats_it(self):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                by_answer(fleet)
+                await anyio.sleep(targets.MARK_SECONDS - 1)
+                self.assertEqual([[]] * 3, fleet.takes_work())
+                await anyio.sleep(3)
+                self.assertEqual([[A.address]] * 3, fleet.takes_work())
+
+        fakes.run(test)
+
+
+class TestList(unittest.TestCase):
+    """The list lags and has gaps."""
+
+    @parameterized.parameterized.expand(
+        [
+            ('one gap', [A.address, None, A.address], A.address),
+            ('two gaps', [A.address, None, None], A.address),
+            ('gone', [A.address, None, None, None], None),
+            (
+                'gaps apart',
+                [A.address, None, None, A.address, None],
+                A.address,
+            ),
+            ('replaced', [A.address, B.address], B.address),
+            ('older list', [B.address, A.address], B.address),
+            ('older for long', [B.address] + [A.address] * 3, A.address),
+        ]
+    )
+    def test_reads(self, _, reads, expected):
+        listed = {}
+        for address in reads:
+            read = {} if address is None else {'t': address}
+            listed = marks.merge_list(listed, read, {('t', A.address)})
+        found = listed['t'].address if listed else None
+        self.assertEqual(expected, found)
+
+    def test_target_seen_by_one_host_is_told_to_all(self):
+        async def test():
+            fleet = FakeFleet()
+            fleet.list_everywhere()
+            async with fleet.running():
+                await anyio.sleep(1.5)
+                fleet.lists['h1'] = [A]
+                await anyio.sleep(1)
+                self.assertEqual([[A.address]] * 3, fleet.takes_work())
+
+        fakes.run(test)
+
+    @parameterized.parameterized.expand([(3, 1.0), (8, 1.0), (900, 45.0)])
+    def test_whole_fleet_reads_at_a_bounded_rate(self, hosts, seconds):
+        interval = marks.list_interval(
+            hosts, targets.LIST_READS_PER_SECOND, targets.LIST_SECONDS
+        )
+        self.assertEqual(seconds, interval)
+
+
+class TestReports(unittest.TestCase):
+    """Only the coordinator polls; its reports reach every host."""
+
+    def test_coordinator_polls_for_all(self):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                await anyio.sleep(30)
+                key = reports.coordinator_key(A.name)
+                owner = shards.owner(key, HOSTS)
+                others = [h for h in HOSTS if h != owner]
+                # Before the first report each host may poll once itself.
+                self.assertLessEqual(max(fleet.polls[h] for h in others), 1)
+                for board in fleet.boards.values():
+                    load = board.loads.get(A.name)
+                    self.assertEqual((3, 30), load[:2])
+                    age = anyio.current_time() - load.report_time
+                    self.assertLess(age, reports.STALE_SECONDS + 2)
+
+        fakes.run(test)
+
+    def test_second_host_stands_in_when_reports_stop(self):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                await anyio.sleep(5)
+                key = reports.coordinator_key(A.name)
+                first, second, third = shards.ranked(key, HOSTS)
+                for other in (second, third):
+                    fleet.network.cut.add(frozenset((first, other)))
+                fleet.models = ('pumpread@4',)
+                await anyio.sleep(reports.STALE_SECONDS + 5)
+                load = fleet.boards[third].loads.get(A.name)
+                self.assertEqual(('pumpread@4',), load.models)
+                self.assertLessEqual(fleet.polls[third], 1)
+
+        fakes.run(test)
+
+    def test_each_side_of_a_cut_polls_for_itself(self):
+        async def test():
+            async with FakeFleet().running() as fleet:
+                for one, other in itertools.combinations(HOSTS, 2):
+                    fleet.network.cut.add(frozenset((one, other)))
+                for host in HOSTS:
+                    fleet.live[host] = [host]
+                await anyio.sleep(10)
+                self.assertGreaterEqual(min(fleet.polls.values()), 9)
+
+        fakes.run(test)
+
+    @parameterized.parameterized.expand(
+        [
+            ('older', A.address, 9.0, 3),
+            ('newer', A.address, 0.0, 7),
+            ('other address', B.address, 0.0, 3),
+            ('from the future', A.address, -50.0, 7),
+        ]
+    )
+    def test_only_newer_reports_of_the_target_count(
+        self, _, address, age, running
+    ):
+        async def test():
+            async with FakeFleet(('h1',)).running() as fleet:
+                await anyio.sleep(20.5)
+                row = [A.name, address, 7, 70, [], age]
+                take = fleet.network.handlers['h1'][reports.METHOD_REPORTS]
+                await take('h2', [row])
+                load = fleet.boards['h1'].loads.get(A.name)
+                self.assertEqual(running, load.reported)
+                self.assertLessEqual(load.report_time, anyio.current_time())
+
+        fakes.run(test)
