Share the store's rate safely and settle what each store error proves

Cause: a host took the share of all hosts that it did not see, so that a cut or a start made the fleet exceed its rate; retries after an outage came at the full rate; a waiting status call could starve; a call waited for ever. The store client called a lost read 'may have run', repeated a 413 for ever, let keys change the path, and raised on broken answers.

Reads and writes have a bucket each.

--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -66,7 +66,13 @@
     '--store-rate',
     type=click.FloatRange(min=0, min_open=True),
     default=DEFAULTS['store_rate'],
-    help='Store calls a second of the whole fleet.',
+    help='Reads of the store a second of the whole fleet.',
+)
+@click.option(
+    '--store-write-rate',
+    type=click.FloatRange(min=0, min_open=True),
+    default=DEFAULTS['store_write_rate'],
+    help='Writes to the store a second of the whole fleet.',
 )
 @click.option(
     '--key-shards',
--- a/src/persimmonpass/controllers/targets.py
+++ b/src/persimmonpass/controllers/targets.py
@@ -72,7 +72,9 @@
     async def list_targets() -> result.Result[
         list[blackboard.Target], verdicts.Failure
     ]:
-        await calls.take(budget.Priority.STATUS)
+        taken = await calls.take(budget.Priority.STATUS)
+        if isinstance(taken, result.Err):
+            return taken
         try:
             answer = await client.get(
                 f'{base_url}/v1/targets', timeout=LIST_TIMEOUT_SECONDS
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -144,7 +144,10 @@
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
-        self._calls = budget.Budget(options.store_rate)
+        self._calls = budget.Budget(
+            options.store_rate, options.store_write_rate
+        )
+        self.counters.show_budget(self._calls)
         self._store = store.connect(client, options.store_url, self._calls)
         self._engines = engine.connect(client)
         self._services = service.connect(client)
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -93,6 +93,12 @@
     Level.WARNING,
     "The host's share of the store's rate is used up.",
 )
+STORE_TOO_LARGE = Event(
+    206,
+    'store_too_large',
+    Level.ERROR,
+    'A value is larger than the store keeps; nothing was written.',
+)
 LEDGER_OPENED = Event(
     211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
 )
--- a/src/persimmonpass/metrics.py
+++ b/src/persimmonpass/metrics.py
@@ -1,7 +1,11 @@
 """Metrics of one daemon, in the format of Prometheus."""
 
+import functools
+
 import prometheus_client
 
+from persimmonpass import budget
+
 LATENCY_BUCKETS_SECONDS = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 5.0, 10.0, 30.0,
 )  # fmt: skip
@@ -43,6 +47,38 @@
             ['priority'],
             registry=self.registry,
         )
+        self.store_calls_exhausted = prometheus_client.Gauge(
+            'persimmonpass_store_calls_exhausted',
+            "Calls given up since the start for lack of the host's share.",
+            ['priority'],
+            registry=self.registry,
+        )
+        self.store_calls_waiting = prometheus_client.Gauge(
+            'persimmonpass_store_calls_waiting',
+            'Calls to the object store that wait for their turn.',
+            ['priority'],
+            registry=self.registry,
+        )
+        self.store_pace = prometheus_client.Gauge(
+            'persimmonpass_store_pace',
+            "Part of the host's share of the store's rate in use, up to 1.",
+            registry=self.registry,
+        )
+
+    def show_budget(self, calls: budget.Budget) -> None:
+        """Let scrapes read this host's share of the store's rate."""
+        self.store_pace.set_function(lambda: calls.pace)
+        for priority in budget.Priority:
+            name = priority.name.lower()
+            self.store_calls.labels(name).set_function(
+                functools.partial(calls.calls.__getitem__, priority)
+            )
+            self.store_calls_exhausted.labels(name).set_function(
+                functools.partial(calls.exhausted.__getitem__, priority)
+            )
+            self.store_calls_waiting.labels(name).set_function(
+                functools.partial(calls.waiting, priority)
+            )
 
     def render(self) -> bytes:
         """Return the text that a scrape reads."""
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -34,7 +34,8 @@
     :ivar store_url: ``http://ip:port`` of the platform
     :ivar admin_token_sha256: digest of a token that is always an admin's
     :ivar peer_secret: secret that all hosts of the fleet share
-    :ivar store_rate: store calls a second of the whole fleet
+    :ivar store_rate: reads of the store a second of the whole fleet
+    :ivar store_write_rate: writes a second of the whole fleet
     :ivar key_shards: ledgers over which idempotency keys are spread
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar drain_seconds: longest time that a shutdown waits
@@ -54,6 +55,7 @@
     admin_token_sha256: str = ''
     peer_secret: str = ''
     store_rate: float = 1000.0
+    store_write_rate: float = 400.0
     key_shards: int = 8
     entry_ttl_seconds: float = 5.0
     drain_seconds: float = 60.0
--- a/src/persimmonpass/store.py
+++ b/src/persimmonpass/store.py
@@ -7,9 +7,11 @@
 
 import collections.abc
 import typing
+import urllib.parse
 
 import cbor2
 import httpx
+import msgspec
 import result
 
 from persimmonpass import budget
@@ -19,10 +21,23 @@
 CREATE = 0
 MAX_VALUE_BYTES = 1_000_000
 CALL_TIMEOUT_SECONDS = 3.0
-WATCH_TIMEOUT_SECONDS = 20.0
+WATCH_TIMEOUT_SECONDS = 5.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
-REFUSED_STATUSES = (429, 503)
-UNKNOWN_STATUSES = (500, 502, 504)
+BUSY_STATUSES = frozenset((429, 500, 502, 503, 504))
+# With these no byte of a call has left this host.
+NOT_SENT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.LocalProtocolError,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+
+_OK = frozenset((200,))
+_OK_OR_MISSING = frozenset((200, 404))
+_OK_OR_CONFLICT = frozenset((200, 412, 413))
+_DELETED_OR_CONFLICT = frozenset((200, 204, 404, 412))
 
 
 class Stored(typing.NamedTuple):
@@ -48,6 +63,23 @@
     changes: list[Stored]
 
 
+class _PageBody(typing.TypedDict):
+    """A page of a list.
+
+    :ivar more: whether there are values after the last of these
+    """
+
+    objects: list[Stored]
+    more: bool
+
+
+class _ChangesBody(typing.TypedDict):
+    """Answer of a watch; see :class:`Changes`."""
+
+    version: int
+    changes: list[Stored]
+
+
 Outcome = result.Result
 _Async = collections.abc.Awaitable
 
@@ -102,6 +134,16 @@
     )
 
 
+def too_large(key: str) -> verdicts.Failure:
+    """Return the failure of a value that no retry can store."""
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.STORE_TOO_LARGE,
+        f'the value of {key} is larger than {MAX_VALUE_BYTES} bytes',
+        413,
+    )
+
+
 def conflict(key: str) -> verdicts.Failure:
     """Return the failure of a conditional write that came too late."""
     return verdicts.Failure(
@@ -136,37 +178,44 @@
         method: str,
         path: str,
         priority: budget.Priority,
+        expected: frozenset[int] = _OK,
         timeout: float = CALL_TIMEOUT_SECONDS,
         **options: typing.Any,
     ) -> result.Result[httpx.Response, verdicts.Failure]:
-        await calls.take(priority)
+        """Make a call whose answer has one of the expected statuses."""
+        write = method != 'GET'
+        taken = await calls.take(priority, write=write)
+        if isinstance(taken, result.Err):
+            return taken
+        limits = httpx.Timeout(timeout, connect=CONNECT_TIMEOUT_SECONDS)
         try:
             answer = await client.request(
-                method, base_url + path, timeout=timeout, **options
+                method, base_url + path, timeout=limits, **options
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            return result.Err(unavailable(type(error).__name__))
         except httpx.HTTPError as error:
-            return result.Err(outcome_unknown(type(error).__name__))
-        detail = f'status {answer.status_code}'
-        if answer.status_code in REFUSED_STATUSES:
-            return result.Err(unavailable(detail))
-        if answer.status_code in UNKNOWN_STATUSES:
-            return result.Err(outcome_unknown(detail))
-        return result.Ok(answer)
+            calls.refused()
+            return result.Err(_call_failed(error, write))
+        if answer.status_code in BUSY_STATUSES:
+            calls.refused()
+        else:
+            calls.answered()
+        if answer.status_code in expected:
+            return result.Ok(answer)
+        return result.Err(_answer_failed(answer.status_code, write))
 
     async def get(
         key: str, priority: budget.Priority = budget.Priority.STATUS
     ) -> result.Result[Stored, verdicts.Failure]:
-        answered = await call('GET', f'/v1/objects/{key}', priority)
+        answered = await call('GET', _path(key), priority, _OK_OR_MISSING)
         if isinstance(answered, result.Err):
             return answered
         answer = answered.ok_value
         if answer.status_code == 404:
             return result.Err(not_found(key))
-        return result.Ok(
-            Stored(key, int(answer.headers['etag']), answer.content)
-        )
+        version = _read_version(answer)
+        if version is None:
+            return result.Err(unavailable('a value without a version'))
+        return result.Ok(Stored(key, version, answer.content))
 
     async def put(
         key: str,
@@ -174,10 +223,13 @@
         version: int | None = None,
         priority: budget.Priority = budget.Priority.STATUS,
     ) -> result.Result[int, verdicts.Failure]:
+        if len(data) > MAX_VALUE_BYTES:
+            return result.Err(too_large(key))
         answered = await call(
             'PUT',
-            f'/v1/objects/{key}',
+            _path(key),
             priority,
+            _OK_OR_CONFLICT,
             content=data,
             headers=_condition(version),
         )
@@ -186,10 +238,12 @@
         answer = answered.ok_value
         if answer.status_code == 412:
             return result.Err(conflict(key))
-        if answer.status_code != 200:
-            detail = f'{key}: status {answer.status_code}'
-            return result.Err(unavailable(detail))
-        return result.Ok(int(answer.headers['etag']))
+        if answer.status_code == 413:
+            return result.Err(too_large(key))
+        written = _read_version(answer)
+        if written is None:
+            return result.Err(outcome_unknown('a write without a version'))
+        return result.Ok(written)
 
     async def delete(
         key: str,
@@ -198,8 +252,9 @@
     ) -> result.Result[None, verdicts.Failure]:
         answered = await call(
             'DELETE',
-            f'/v1/objects/{key}',
+            _path(key),
             priority,
+            _DELETED_OR_CONFLICT,
             headers=_condition(version),
         )
         if isinstance(answered, result.Err):
@@ -212,8 +267,9 @@
         prefix: str, priority: budget.Priority = budget.Priority.STATUS
     ) -> result.Result[list[Stored], verdicts.Failure]:
         found: list[Stored] = []
-        after = ''
-        while True:
+        more = True
+        while more:
+            after = found[-1].key if found else ''
             answered = await call(
                 'GET',
                 '/v1/objects',
@@ -222,11 +278,12 @@
             )
             if isinstance(answered, result.Err):
                 return answered
-            page = cbor2.loads(answered.ok_value.content)
-            found += [Stored(*row) for row in page['objects']]
-            if not page['more']:
-                return result.Ok(found)
-            after = found[-1].key
+            page = _decode(answered.ok_value, _PageBody)
+            if page is None or (page['more'] and not page['objects']):
+                return result.Err(unavailable('a broken page'))
+            found += page['objects']
+            more = page['more']
+        return result.Ok(found)
 
     async def watch(
         prefix: str, version: int
@@ -235,7 +292,7 @@
             'GET',
             '/v1/watch',
             budget.Priority.STATUS,
-            WATCH_TIMEOUT_SECONDS + CALL_TIMEOUT_SECONDS,
+            timeout=WATCH_TIMEOUT_SECONDS + CALL_TIMEOUT_SECONDS,
             params={
                 'prefix': prefix,
                 'after': version,
@@ -244,13 +301,60 @@
         )
         if isinstance(answered, result.Err):
             return answered
-        page = cbor2.loads(answered.ok_value.content)
-        changes = [Stored(*row) for row in page['changes']]
-        return result.Ok(Changes(page['version'], changes))
+        body = _decode(answered.ok_value, _ChangesBody)
+        if body is None:
+            return result.Err(unavailable('a broken watch'))
+        return result.Ok(Changes(body['version'], body['changes']))
 
     return StorePort(get, put, delete, list_values, watch)
 
 
+def _path(key: str) -> str:
+    """Return the path of a key, whose parts may not change the path."""
+    parts = [urllib.parse.quote(part, safe='') for part in key.split('/')]
+    quoted = '/'.join(part.replace('.', '%2E') for part in parts)
+    return f'/v1/objects/{quoted}'
+
+
+def _call_failed(error: httpx.HTTPError, write: bool) -> verdicts.Failure:
+    """Return the failure of a call that got no answer.
+
+    Reads have no effect. A write had none if no byte of it was sent; what
+    the store did with any other is unknown.
+    """
+    if write and not isinstance(error, NOT_SENT_ERRORS):
+        return outcome_unknown(type(error).__name__)
+    return unavailable(type(error).__name__)
+
+
+def _answer_failed(status: int, write: bool) -> verdicts.Failure:
+    """Return the failure of a call that got an unexpected status.
+
+    The store refuses with 4xx and 503 before it writes; a gateway's 502 and
+    504 may hide the answer of a write that took effect.
+    """
+    refused = 400 <= status < 500 or status == 503
+    if write and not refused:
+        return outcome_unknown(f'status {status}')
+    return unavailable(f'status {status}')
+
+
+def _read_version(answer: httpx.Response) -> int | None:
+    text = answer.headers.get('etag', '')
+    return int(text) if text.isdigit() else None
+
+
+_Shape = typing.TypeVar('_Shape')
+
+
+def _decode(answer: httpx.Response, shape: type[_Shape]) -> _Shape | None:
+    """Read a CBOR answer, or return ``None`` if it is broken."""
+    try:
+        return msgspec.convert(cbor2.loads(answer.content), shape)
+    except (cbor2.CBORDecodeError, msgspec.ValidationError):
+        return None
+
+
 def _condition(version: int | None) -> dict[str, str]:
     if version is None:
         return {}
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,257 @@
+"""The share of the store's rate: classes, limits and faults."""
+
+import random
+import unittest
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import parameterized
+
+from persimmonpass import budget
+from persimmonpass import events
+from tests import fakes
+
+RATE = 400.0
+Priority = budget.Priority
+
+
+class CountingStore:
+    """Times of the calls of a fleet, refused during outages.
+
+    :ivar times: when a call arrived, in order
+    """
+
+    def __init__(self):
+        self.times = []
+        self.outages = []
+
+    def is_down(self):
+        now = anyio.current_time() - self.started
+        return any(start <= now < end for start, end in self.outages)
+
+    def call(self, calls):
+        self.times.append(anyio.current_time())
+        if self.is_down():
+            calls.refused()
+        else:
+            calls.answered()
+
+    def peak(self, start=0.0):
+        """Return the most calls in any second after a start."""
+        times = [t for t in self.times if t >= self.started + start]
+        most, first = 0, 0
+        for last, time in enumerate(times):
+            while times[first] <= time - 1:
+                first += 1
+            most = max(most, last + 1 - first)
+        return most
+
+    def count(self, start, end):
+        return sum(start <= t - self.started < end for t in self.times)
+
+
+async def demand(store, calls, priority=Priority.STATUS, made=None):
+    """Call as often as the budget lets, like a loop of retries."""
+    while True:
+        taken = await calls.take(priority, write=True)
+        if taken.is_err():
+            await anyio.sleep(0.1)
+            continue
+        store.call(calls)
+        if made is not None:
+            made[priority] += 1
+
+
+async def run_fleet(store, hosts, seconds, live=lambda host, now: 0):
+    """Run hosts that all want more than their share.
+
+    :param live: live hosts that a host sees at a time; 0 for all
+    """
+    store.started = anyio.current_time()
+    made = []
+    async with anyio.create_task_group() as tasks:
+        for number in range(hosts):
+            draw = random.Random(number).random
+            calls = budget.Budget(RATE, RATE, draw)
+            made.append(calls)
+            for _ in range(2):
+                tasks.start_soon(demand, store, calls)
+        for _ in range(int(seconds / 0.5)):
+            now = anyio.current_time() - store.started
+            for number, calls in enumerate(made):
+                calls.set_hosts(live(number, now) or hosts)
+            await anyio.sleep(0.5)
+        tasks.cancel_scope.cancel()
+    return made
+
+
+def sees_few_at_first(host, now):
+    return 1 if now < 2 else 0
+
+
+def cut_in_two(host, now):
+    return 4 if now > 10 else 0
+
+
+class TestFleetRate(unittest.TestCase):
+    """The fleet stays within its rate in every second of every fault."""
+
+    @parameterized.parameterized.expand(
+        [
+            ('quiet', 8, [], None),
+            ('outage', 8, [(8, 12)], None),
+            ('long outage', 8, [(5, 17)], None),
+            ('flapping', 8, [(t, t + 1) for t in range(6, 18, 2)], None),
+            ('down at start', 8, [(0, 8)], None),
+            ('cut in two', 8, [], cut_in_two),
+            ('cut in two in an outage', 8, [(8, 12)], cut_in_two),
+            ('start with peers unknown', 8, [], sees_few_at_first),
+            ('many hosts', 32, [(8, 12)], None),
+        ]
+    )
+    def test_no_second_above_the_rate(self, _, hosts, outages, live):
+        async def test():
+            store = CountingStore()
+            store.outages = outages
+            await run_fleet(store, hosts, 18, live or (lambda host, now: 0))
+            self.assertLessEqual(store.peak(), RATE)
+
+        fakes.run(test)
+
+    def test_calls_fall_during_an_outage_and_come_back_gradually(self):
+        async def test():
+            store = CountingStore()
+            store.outages = [(10, 16)]
+            await run_fleet(store, 32, 24)
+            usual = store.count(8, 10) / 2
+            down = store.count(14, 16) / 2
+            self.assertLess(down, usual / 4)
+            # No herd: no tenth of a second after the outage holds much more
+            # than its part of the rate.
+            tenths = [
+                store.count(16 + n / 10, 16.1 + n / 10) for n in range(50)
+            ]
+            self.assertLessEqual(max(tenths), RATE / 10 * 1.5)
+            self.assertGreater(store.count(21, 23) / 2, usual * 0.9)
+
+        fakes.run(test)
+
+    @parameterized.parameterized.expand([(1,), (8,), (128,), (900,)])
+    def test_pace_rises_to_the_whole_share(self, hosts):
+        async def test():
+            calls = budget.Budget(RATE, RATE, lambda: 0.5)
+            calls.set_hosts(hosts)
+            store = CountingStore()
+            store.started = anyio.current_time()
+            with anyio.move_on_after(30):
+                await demand(store, calls)
+            self.assertEqual(RATE / hosts, calls.write_rate)
+            share = min(RATE / hosts, 10)
+            self.assertGreater(store.count(20, 30), share * 10 * 0.7)
+
+        fakes.run(test)
+
+    def test_share_of_a_host_that_vanished_is_free_after_an_hour(self):
+        async def test():
+            calls = budget.Budget(RATE)
+            calls.set_hosts(8)
+            await anyio.sleep(10 * budget.HOLD_SECONDS)
+            calls.set_hosts(4)
+            await anyio.sleep(budget.HOLD_SECONDS - 1)
+            self.assertEqual(8, calls.hosts)
+            await anyio.sleep(2)
+            self.assertEqual(4, calls.hosts)
+
+        fakes.run(test)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 40), min_size=1, max_size=50)
+    )
+    def test_share_follows_the_most_live_hosts(self, seen):
+        async def test():
+            calls = budget.Budget(RATE)
+            for index, hosts in enumerate(seen):
+                calls.set_hosts(hosts)
+                await anyio.sleep(60)
+                self.assertEqual(max(seen[: index + 1]), calls.hosts)
+            await anyio.sleep(budget.HOLD_SECONDS)
+            self.assertEqual(seen[-1], calls.hosts)
+
+        fakes.run(test)
+
+
+class TestClasses(unittest.TestCase):
+    """Classes go in order, and the lowest one still goes."""
+
+    def test_order_and_no_starvation(self):
+        async def test():
+            store = CountingStore()
+            store.started = anyio.current_time()
+            calls = budget.Budget(RATE, RATE, lambda: 0.5)
+            made = dict.fromkeys(Priority, 0)
+            async with anyio.create_task_group() as tasks:
+                for priority in Priority:
+                    for _ in range(5):
+                        tasks.start_soon(demand, store, calls, priority, made)
+                await anyio.sleep(20)
+                tasks.cancel_scope.cancel()
+            total = sum(made.values())
+            self.assertGreater(made[Priority.RESERVATION], total * 0.8)
+            # The waiters of lower classes share one call in eight.
+            least = total / budget.FAIR_CALLS / len(Priority) / 2
+            self.assertGreater(made[Priority.STATUS], least)
+            self.assertEqual(made, calls.calls)
+
+        fakes.run(test)
+
+    def test_wait_beyond_the_limit_is_refused_at_once(self):
+        async def test():
+            calls = budget.Budget(8.0, 8.0, lambda: 0.5)
+            refused = []
+
+            async def one():
+                taken = await calls.take(Priority.STATUS, write=True)
+                if taken.is_err():
+                    refused.append((anyio.current_time(), taken.err_value))
+
+            start = anyio.current_time()
+            async with anyio.create_task_group() as tasks:
+                for _ in range(20):
+                    tasks.start_soon(one)
+            at_once = [f for at, f in refused if at == start]
+            self.assertGreater(len(at_once), 10)
+            for _, failure in refused:
+                self.assertEqual(events.STORE_BUDGET_EXHAUSTED, failure.event)
+                self.assertEqual('not_run', failure.verdict.value)
+                self.assertGreaterEqual(failure.retry_after_seconds, 1)
+            self.assertEqual(len(refused), calls.exhausted[Priority.STATUS])
+            limit = start + budget.MAX_WAIT_SECONDS
+            self.assertLessEqual(anyio.current_time(), limit)
+
+        fakes.run(test)
+
+    def test_cancelled_waiter_hands_its_turn_on(self):
+        async def test():
+            calls = budget.Budget(80.0, 80.0, lambda: 0.0)
+            with anyio.move_on_after(0.05):
+                await calls.take(Priority.RESERVATION)
+            self.assertTrue((await calls.take(Priority.STATUS)).is_ok())
+
+        fakes.run(test)
+
+    def test_reads_do_not_wait_for_writes(self):
+        async def test():
+            calls = budget.Budget(RATE, 1.0, lambda: 0.99)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    lambda: calls.take(Priority.STATUS, write=True)
+                )
+                await anyio.sleep(0)
+                start = anyio.current_time()
+                await calls.take(Priority.STATUS)
+                self.assertLess(anyio.current_time() - start, 0.1)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,356 @@
+"""Contract of the store client, over real loopback TCP."""
+
+import contextlib
+import unittest
+
+import anyio
+import cbor2
+import httpx
+import parameterized
+
+from persimmonpass import budget
+from persimmonpass import daemon
+from persimmonpass import events
+from persimmonpass.standins import platform
+from persimmonpass import store
+from tests import fakes
+
+RATE = 100_000.0
+KEYS = (
+    'config/service/a',
+    'keys/äö ü',
+    'a?b=c&d',
+    'a#b',
+    'a%2Fb',
+    'a%b',
+    'a/../b',
+    './a',
+    '..',
+    'a+b',
+    'a//b',
+    'a:b@c;d=e',
+)
+
+
+@contextlib.asynccontextmanager
+async def serving(app):
+    """Serve an application on a free port."""
+    listener = daemon.listen('127.0.0.1:0')
+    address = daemon.address_of(listener)
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(daemon.serve_http, app, listener, stopped)
+        try:
+            yield address
+        finally:
+            stopped.set()
+
+
+@contextlib.asynccontextmanager
+async def connected(address):
+    """Connect a client whose budget lets everything through."""
+    calls = budget.Budget(RATE, RATE)
+    async with httpx.AsyncClient(trust_env=False) as client:
+        yield store.connect(client, f'http://{address}', calls)
+
+
+class TestStoreClient(unittest.TestCase):
+    """The client against the stand-in of the platform."""
+
+    def run_with_platform(self, test):
+        async def main():
+            made = platform.Platform()
+            async with serving(made.app) as address:
+                async with connected(address) as port:
+                    with anyio.fail_after(20):
+                        await test(made, port)
+
+        anyio.run(main)
+
+    def assert_failed(self, outcome, event, verdict):
+        self.assertTrue(outcome.is_err(), outcome)
+        failure = outcome.err_value
+        self.assertEqual(
+            (event, verdict), (failure.event, failure.verdict.value)
+        )
+        return failure
+
+    def test_versions_and_conditions(self):
+        async def test(made, port):
+            first = (await port.put('k', b'1', store.CREATE)).unwrap()
+            again = await port.put('k', b'2', store.CREATE)
+            self.assert_failed(again, events.STORE_CONFLICT, 'not_run')
+            second = (await port.put('k', b'2', first)).unwrap()
+            self.assertGreater(second, first)
+            late = await port.put('k', b'3', first)
+            self.assert_failed(late, events.STORE_CONFLICT, 'not_run')
+            self.assertEqual(
+                store.Stored('k', second, b'2'), (await port.get('k')).unwrap()
+            )
+            late = await port.delete('k', first)
+            self.assert_failed(late, events.STORE_CONFLICT, 'not_run')
+            self.assertTrue((await port.delete('k', second)).is_ok())
+            gone = await port.get('k')
+            self.assert_failed(gone, events.STORE_NOT_FOUND, 'not_run')
+
+        self.run_with_platform(test)
+
+    @parameterized.parameterized.expand([(key,) for key in KEYS])
+    def test_keys_that_need_quoting(self, key):
+        async def test(made, port):
+            version = (await port.put(key, b'x')).unwrap()
+            expected = store.Stored(key, version, b'x')
+            self.assertEqual([expected], (await port.list('')).unwrap())
+            self.assertEqual(expected, (await port.get(key)).unwrap())
+            (await port.delete(key)).unwrap()
+            self.assertEqual([], (await port.list('')).unwrap())
+
+        self.run_with_platform(test)
+
+    def test_list_of_many_pages(self):
+        async def test(made, port):
+            for index in range(7):
+                data = bytes([index]) * 400_000
+                (await port.put(f'p/{index}', data)).unwrap()
+            (await port.put('q/0', b'other')).unwrap()
+            found = (await port.list('p/')).unwrap()
+            self.assertEqual(
+                [f'p/{index}' for index in range(7)],
+                [row.key for row in found],
+            )
+            self.assertEqual(bytes([6]) * 400_000, found[6].data)
+            self.assertGreaterEqual(made.calls['list'], 4)
+
+        self.run_with_platform(test)
+
+    def test_watch(self):
+        async def test(made, port):
+            version = (await port.put('w/a', b'1')).unwrap()
+            seen = []
+
+            async def watch():
+                seen.append((await port.watch('w/', version)).unwrap())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch)
+                await anyio.sleep(0.1)
+                (await port.put('other', b'')).unwrap()
+                (await port.delete('w/a')).unwrap()
+            self.assertEqual(['w/a'], [row.key for row in seen[0].changes])
+            self.assertTrue(seen[0].changes[0].deleted)
+            self.assertEqual(version + 2, seen[0].version)
+
+        self.run_with_platform(test)
+
+    def test_watch_without_changes_ends(self):
+        async def test(made, port):
+            version = (await port.put('w/a', b'1')).unwrap()
+            changes = (await port.watch('w/', version)).unwrap()
+            self.assertEqual(store.Changes(version, []), changes)
+
+        self.run_with_platform(test)
+
+    @parameterized.parameterized.expand([(0, True), (1, False)])
+    def test_value_limit(self, above, fits):
+        async def test(made, port):
+            data = b'x' * (store.MAX_VALUE_BYTES + above)
+            written = await port.put('k', data)
+            self.assertEqual(fits, written.is_ok())
+            if not fits:
+                failure = self.assert_failed(
+                    written, events.STORE_TOO_LARGE, 'not_run'
+                )
+                self.assertIsNone(failure.retry_after_seconds)
+                self.assertEqual(0, made.calls['put'])
+
+        self.run_with_platform(test)
+
+    def test_outage(self):
+        async def test(made, port):
+            made.app.faults.outage = True
+            for outcome in (
+                await port.get('k'),
+                await port.put('k', b''),
+                await port.delete('k'),
+                await port.list(''),
+                await port.watch('', 0),
+            ):
+                self.assert_failed(
+                    outcome, events.STORE_UNAVAILABLE, 'not_run'
+                )
+            made.app.faults.outage = False
+            self.assertTrue((await port.put('k', b'')).is_ok())
+
+        self.run_with_platform(test)
+
+    def test_lost_answer_of_a_write(self):
+        async def test(made, port):
+            made.app.faults.lose_answers = 2
+            written = await port.put('k', b'1', store.CREATE)
+            self.assert_failed(
+                written, events.STORE_OUTCOME_UNKNOWN, 'may_have_run'
+            )
+            self.assertEqual(b'1', (await port.get('k')).unwrap().data)
+            deleted = await port.delete('k')
+            self.assert_failed(
+                deleted, events.STORE_OUTCOME_UNKNOWN, 'may_have_run'
+            )
+
+        self.run_with_platform(test)
+
+    def test_slow_answer(self):
+        async def test(made, port):
+            made.app.faults.delay_seconds = 0.5
+            self.assertTrue((await port.put('k', b'1')).is_ok())
+
+        self.run_with_platform(test)
+
+    def test_silent_store(self):
+        async def test(made, port):
+            made.app.faults.silent = True
+            outcomes = {}
+
+            async def call(name, made_call):
+                outcomes[name] = await made_call
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, 'get', port.get('k'))
+                tasks.start_soon(call, 'put', port.put('k', b''))
+            self.assert_failed(
+                outcomes['get'], events.STORE_UNAVAILABLE, 'not_run'
+            )
+            self.assert_failed(
+                outcomes['put'], events.STORE_OUTCOME_UNKNOWN, 'may_have_run'
+            )
+            made.app.faults.silent = False
+            self.assertTrue((await port.put('k', b'')).is_ok())
+
+        self.run_with_platform(test)
+
+    def test_refused_connection(self):
+        async def test():
+            listener = daemon.listen('127.0.0.1:0')
+            address = daemon.address_of(listener)
+            listener.close()
+            async with connected(address) as port:
+                self.assert_failed(
+                    await port.put('k', b''),
+                    events.STORE_UNAVAILABLE,
+                    'not_run',
+                )
+
+        anyio.run(test)
+
+
+class TestVerdicts(unittest.TestCase):
+    """Which answers prove that a call had no effect."""
+
+    def call(self, handler):
+        """Return the verdicts of a read and of a write."""
+
+        async def main():
+            calls = budget.Budget(RATE, RATE)
+            transport = httpx.MockTransport(handler)
+            async with httpx.AsyncClient(transport=transport) as client:
+                port = store.connect(client, 'http://10.0.0.1', calls)
+                found.append(await port.get('k'))
+                found.append(await port.put('k', b''))
+                found.append(await port.list('k'))
+                found.append(await port.watch('k', 0))
+
+        found = []
+        fakes.run(main)
+        self.assertTrue(all(outcome.is_err() for outcome in found), found)
+        return [outcome.err_value.verdict.value for outcome in found]
+
+    @parameterized.parameterized.expand(
+        [
+            (httpx.ConnectError, 'not_run'),
+            (httpx.ConnectTimeout, 'not_run'),
+            (httpx.PoolTimeout, 'not_run'),
+            (httpx.LocalProtocolError, 'not_run'),
+            (httpx.ReadTimeout, 'may_have_run'),
+            (httpx.ReadError, 'may_have_run'),
+            (httpx.WriteTimeout, 'may_have_run'),
+            (httpx.WriteError, 'may_have_run'),
+            (httpx.RemoteProtocolError, 'may_have_run'),
+            (httpx.CloseError, 'may_have_run'),
+            (httpx.DecodingError, 'may_have_run'),
+        ]
+    )
+    def test_errors(self, error, write):
+        def handle(request):
+            raise error('made by the test')
+
+        self.assertEqual(
+            ['not_run', write, 'not_run', 'not_run'], self.call(handle)
+        )
+
+    @parameterized.parameterized.expand(
+        [
+            (400, 'not_run'),
+            (403, 'not_run'),
+            (429, 'not_run'),
+            (503, 'not_run'),
+            (302, 'may_have_run'),
+            (500, 'may_have_run'),
+            (502, 'may_have_run'),
+            (504, 'may_have_run'),
+        ]
+    )
+    def test_statuses(self, status, write):
+        def handle(request):
+            return httpx.Response(status)
+
+        self.assertEqual(
+            ['not_run', write, 'not_run', 'not_run'], self.call(handle)
+        )
+
+    @parameterized.parameterized.expand(
+        [
+            ('no version', b'', {}),
+            ('no CBOR', b'\xff\xff', {'etag': 'x'}),
+            ('other CBOR', cbor2.dumps([1]), {'etag': 'x'}),
+            ('endless', cbor2.dumps({'objects': [], 'more': True}), {}),
+        ]
+    )
+    def test_broken_answers(self, _, content, headers):
+        def handle(request):
+            return httpx.Response(200, content=content, headers=headers)
+
+        self.assertEqual(
+            ['not_run', 'may_have_run', 'not_run', 'not_run'],
+            self.call(handle),
+        )
+
+
+class TestSilentConnection(unittest.TestCase):
+    """Connections that something in between has forgotten."""
+
+    def test_new_connections_work_after_old_ones_went_silent(self):
+        async def main():
+            made = platform.Platform()
+            old = set()
+            seen = set()
+
+            async def app(scope, receive, send):
+                if scope['type'] == 'http':
+                    seen.add(scope['client'])
+                    if scope['client'] in old:
+                        await anyio.sleep_forever()
+                await made.app(scope, receive, send)
+
+            async with serving(app) as address:
+                async with connected(address) as port:
+                    async with anyio.create_task_group() as tasks:
+                        for index in range(4):
+                            tasks.start_soon(port.put, f'k/{index}', b'')
+                    old |= seen
+                    self.assertGreater(len(old), 1)
+                    failed = 0
+                    while (await port.get('k/1')).is_err():
+                        failed += 1
+                    self.assertLessEqual(failed, len(old))
+                    self.assertTrue((await port.put('k/1', b'')).is_ok())
+
+        anyio.run(main)
