Order targets to load the models that operators declare

Only a target's coordinator orders, absolutely and one order at a time, with the epoch of the target's ledger as fencing number; the state is read first; a new coordinator waits for its predecessor's longest order. Ruled out: to wait only at targets that ignore the number (two orders at a target at once, row two_coordinators_at_once_0_checks). Loads are paced by rendezvous order and the last ready copy of a version in use stays.

--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -74,6 +74,12 @@
     default=DEFAULTS['store_write_rate'],
     help='Writes to the store a second of the whole fleet.',
 )
+@click.option(
+    '--model-loads',
+    type=click.IntRange(min=1),
+    default=DEFAULTS['model_loads'],
+    help='Loads of one model at once in the whole fleet.',
+)
 @click.option(
     '--key-shards',
     type=click.IntRange(min=1),
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -24,6 +24,7 @@
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
 from persimmonpass.controllers import online
+from persimmonpass.controllers import orders
 from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
 from persimmonpass import events
@@ -35,6 +36,7 @@
 from persimmonpass import settings
 from persimmonpass import store
 from persimmonpass.targets import engine
+from persimmonpass.targets import orders as target_orders
 from persimmonpass.targets import service
 from persimmonpass import tracing
 
@@ -200,6 +202,14 @@
             self._peers.port,
             self._membership.live_hosts,
         )
+        self._orders = orders.Orders(
+            options.host,
+            self.board,
+            self._store,
+            target_orders.connect(client),
+            self._membership.live_hosts,
+            options.model_loads,
+        )
         self._keys = key_controller.Keys(
             options.host,
             key_shards.KeyShards(
@@ -236,6 +246,7 @@
             self._config.run,
             self._targets.run,
             self._reports.run,
+            self._orders.run,
             self._batch.run,
             self._follow_members,
             self._keys.run,
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -156,6 +156,18 @@
 TARGET_ORDERED = Event(
     414, 'target_ordered', Level.INFO, 'A target was ordered to load a model.'
 )
+ORDER_FAILED = Event(
+    415,
+    'order_failed',
+    Level.WARNING,
+    'A target could not be ordered; it is tried again ever more slowly.',
+)
+ORDER_FENCED = Event(
+    416,
+    'order_fenced',
+    Level.INFO,
+    'A target refused an order: another host has taken over since.',
+)
 REQUEST_INVALID = Event(
     501,
     'request_invalid',
--- a/src/persimmonpass/objects.py
+++ b/src/persimmonpass/objects.py
@@ -75,9 +75,14 @@
 
 
 class TargetSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Labels that operators lay over those of the platform."""
+    """What operators lay over a target of the platform's list.
+
+    :ivar leaving: the target gets no more work
+    :ivar role: role that it is ordered to; empty leaves it as it is
+    """
 
     leaving: bool = False
+    role: typing.Literal['', 'both', 'prefill', 'decode'] = ''
 
 
 class ModelSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -36,6 +36,7 @@
     :ivar peer_secret: secret that all hosts of the fleet share
     :ivar store_rate: reads of the store a second of the whole fleet
     :ivar store_write_rate: writes a second of the whole fleet
+    :ivar model_loads: loads of one model in progress in the whole fleet
     :ivar key_shards: ledgers over which idempotency keys are spread
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar drain_seconds: longest time that a shutdown waits
@@ -56,6 +57,7 @@
     peer_secret: str = ''
     store_rate: float = 1000.0
     store_write_rate: float = 400.0
+    model_loads: int = 4
     key_shards: int = 8
     entry_ttl_seconds: float = 5.0
     drain_seconds: float = 60.0
--- /dev/null
+++ b/src/persimmonpass/targets/orders.py
@@ -0,0 +1,111 @@
+"""Client of the orders that a model engine takes."""
+
+import collections.abc
+import typing
+
+import httpx
+import msgspec
+import result
+
+from persimmonpass import blackboard
+from persimmonpass import events
+from persimmonpass.targets import engine
+from persimmonpass import verdicts
+
+STATE_TIMEOUT_SECONDS = 2.0
+ORDER_TIMEOUT_SECONDS = 30.0
+
+
+class State(typing.NamedTuple):
+    """What an engine was ordered to.
+
+    :ivar models: what is loaded, see :class:`blackboard.Load`
+    :ivar role: ``both``, ``prefill`` or ``decode``
+    :ivar fence: highest fencing number that it has seen
+    """
+
+    models: tuple[str, ...]
+    role: str
+    fence: int
+
+
+class Order(typing.NamedTuple):
+    """An absolute order: it replaces whatever was ordered before.
+
+    :ivar fence: fencing number; an engine that checks it refuses a lower one
+    """
+
+    models: tuple[str, ...]
+    role: str
+    fence: int
+
+
+class _Body(msgspec.Struct):
+    """An engine's answer; see :class:`State`."""
+
+    models: tuple[str, ...]
+    role: str
+    fence: int
+
+
+_Call = collections.abc.Callable[
+    ..., collections.abc.Awaitable[result.Result[State, verdicts.Failure]]
+]
+
+
+class OrderPort(typing.NamedTuple):
+    """Orders to an engine.
+
+    :ivar read: target -> its state
+    :ivar send: target, order -> the state after it
+    """
+
+    read: _Call
+    send: _Call
+
+
+def fenced(target: str) -> verdicts.Failure:
+    """Return the failure of an order with an old fencing number."""
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.ORDER_FENCED,
+        f'target {target} has seen a higher fencing number',
+        409,
+    )
+
+
+def connect(client: httpx.AsyncClient) -> OrderPort:
+    """Make the port of engines that are reached over HTTP."""
+
+    async def call(
+        target: blackboard.Target, method: str, **options: typing.Any
+    ) -> result.Result[State, verdicts.Failure]:
+        url = f'http://{target.address}/v1/orders'
+        try:
+            answer = await client.request(method, url, **options)
+            if answer.status_code == 409:
+                return result.Err(fenced(target.name))
+            answer.raise_for_status()
+            body = msgspec.json.decode(answer.content, type=_Body)
+            return result.Ok(State(body.models, body.role, body.fence))
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            verdict = verdicts.Verdict.MAY_HAVE_RUN
+            detail = type(error).__name__
+            return result.Err(engine.target_failed(target, verdict, detail))
+
+    async def read(
+        target: blackboard.Target,
+    ) -> result.Result[State, verdicts.Failure]:
+        return await call(target, 'GET', timeout=STATE_TIMEOUT_SECONDS)
+
+    async def send(
+        target: blackboard.Target, order: Order
+    ) -> result.Result[State, verdicts.Failure]:
+        return await call(
+            target,
+            'POST',
+            json=order._asdict(),
+            timeout=ORDER_TIMEOUT_SECONDS,
+        )
+
+    return OrderPort(read, send)
