Check who asks first, check files whole and explain what happened

Cause: PUT /v1/objects read and judged a body before the token; a version such as a superscript digit raised an exception; a file was checked only by the tool before its first object was written; nothing told the path of a request.

Every route now finds the person before it reads anything else. Unknown commands and kinds suggest a similar one. The routes and commands are split by concern.

--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -3,120 +3,32 @@
 import json
 import pathlib
 import sys
+import time
 import typing
+import urllib.parse
 
 import anyio
 import click
-import httpx
 import yaml
 
+from persimmonpass.cli import connection as connections
 from persimmonpass.cli import demo
+from persimmonpass.cli import jobs
 from persimmonpass import logs
 from persimmonpass import objects
 from persimmonpass import settings
 
-EXIT_USAGE = 2
-EXIT_REFUSED = 1
-TIMEOUT_SECONDS = 30.0
-
-
-class Connection(typing.NamedTuple):
-    """Where the commands go and as whom.
-
-    :ivar operator_url: ``http://ip:port`` of a daemon's operator port
-    :ivar caller_url: ``http://ip:port`` of a daemon's caller port
-    """
-
-    operator_url: str
-    caller_url: str
-    token: str
-    output: str
-
-
-def fail(message: str, status: int) -> typing.NoReturn:
-    """End with one line on standard error."""
-    print(f'error: {message}', file=sys.stderr)
-    sys.exit(status)
-
-
-def call(
-    connection: Connection,
-    method: str,
-    path: str,
-    *,
-    caller: bool = False,
-    **options: typing.Any,
-) -> httpx.Response:
-    """Call a daemon; a refusal ends the program with one line.
-
-    :param caller: use the caller port
-    """
-    base = connection.caller_url if caller else connection.operator_url
-    if not base:
-        flag = '--caller-url' if caller else '--operator-url'
-        fail(f'{flag}: needed for this command', EXIT_USAGE)
-    headers = {
-        'Authorization': f'Bearer {connection.token}',
-        **options.pop('headers', {}),
-    }
-    try:
-        answer = httpx.request(
-            method,
-            base + path,
-            headers=headers,
-            timeout=TIMEOUT_SECONDS,
-            trust_env=False,
-            **options,
-        )
-    except httpx.HTTPError as error:
-        fail(f'{base}: {type(error).__name__}: {error}', EXIT_REFUSED)
-    if answer.is_error:
-        _refuse(answer)
-    return answer
-
-
-def _refuse(answer: httpx.Response) -> typing.NoReturn:
-    try:
-        body = answer.json()
-        message = body['message']
-    except (ValueError, KeyError):
-        fail(f'status {answer.status_code}', EXIT_REFUSED)
-    if body.get('present'):
-        message += f'; now it is {json.dumps(body["present"])}'
-    usage = answer.status_code in (400, 422)
-    fail(message, EXIT_USAGE if usage else EXIT_REFUSED)
-
-
-def show(connection: Connection, rows: list[dict[str, typing.Any]]) -> None:
-    """Print rows as JSON or as a table."""
-    if connection.output == 'json':
-        click.echo(json.dumps(rows, indent=2))
-        return
-    if not rows:
-        click.echo('none')
-        return
-    columns = list(rows[0])
-    lines = [columns] + [
-        [_cell(row[name]) for name in columns] for row in rows
-    ]
-    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
-    for line in lines:
-        cells = zip(line, widths, strict=True)
-        padded = [cell.ljust(width) for cell, width in cells]
-        click.echo('  '.join(padded).rstrip())
-
-
-def _cell(value: typing.Any) -> str:
-    if isinstance(value, dict):
-        return ','.join(f'{key}={text}' for key, text in value.items())
-    if isinstance(value, list):
-        return ','.join(map(str, value))
-    return '' if value is None else str(value)
+WAIT_POLL_SECONDS = 0.2
+COMPLETION_HELP = """Completion: eval "$(_PERSIMMONPASS_COMPLETE=bash_source
+persimmonpass)" in the start file of bash; zsh_source and fish_source make it
+for the other shells."""
 
 
 @click.group(
+    cls=connections.SuggestingGroup,
     context_settings={'auto_envvar_prefix': settings.PREFIX},
     help='Operate a fleet, run requests and batch jobs.',
+    epilog=COMPLETION_HELP,
 )
 @click.option('--operator-url', type=settings.UrlType(), default=None)
 @click.option('--caller-url', type=settings.UrlType(), default=None)
@@ -133,7 +45,7 @@
     output: str,
 ) -> None:
     """Group of the commands."""
-    context.obj = Connection(
+    context.obj = connections.Connection(
         operator_url or '', caller_url or '', token, output
     )
 
@@ -142,19 +54,78 @@
 @click.option(
     '-f', 'path', required=True, type=click.Path(exists=True), help='YAML.'
 )
+@click.option(
+    '--wait',
+    type=settings.DurationType(),
+    default=None,
+    help='Wait that long until all live hosts have the versions in force.',
+)
 @click.pass_obj
-def apply(connection: Connection, path: str) -> None:
-    """Create or change the objects of a file or folder."""
+def apply(
+    connection: connections.Connection, path: str, wait: float | None
+) -> None:
+    """Create or change the objects of a file or folder.
+
+    All objects are checked, here and by the daemon, before one is changed.
+    """
     documents = _read_documents(pathlib.Path(path))
+    seen: dict[objects.Key, str] = {}
     for source, document in documents:
-        parsed = objects.parse(document)
-        if parsed.is_err():
-            failure = parsed.unwrap_err()
-            fail(f'{source}: {failure.message}', EXIT_USAGE)
+        key = _check(source, document)
+        if key in seen:
+            connections.fail(
+                f'{source}: {key.kind} {key.name!r} is in {seen[key]} too',
+                connections.EXIT_USAGE,
+            )
+        seen[key] = source
+    checked = {'objects': [document for _, document in documents]}
+    connections.call(connection, 'POST', '/v1/objects/check', json=checked)
+    changed = []
     for _, document in documents:
-        answer = call(connection, 'PUT', '/v1/objects', json=document)
+        answer = connections.call(
+            connection, 'PUT', '/v1/objects', json=document
+        )
         body = answer.json()
+        changed.append(body)
         click.echo(f'{body["kind"]} {body["name"]}: version {body["version"]}')
+    if wait is not None:
+        _wait_in_force(connection, changed, wait)
+
+
+def _check(source: str, document: typing.Any) -> objects.Key:
+    """Check a document and return its key."""
+    parsed = objects.parse(document)
+    if parsed.is_err():
+        message = parsed.unwrap_err().message
+        connections.fail(f'{source}: {message}', connections.EXIT_USAGE)
+    return parsed.unwrap().key
+
+
+def _wait_in_force(
+    connection: connections.Connection,
+    changed: list[dict[str, typing.Any]],
+    seconds: float,
+) -> None:
+    """Wait until all live hosts have the versions in force."""
+    end = time.monotonic() + seconds
+    for body in changed:
+        path = f'/v1/config/spread/{body["kind"]}/{body["name"]}'
+        while True:
+            answer = connections.call(
+                connection, 'GET', path, params={'version': body['version']}
+            )
+            waiting = answer.json()['waiting']
+            if not waiting:
+                break
+            if time.monotonic() > end:
+                hosts = ', '.join(sorted(waiting))
+                connections.fail(
+                    f'{body["kind"]} {body["name"]}: version '
+                    f'{body["version"]} is not in force on {hosts}',
+                    connections.EXIT_REFUSED,
+                )
+            time.sleep(WAIT_POLL_SECONDS)
+    click.echo('in force on all live hosts')
 
 
 def _read_documents(path: pathlib.Path) -> list[tuple[str, typing.Any]]:
@@ -162,34 +133,47 @@
     documents = []
     for file in files:
         try:
-            loaded = list(yaml.safe_load_all(file.read_text()))
-        except yaml.YAMLError as error:
+            loaded = list(yaml.safe_load_all(file.read_text('utf-8')))
+        except (yaml.YAMLError, UnicodeDecodeError) as error:
             line = ' '.join(str(error).split())
-            fail(f'{file.name}: broken YAML: {line}', EXIT_USAGE)
+            connections.fail(
+                f'{file.name}: broken YAML: {line}', connections.EXIT_USAGE
+            )
         for index, document in enumerate(loaded, 1):
             if document is not None:
                 documents.append((f'{file.name}, object {index}', document))
     if not documents:
-        fail(f'{path}: no objects there', EXIT_USAGE)
+        connections.fail(f'{path}: no objects there', connections.EXIT_USAGE)
     return documents
 
 
+def _check_kind(kind: str | None) -> None:
+    if kind is not None and kind not in objects.KINDS:
+        message = objects.unknown_kind(kind).message
+        connections.fail(message, connections.EXIT_USAGE)
+
+
 @main.command()
 @click.argument('kind', required=False)
 @click.argument('name', required=False)
 @click.pass_obj
-def get(connection: Connection, kind: str | None, name: str | None) -> None:
+def get(
+    connection: connections.Connection, kind: str | None, name: str | None
+) -> None:
     """Show configuration objects."""
+    _check_kind(kind)
     if kind and name:
         path = f'/v1/objects/{kind}/{name}'
-        rows = [call(connection, 'GET', path).json()]
+        rows = [connections.call(connection, 'GET', path).json()]
     else:
         query = {'kind': kind} if kind else {}
-        answer = call(connection, 'GET', '/v1/objects', params=query)
+        answer = connections.call(
+            connection, 'GET', '/v1/objects', params=query
+        )
         rows = answer.json()['objects']
     for row in rows:
         row.pop('deleted', None)
-    show(connection, rows)
+    connections.show(connection, rows)
 
 
 @main.command()
@@ -198,9 +182,13 @@
 @click.argument('labels', nargs=-1, required=True)
 @click.pass_obj
 def label(
-    connection: Connection, kind: str, name: str, labels: tuple[str, ...]
+    connection: connections.Connection,
+    kind: str,
+    name: str,
+    labels: tuple[str, ...],
 ) -> None:
     """Set labels (key=value) or remove them (key-)."""
+    _check_kind(kind)
     patch: dict[str, str | None] = {}
     for text in labels:
         key, separator, value = text.partition('=')
@@ -209,36 +197,77 @@
         elif text.endswith('-'):
             patch[text.removesuffix('-')] = None
         else:
-            fail(f'labels: {text!r} is not key=value or key-', EXIT_USAGE)
+            connections.fail(
+                f'labels: {text!r} is not key=value or key-',
+                connections.EXIT_USAGE,
+            )
     path = f'/v1/objects/{kind}/{name}'
-    answer = call(connection, 'PATCH', path, json={'labels': patch})
-    show(connection, [answer.json()])
+    answer = connections.call(
+        connection, 'PATCH', path, json={'labels': patch}
+    )
+    connections.show(connection, [answer.json()])
 
 
 @main.command()
 @click.argument('kind')
 @click.argument('name')
 @click.pass_obj
-def delete(connection: Connection, kind: str, name: str) -> None:
+def delete(connection: connections.Connection, kind: str, name: str) -> None:
     """Delete a configuration object."""
-    call(connection, 'DELETE', f'/v1/objects/{kind}/{name}')
+    _check_kind(kind)
+    connections.call(connection, 'DELETE', f'/v1/objects/{kind}/{name}')
     click.echo(f'{kind} {name}: deleted')
 
 
 @main.command()
+@click.option(
+    '--explain',
+    nargs=2,
+    default=None,
+    metavar='KIND NAME',
+    help='Tell what happened to a request, job or target, and why.',
+)
 @click.pass_obj
-def status(connection: Connection) -> None:
+def status(
+    connection: connections.Connection, explain: tuple[str, str] | None
+) -> None:
     """Show hosts and targets."""
-    body = call(connection, 'GET', '/v1/status').json()
+    if explain is not None:
+        _explain(connection, *explain)
+        return
+    body = connections.call(connection, 'GET', '/v1/status').json()
     if connection.output == 'json':
         click.echo(json.dumps(body, indent=2))
         return
     click.echo(f'configuration version {body["config_version"]}\n')
     columns = ('host', 'availability_zone', 'state', 'caller_address', 'load')
-    show(connection, _pick(body['members'], columns))
+    connections.show(connection, _pick(body['members'], columns))
     click.echo()
     columns = ('name', 'kind', 'availability_zone', 'leaving', 'running')
-    show(connection, _pick(body['targets'], columns))
+    connections.show(connection, _pick(body['targets'], columns))
+
+
+def _explain(connection: connections.Connection, kind: str, name: str) -> None:
+    """Show the events of a subject, oldest first."""
+    quoted = urllib.parse.quote(name, safe='')
+    path = f'/v1/explain/{kind}/{quoted}'
+    body = connections.call(connection, 'GET', path).json()
+    if connection.output == 'json':
+        click.echo(json.dumps(body, indent=2))
+        return
+    rows = [
+        {
+            'seconds ago': row['age_seconds'],
+            'host': row['host'],
+            'event': f'PP{row["event"]} {row["name"]}',
+            'details': row['fields'],
+            'meaning': row['meaning'],
+        }
+        for row in body['events']
+    ]
+    connections.show(connection, rows)
+    if body['unreachable']:
+        click.echo(f'no answer from {", ".join(body["unreachable"])}')
 
 
 def _pick(
@@ -249,18 +278,18 @@
 
 @main.command()
 @click.pass_obj
-def drain(connection: Connection) -> None:
+def drain(connection: connections.Connection) -> None:
     """Make the host behind --operator-url leave."""
-    body = call(connection, 'POST', '/v1/drain').json()
+    body = connections.call(connection, 'POST', '/v1/drain').json()
     click.echo(f'host {body["host"]} is leaving')
 
 
 @main.command()
 @click.option('--availability-zone', default='')
 @click.pass_obj
-def entry(connection: Connection, availability_zone: str) -> None:
+def entry(connection: connections.Connection, availability_zone: str) -> None:
     """Show the addresses that callers should use."""
-    answer = call(
+    answer = connections.call(
         connection,
         'GET',
         '/v1/entry',
@@ -269,7 +298,7 @@
     )
     body = answer.json()
     rows = [{'address': address} for address in body['addresses']]
-    show(connection, rows)
+    connections.show(connection, rows)
 
 
 @main.command()
@@ -279,7 +308,7 @@
 @click.option('--key', default='', help='Idempotency key.')
 @click.pass_obj
 def run(
-    connection: Connection,
+    connection: connections.Connection,
     model: str,
     prompt: str,
     max_tokens: int,
@@ -288,7 +317,7 @@
     """Run one completion and print its text."""
     body = {'model': model, 'prompt': prompt, 'max_tokens': max_tokens}
     headers = {'Idempotency-Key': key} if key else {}
-    answer = call(
+    answer = connections.call(
         connection,
         'POST',
         '/v1/completions',
@@ -313,61 +342,7 @@
     else:
         logs.discard()
     clean = anyio.run(demo.play, deployment, click.echo)
-    sys.exit(0 if clean else EXIT_REFUSED)
+    sys.exit(0 if clean else connections.EXIT_REFUSED)
 
 
-@main.group()
-def job() -> None:
-    """Submit and watch batch jobs."""
-
-
-@job.command('submit')
-@click.argument('name')
-@click.option('--service', required=True)
-@click.option('--due', type=settings.DurationType(), default='24h')
-@click.option('-f', 'path', type=click.File('rb'), required=True)
-@click.pass_obj
-def submit_job(
-    connection: Connection,
-    name: str,
-    service: str,
-    due: float,
-    path: typing.BinaryIO,
-) -> None:
-    """Submit the items of an NDJSON file as a job."""
-    answer = call(
-        connection,
-        'PUT',
-        f'/v1/jobs/{name}',
-        caller=True,
-        params={'service': service, 'due_seconds': due},
-        content=path,
-    )
-    show(connection, [answer.json()])
-
-
-@job.command('status')
-@click.argument('name')
-@click.pass_obj
-def show_job(connection: Connection, name: str) -> None:
-    """Show the progress of a job."""
-    answer = call(connection, 'GET', f'/v1/jobs/{name}', caller=True)
-    show(connection, [answer.json()])
-
-
-@job.command('cancel')
-@click.argument('name')
-@click.pass_obj
-def cancel_job(connection: Connection, name: str) -> None:
-    """Cancel a job."""
-    path = f'/v1/jobs/{name}/cancel'
-    show(connection, [call(connection, 'POST', path, caller=True).json()])
-
-
-@job.command('results')
-@click.argument('name')
-@click.pass_obj
-def read_job(connection: Connection, name: str) -> None:
-    """Print the results of a job as NDJSON."""
-    path = f'/v1/jobs/{name}/results'
-    click.echo(call(connection, 'GET', path, caller=True).text, nl=False)
+main.add_command(jobs.job)
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -21,6 +21,7 @@
 from persimmonpass.controllers import batch
 from persimmonpass.controllers import config
 from persimmonpass.controllers import drain
+from persimmonpass.controllers import explain
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
 from persimmonpass.controllers import online
@@ -236,6 +237,7 @@
         handlers |= self._config.handlers
         handlers |= self._targets.handlers
         handlers |= self._reports.handlers
+        handlers |= explain.handlers(options.host)
         handlers |= self._keys.handlers
 
     def _jobs(
@@ -300,7 +302,7 @@
 
     def _operator_app(self) -> types.ASGIApp:
         return operator.make_app(
-            operator.OperatorPorts(
+            ports.OperatorPorts(
                 self.board,
                 self._config,
                 self._store,
@@ -309,6 +311,7 @@
                 self.drain,
                 lambda: self.is_ready,
                 self._options.host,
+                self._peers.port,
             )
         )
 
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -5,12 +5,22 @@
 batch jobs, 7xx operators.
 """
 
+import collections
 import enum
+import time
 import typing
 
 import eliot
 
 
+# Kinds of subjects that events are kept for, and the field that names one.
+SUBJECTS = {'request': 'key', 'job': 'job', 'target': 'target'}
+MAX_SUBJECTS = 10_000
+MAX_EVENTS_PER_SUBJECT = 50
+
+_Fields = dict[str, object]
+
+
 class Level(enum.Enum):
     """How much an operator should care."""
 
@@ -295,6 +305,10 @@
     702, 'object_rejected', Level.INFO, "An operator's change was refused."
 )
 
+DRAIN_REQUESTED = Event(
+    703, 'drain_requested', Level.INFO, 'An operator made this host leave.'
+)
+
 CATALOGUE: dict[int, Event] = {
     event.number: event
     for event in list(globals().values())
@@ -307,12 +321,60 @@
     return CATALOGUE.get(number, TASK_FAILED)
 
 
+class Recorder:
+    """Recent events of each request, job and target, bounded in number."""
+
+    def __init__(self) -> None:
+        self._rings: collections.OrderedDict[
+            tuple[str, str], collections.deque[tuple[float, Event, _Fields]]
+        ] = collections.OrderedDict()
+
+    def add(self, event: Event, fields: _Fields) -> None:
+        """Keep an event with each subject that it names."""
+        for kind, field in SUBJECTS.items():
+            if fields.get(field):
+                self._add((kind, str(fields[field])), event, fields)
+
+    def _add(
+        self, subject: tuple[str, str], event: Event, fields: _Fields
+    ) -> None:
+        ring = self._rings.get(subject)
+        if ring is None:
+            ring = collections.deque(maxlen=MAX_EVENTS_PER_SUBJECT)
+            self._rings[subject] = ring
+        ring.append((time.monotonic(), event, fields))
+        self._rings.move_to_end(subject)
+        if len(self._rings) > MAX_SUBJECTS:
+            self._rings.popitem(last=False)
+
+    def find(self, kind: str, name: str) -> list[dict[str, typing.Any]]:
+        """Return the events of a subject as plain data, oldest first.
+
+        :param kind: one of :data:`SUBJECTS`
+        """
+        now = time.monotonic()
+        return [
+            {
+                'age_seconds': round(now - at, 3),
+                'event': event.number,
+                'name': event.name,
+                'meaning': event.meaning,
+                'fields': {key: str(value) for key, value in fields.items()},
+            }
+            for at, event, fields in self._rings.get((kind, name), ())
+        ]
+
+
+recorder = Recorder()
+
+
 def log(event: Event, **fields: object) -> None:
-    """Write one structured log message.
+    """Write one structured log message and keep it for explanations.
 
     :param event: what happened
     :param fields: values that JSON can hold
     """
+    recorder.add(event, fields)
     eliot.log_message(
         message_type=f'PP{event.number} {event.name}',
         level=event.level.value,
--- a/src/persimmonpass/objects.py
+++ b/src/persimmonpass/objects.py
@@ -1,5 +1,6 @@
 """Kinds of configuration objects and the checks on them."""
 
+import difflib
 import hashlib
 import typing
 
@@ -188,12 +189,7 @@
             )
         )
     if head.kind not in KINDS:
-        allowed = ', '.join(sorted(KINDS))
-        return result.Err(
-            verdicts.invalid(
-                'kind', f'{head.kind!r} is unknown, allowed are {allowed}'
-            )
-        )
+        return result.Err(unknown_kind(head.kind))
     if len(head.labels) > MAX_LABELS:
         return result.Err(
             verdicts.invalid('labels', f'more than {MAX_LABELS} labels')
@@ -205,6 +201,16 @@
     return _check_spec(head, spec)
 
 
+def unknown_kind(kind: str) -> verdicts.Failure:
+    """Return the failure of an unknown kind; it suggests a similar one."""
+    allowed = ', '.join(sorted(KINDS))
+    message = f'{kind!r} is unknown, allowed are {allowed}'
+    similar = difflib.get_close_matches(kind, KINDS, 1)
+    if similar:
+        message = f'{message}; did you mean {similar[0]!r}?'
+    return verdicts.invalid('kind', message)
+
+
 def _check_spec(
     head: _Document, spec: Spec
 ) -> result.Result[ConfigObject, verdicts.Failure]:
--- a/src/persimmonpass/store.py
+++ b/src/persimmonpass/store.py
@@ -341,7 +341,7 @@
 
 def _read_version(answer: httpx.Response) -> int | None:
     text = answer.headers.get('etag', '')
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isascii() and text.isdecimal() else None
 
 
 _Shape = typing.TypeVar('_Shape')
