--- a/src/persimmonpass/cli/connection.py
+++ b/src/persimmonpass/cli/connection.py
@@ -2,6 +2,7 @@
 
 import difflib
 import json
+import ssl
 import sys
 import typing
 
@@ -34,12 +35,14 @@
 
     :ivar operator_url: ``http://ip:port`` of a daemon's operator port
     :ivar caller_url: ``http://ip:port`` of a daemon's caller port
+    :ivar tls_ca: PEM file of authorities; empty for those of the system
     """
 
     operator_url: str
     caller_url: str
     token: str
     output: str
+    tls_ca: str = ''
 
 
 def fail(message: str, status: int) -> typing.NoReturn:
@@ -69,14 +72,20 @@
         **options.pop('headers', {}),
     }
     try:
+        verify: ssl.SSLContext | bool = True
+        if connection.tls_ca:
+            verify = ssl.create_default_context(cafile=connection.tls_ca)
         answer = httpx.request(
             method,
             base + path,
             headers=headers,
             timeout=TIMEOUT_SECONDS,
             trust_env=False,
+            verify=verify,
             **options,
         )
+    except ssl.SSLError as error:
+        fail(f'--tls-ca: {error}', EXIT_USAGE)
     except httpx.HTTPError as error:
         fail(f'{base}: {type(error).__name__}: {error}', EXIT_REFUSED)
     if answer.is_error:
--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -15,6 +15,7 @@
 from persimmonpass import settings
 
 EXIT_USAGE = 2
+PEM_FILE = click.Path(dir_okay=False)
 DEFAULTS = settings.Settings._field_defaults
 
 
@@ -62,6 +63,21 @@
     help='Digest of a token that is always an admin.',
 )
 @click.option('--peer-secret', default='', help='Shared by all daemons.')
+@click.option(
+    '--tls-cert',
+    type=PEM_FILE,
+    default='',
+    help='PEM file with the certificate of this host; all ports use TLS.',
+)
+@click.option(
+    '--tls-key', type=PEM_FILE, default='', help='PEM file with its key.'
+)
+@click.option(
+    '--tls-ca',
+    type=PEM_FILE,
+    default='',
+    help='PEM file of authorities; peers must show a certificate of one.',
+)
 @click.option(
     '--store-rate',
     type=click.FloatRange(min=0, min_open=True),
--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -36,6 +36,12 @@
 @click.option(
     '--output', type=click.Choice(['table', 'json']), default='table'
 )
+@click.option(
+    '--tls-ca',
+    type=click.Path(exists=True, dir_okay=False),
+    default=None,
+    help='PEM file of the authorities of the hosts.',
+)
 @click.pass_context
 def main(
     context: click.Context,
@@ -43,10 +49,11 @@
     caller_url: str | None,
     token: str,
     output: str,
+    tls_ca: str | None,
 ) -> None:
     """Group of the commands."""
     context.obj = connections.Connection(
-        operator_url or '', caller_url or '', token, output
+        operator_url or '', caller_url or '', token, output, tls_ca or ''
     )
 
 
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -2,14 +2,11 @@
 
 import collections.abc
 import contextlib
-import socket
 import typing
 
 import anyio
 import anyio.abc
 import httpx
-import hypercorn.asyncio
-import hypercorn.config
 from starlette import types
 
 from persimmonpass.api import caller
@@ -34,17 +31,23 @@
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
 from persimmonpass import sends
+from persimmonpass import servers
 from persimmonpass import settings
 from persimmonpass import store
 from persimmonpass.targets import engine
 from persimmonpass.targets import orders as target_orders
 from persimmonpass.targets import service
+from persimmonpass import tls
 from persimmonpass import tracing
 
-BACKLOG = 1024
 MAX_CONNECTIONS = 10_000
-RESTART_SECONDS = 0.5
-STOP_SECONDS = 1.0
+
+STOP_SECONDS = servers.STOP_SECONDS
+
+serve_http = servers.serve_http
+keep_running = servers.keep_running
+listen = servers.listen
+address_of = servers.address_of
 
 
 class Addresses(typing.NamedTuple):
@@ -63,6 +66,12 @@
 
     def __init__(self, options: settings.Settings) -> None:
         self._options = options
+        self._tls = None
+        if options.tls_cert:
+            files = tls.Files(
+                options.tls_cert, options.tls_key, options.tls_ca
+            )
+            self._tls = tls.Tls(options.host, files)
         self._in_progress = 0
         self._stopped = anyio.Event()
         self._sockets = [
@@ -158,6 +167,7 @@
         self._peers = link.Peers(
             listener.Identity(options.host, options.peer_secret),
             handlers,
+            self._tls,
         )
         me = blackboard.Member(
             options.host,
@@ -243,7 +253,9 @@
     def _jobs(
         self,
     ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
+        reloads = [self._tls.run] if self._tls else []
         return [
+            *reloads,
             self._membership.run,
             self._config.run,
             self._targets.run,
@@ -336,83 +348,7 @@
             self._keys.drop_others()
 
     async def _serve(self, app: types.ASGIApp, index: int) -> None:
-        await serve_http(app, self._sockets[index], self._stopped)
-
-
-async def serve_http(
-    app: types.ASGIApp,
-    listener: socket.socket,
-    stopped: anyio.Event,
-    grace_seconds: float = STOP_SECONDS,
-) -> None:
-    """Serve an application on a bound socket until an event is set.
-
-    A cancelled server closes its connections in order too, since hypercorn
-    does not take a cancellation from outside.
-
-    :param listener: given up to the server, which closes it
-    :param stopped: ends the server
-    :param grace_seconds: how long open connections may go on then
-    """
-    options = hypercorn.config.Config()
-    options.bind = [f'fd://{listener.detach()}']
-    options.accesslog = None
-    options.errorlog = None
-    options.graceful_timeout = grace_seconds
-    options.shutdown_timeout = STOP_SECONDS
-    options.backlog = BACKLOG
-    closing = anyio.Event()
-
-    async def serve() -> None:
-        with anyio.CancelScope(shield=True):
-            await hypercorn.asyncio.serve(
-                app, options, shutdown_trigger=closing.wait, mode='asgi'
-            )
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(serve)
-        try:
-            await stopped.wait()
-        finally:
-            closing.set()
-
-
-async def keep_running(
-    job: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-    host: str,
-) -> None:
-    """Run a controller and start it again if it raises."""
-    while True:
-        try:
-            await job()
-        except Exception as error:
-            events.log(
-                events.TASK_FAILED,
-                host=host,
-                task=getattr(job, '__qualname__', repr(job)),
-                message=repr(error),
-            )
-        await anyio.sleep(RESTART_SECONDS)
-
-
-def listen(address: str) -> socket.socket:
-    """Bind a listening socket.
-
-    :param address: ``ip:port``; port 0 takes a free one
-    :raises OSError: if the address is taken or not this machine's
-    """
-    ip, _, port = address.rpartition(':')
-    ip = ip.strip('[]')
-    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((ip, int(port)))
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-def address_of(listener: socket.socket) -> str:
-    """Return ``ip:port`` of a bound socket."""
-    ip, port = listener.getsockname()[:2]
-    return f'[{ip}]:{port}' if ':' in ip else f'{ip}:{port}'
+        context = self._tls.server if self._tls else None
+        await serve_http(
+            app, self._sockets[index], self._stopped, context=context
+        )
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -76,6 +76,18 @@
     Level.ERROR,
     'A background task raised an exception and is started again.',
 )
+TLS_RELOADED = Event(
+    121,
+    'tls_reloaded',
+    Level.INFO,
+    'New connections use the certificate that was put in place.',
+)
+TLS_RELOAD_FAILED = Event(
+    122,
+    'tls_reload_failed',
+    Level.ERROR,
+    'The changed PEM files cannot be used; the earlier ones stay in use.',
+)
 STORE_UNAVAILABLE = Event(
     201,
     'store_unavailable',
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -23,6 +23,7 @@
 from persimmonpass.peers import listener
 from persimmonpass.peers import messages
 from persimmonpass.peers import port
+from persimmonpass import tls
 from persimmonpass import verdicts
 
 RECONNECT_SECONDS = 0.5
@@ -72,8 +73,16 @@
     """
 
     def __init__(
-        self, identity: listener.Identity, handlers: port.Handlers
+        self,
+        identity: listener.Identity,
+        handlers: port.Handlers,
+        contexts: tls.Tls | None = None,
     ) -> None:
+        """Make the links.
+
+        :param contexts: links use TLS
+        """
+        self._contexts = contexts
         self._identity = identity
         self._listener = listener.Listener(identity, handlers)
         self._links: dict[str, _Link] = {}
@@ -100,6 +109,7 @@
                     max_size=messages.MAX_FRAME_BYTES,
                     close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
                     compression=None,
+                    ssl=self._contexts.peer_server if self._contexts else None,
                 )
             )
             self._tasks = await stack.enter_async_context(
@@ -235,8 +245,10 @@
                 link.outbox.receive_nowait()
 
     async def _run_link(self, link: _Link) -> None:
+        contexts = self._contexts
         async with websockets.asyncio.client.connect(
-            f'ws://{link.address}',
+            f'{"wss" if contexts else "ws"}://{link.address}',
+            ssl=contexts.peer_client if contexts else None,
             max_size=messages.MAX_FRAME_BYTES,
             open_timeout=listener.OPEN_TIMEOUT_SECONDS,
             close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
--- a/src/persimmonpass/peers/listener.py
+++ b/src/persimmonpass/peers/listener.py
@@ -17,7 +17,12 @@
 OPEN_TIMEOUT_SECONDS = 2.0
 CLOSE_TIMEOUT_SECONDS = 0.5
 RETRY_AFTER_SECONDS = 1.0
-CLOSED = (websockets.ConnectionClosed, OSError, TimeoutError)
+CLOSED = (
+    websockets.ConnectionClosed,
+    websockets.InvalidHandshake,
+    OSError,
+    TimeoutError,
+)
 
 
 class Identity(typing.NamedTuple):
--- /dev/null
+++ b/src/persimmonpass/servers.py
@@ -0,0 +1,114 @@
+"""Listening sockets, HTTP servers and tasks that are kept running."""
+
+import collections.abc
+import socket
+import ssl
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+from starlette import types
+
+from persimmonpass import events
+
+BACKLOG = 1024
+RESTART_SECONDS = 0.5
+STOP_SECONDS = 1.0
+
+
+class _Options(hypercorn.config.Config):
+    """Options of a server that shares a TLS context with its daemon."""
+
+    def __init__(self, context: ssl.SSLContext | None) -> None:
+        super().__init__()
+        self._context = context
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Whether the server speaks TLS."""
+        return self._context is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Return the context, which stays the daemon's."""
+        return self._context
+
+
+async def serve_http(
+    app: types.ASGIApp,
+    listener: socket.socket,
+    stopped: anyio.Event,
+    grace_seconds: float = STOP_SECONDS,
+    context: ssl.SSLContext | None = None,
+) -> None:
+    """Serve an application on a bound socket until an event is set.
+
+    A cancelled server closes its connections in order too, since hypercorn
+    does not take a cancellation from outside.
+
+    :param listener: given up to the server, which closes it
+    :param stopped: ends the server
+    :param grace_seconds: how long open connections may go on then
+    :param context: serves over TLS; may load other certificates later
+    """
+    options = _Options(context)
+    options.bind = [f'fd://{listener.detach()}']
+    options.accesslog = None
+    options.errorlog = None
+    options.graceful_timeout = grace_seconds
+    options.shutdown_timeout = STOP_SECONDS
+    options.backlog = BACKLOG
+    closing = anyio.Event()
+
+    async def serve() -> None:
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                app, options, shutdown_trigger=closing.wait, mode='asgi'
+            )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(serve)
+        try:
+            await stopped.wait()
+        finally:
+            closing.set()
+
+
+async def keep_running(
+    job: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    host: str,
+) -> None:
+    """Run a controller and start it again if it raises."""
+    while True:
+        try:
+            await job()
+        except Exception as error:
+            events.log(
+                events.TASK_FAILED,
+                host=host,
+                task=getattr(job, '__qualname__', repr(job)),
+                message=repr(error),
+            )
+        await anyio.sleep(RESTART_SECONDS)
+
+
+def listen(address: str) -> socket.socket:
+    """Bind a listening socket.
+
+    :param address: ``ip:port``; port 0 takes a free one
+    :raises OSError: if the address is taken or not this machine's
+    """
+    ip, _, port = address.rpartition(':')
+    ip = ip.strip('[]')
+    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, int(port)))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def address_of(listener: socket.socket) -> str:
+    """Return ``ip:port`` of a bound socket."""
+    ip, port = listener.getsockname()[:2]
+    return f'[{ip}]:{port}' if ':' in ip else f'{ip}:{port}'
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -12,6 +12,7 @@
     'PERSIMMONPASS_CALLER_URL',
     'PERSIMMONPASS_OPERATOR_URL',
     'PERSIMMONPASS_OUTPUT',
+    'PERSIMMONPASS_TLS_CA',
     'PERSIMMONPASS_TOKEN',
 )
 
@@ -34,6 +35,10 @@
     :ivar store_url: ``http://ip:port`` of the platform
     :ivar admin_token_sha256: digest of a token that is always an admin's
     :ivar peer_secret: secret that all hosts of the fleet share
+    :ivar tls_cert: PEM file with this host's certificate; empty for no TLS
+    :ivar tls_key: PEM file with its key
+    :ivar tls_ca: PEM file with the authorities of the hosts' certificates;
+        peers must then show one
     :ivar store_rate: reads of the store a second of the whole fleet
     :ivar store_write_rate: writes a second of the whole fleet
     :ivar model_loads: loads of one model in progress in the whole fleet
@@ -55,6 +60,9 @@
     peer_address: str = ''
     admin_token_sha256: str = ''
     peer_secret: str = ''
+    tls_cert: str = ''
+    tls_key: str = ''
+    tls_ca: str = ''
     store_rate: float = 1000.0
     store_write_rate: float = 400.0
     model_loads: int = 4
