--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -12,6 +12,7 @@
     'PERSIMMONPASS_CALLER_URL',
     'PERSIMMONPASS_OPERATOR_URL',
     'PERSIMMONPASS_OUTPUT',
+    'PERSIMMONPASS_TLS_CA',
     'PERSIMMONPASS_TOKEN',
 )
 
@@ -34,7 +35,13 @@
     :ivar store_url: ``http://ip:port`` of the platform
     :ivar admin_token_sha256: digest of a token that is always an admin's
     :ivar peer_secret: secret that all hosts of the fleet share
-    :ivar store_rate: store calls a second of the whole fleet
+    :ivar tls_cert: PEM file with this host's certificate; empty for no TLS
+    :ivar tls_key: PEM file with its key
+    :ivar tls_ca: PEM file with the authorities of the hosts' certificates;
+        peers must then show one
+    :ivar store_rate: reads of the store a second of the whole fleet
+    :ivar store_write_rate: writes a second of the whole fleet
+    :ivar model_loads: loads of one model in progress in the whole fleet
     :ivar key_shards: ledgers over which idempotency keys are spread
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar drain_seconds: longest time that a shutdown waits
@@ -53,7 +60,12 @@
     peer_address: str = ''
     admin_token_sha256: str = ''
     peer_secret: str = ''
+    tls_cert: str = ''
+    tls_key: str = ''
+    tls_ca: str = ''
     store_rate: float = 1000.0
+    store_write_rate: float = 400.0
+    model_loads: int = 4
     key_shards: int = 8
     entry_ttl_seconds: float = 5.0
     drain_seconds: float = 60.0
