--- /dev/null
+++ b/bench/spread.py
@@ -0,0 +1,132 @@
+"""Measures how soon a change of configuration is in force on all hosts.
+
+``python -m bench.spread [--hosts 8] [--changes 30]`` changes an object on one
+host after the other. The time runs from the moment the change is sent until
+the writer's answer says that all live hosts have it. Then a host that stood
+still during a change returns, and the store is down when changes are sent.
+"""
+
+import argparse
+import json
+import signal
+import statistics
+import time
+import typing
+
+from tests import processes
+
+ZONES = ('ruai', 'kasarani', 'embakasi')
+ADMIN = {'Authorization': f'Bearer {processes.ADMIN_TOKEN}'}
+POLL_SECONDS = 0.002
+FROZEN_CHANGES = 2
+FREEZE_SECONDS = 6.0
+REFUSED_CHANGES = 5
+
+
+def change(host: processes.Host, number: int) -> processes.httpx.Response:
+    """Change the object through a host."""
+    return processes.CLIENT.put(
+        f'{host.operator}/v1/objects',
+        json={
+            'kind': 'target',
+            'name': 'engine-1',
+            'labels': {'number': str(number)},
+            'spec': {},
+        },
+        headers=ADMIN,
+    )
+
+
+def waiting(host: processes.Host, version: int) -> list[str]:
+    """Return the hosts on which a version is not in force."""
+    answer = processes.CLIENT.get(
+        f'{host.operator}/v1/config/spread/target/engine-1',
+        params={'version': version},
+        headers=ADMIN,
+    )
+    return answer.json()['waiting']
+
+
+def wait_for_all(host: processes.Host, version: int) -> None:
+    """Wait until a version is in force everywhere."""
+    while waiting(host, version):
+        time.sleep(POLL_SECONDS)
+
+
+def spread_once(host: processes.Host, number: int) -> float:
+    """Change the object and return the seconds until all have it."""
+    began = time.monotonic()
+    answer = change(host, number)
+    answer.raise_for_status()
+    wait_for_all(host, answer.json()['version'])
+    return time.monotonic() - began
+
+
+def return_from_freeze(fleet: processes.Fleet, number: int) -> float:
+    """Return the seconds from a host's return until it has a change."""
+    writer, frozen = fleet.hosts[0], fleet.hosts[-1]
+    frozen.send(signal.SIGSTOP)
+    answer = change(writer, number)
+    answer.raise_for_status()
+    version = answer.json()['version']
+    time.sleep(FREEZE_SECONDS)
+    frozen.send(signal.SIGCONT)
+    began = time.monotonic()
+    wait_for_all(writer, version)
+    return time.monotonic() - began
+
+
+def change_without_store(fleet: processes.Fleet) -> dict[str, int]:
+    """Return how changes are answered while the store is down."""
+    fleet.platform.set_faults(outage=True)
+    answers: dict[str, int] = {}
+    for number in range(REFUSED_CHANGES):
+        answer = change(fleet.hosts[0], -1 - number)
+        name = f'{answer.status_code} {answer.json().get("verdict")}'
+        answers[name] = answers.get(name, 0) + 1
+    fleet.platform.set_faults()
+    return answers
+
+
+def measure(count: int, changes: int) -> dict[str, typing.Any]:
+    """Measure a fleet of a size."""
+    zones = tuple(ZONES[number % len(ZONES)] for number in range(count))
+    fleet = processes.Fleet(zones)
+    try:
+        fleet.wait_ready()
+        times = [
+            spread_once(fleet.hosts[number % count], number)
+            for number in range(changes)
+        ]
+        frozen = [
+            return_from_freeze(fleet, changes + number)
+            for number in range(FROZEN_CHANGES)
+        ]
+        answers = change_without_store(fleet)
+    finally:
+        fleet.close()
+    return {
+        'hosts': count,
+        'changes': changes,
+        'seconds_median': round(statistics.median(times), 4),
+        'seconds_max': round(max(times), 4),
+        'seconds_after_freeze': [round(value, 3) for value in frozen],
+        'answers_in_outage': answers,
+    }
+
+
+def main() -> None:
+    """Measure and print a table and JSON."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--hosts', default='3,8')
+    parser.add_argument('--changes', type=int, default=30)
+    options = parser.parse_args()
+    rows = []
+    for count in options.hosts.split(','):
+        rows.append(measure(int(count), options.changes))
+        print(rows[-1], flush=True)
+    print(json.dumps(rows))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import socket
 import typing
 
@@ -152,6 +153,7 @@
             listener.Identity(options.host, options.peer_secret),
             handlers,
         )
+        self._show_traffic()
         me = blackboard.Member(
             options.host,
             0,
@@ -216,6 +218,14 @@
         handlers |= self._targets.handlers
         handlers |= self._keys.handlers
 
+    def _show_traffic(self) -> None:
+        """Let the metrics read the traffic with peers."""
+        traffic = self._peers.traffic
+        for unit in ('frames', 'sent_bytes', 'received_bytes'):
+            self.counters.peer_traffic.labels(unit).set_function(
+                functools.partial(getattr, traffic, unit)
+            )
+
     def _jobs(
         self,
     ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
--- a/src/persimmonpass/metrics.py
+++ b/src/persimmonpass/metrics.py
@@ -44,6 +44,13 @@
             registry=self.registry,
         )
 
+        self.peer_traffic = prometheus_client.Gauge(
+            'persimmonpass_peer_traffic',
+            'Frames and bytes on the links to peers since the start.',
+            ['unit'],
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return the text that a scrape reads."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -69,13 +69,15 @@
     """All links of one daemon.
 
     :ivar port: calls for the rest of the daemon
+    :ivar traffic: what went over the links
     """
 
     def __init__(
         self, identity: listener.Identity, handlers: port.Handlers
     ) -> None:
         self._identity = identity
-        self._listener = listener.Listener(identity, handlers)
+        self.traffic = port.Traffic()
+        self._listener = listener.Listener(identity, handlers, self.traffic)
         self._links: dict[str, _Link] = {}
         self._addresses: dict[str, str] = {}
         self._numbers = itertools.count(1)
@@ -243,7 +245,7 @@
             compression=None,
             proxy=None,
         ) as connection:
-            await connection.send(self._hello())
+            await connection.send(self.traffic.sent(self._hello()))
             link.up = True
             link.heard_at = anyio.current_time()
             link.tried.set()
@@ -275,7 +277,8 @@
         connection: websockets.asyncio.client.ClientConnection,
     ) -> None:
         while True:
-            await connection.send(await link.outbox.receive())
+            data = await link.outbox.receive()
+            await connection.send(self.traffic.sent(data))
 
     async def _read_answers(
         self,
@@ -284,7 +287,7 @@
     ) -> None:
         async for data in connection:
             link.heard_at = anyio.current_time()
-            frame = messages.decode(typing.cast(bytes, data))
+            frame = messages.decode(self.traffic.received(data))
             pending = link.pending.pop(frame.number, None)
             if pending is None:
                 continue
--- a/src/persimmonpass/peers/listener.py
+++ b/src/persimmonpass/peers/listener.py
@@ -30,8 +30,14 @@
 class Listener:
     """Checks who calls and runs the handlers."""
 
-    def __init__(self, identity: Identity, handlers: port.Handlers) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        handlers: port.Handlers,
+        traffic: port.Traffic,
+    ) -> None:
         self._identity = identity
+        self._traffic = traffic
         self._handlers = handlers
 
     async def accept(
@@ -58,14 +64,14 @@
         async with anyio.create_task_group() as tasks:
             with contextlib.suppress(*CLOSED, ValueError):
                 async for data in connection:
-                    frame = messages.decode(typing.cast(bytes, data))
+                    frame = messages.decode(self._traffic.received(data))
                     tasks.start_soon(self._handle, peer, frame, connection)
                 return
             await connection.close(code=1002, reason='not a frame')
 
     def _check_hello(self, data: str | bytes) -> str | None:
         """Return the peer's id, or ``None`` if it may not talk to us."""
-        hello = messages.decode(typing.cast(bytes, data)).payload
+        hello = messages.decode(self._traffic.received(data)).payload
         if not isinstance(hello, dict):
             raise ValueError('the first frame is no hello')
         same = hmac.compare_digest(
@@ -90,7 +96,8 @@
         if frame.kind != messages.FrameKind.REQUEST:
             return
         with contextlib.suppress(*CLOSED):
-            await connection.send(_answer(frame.number, outcome))
+            data = _answer(frame.number, outcome)
+            await connection.send(self._traffic.sent(data))
 
     async def _run_handler(
         self, peer: str, frame: messages.Frame
--- a/src/persimmonpass/peers/port.py
+++ b/src/persimmonpass/peers/port.py
@@ -18,6 +18,32 @@
 Handlers = dict[str, Handler]
 
 
+class Traffic:
+    """Frames and bytes on all links of a daemon.
+
+    :ivar sent_bytes: bytes of frames that this host sent
+    :ivar received_bytes: bytes of frames that this host received
+    :ivar frames: frames in both directions
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.frames = 0
+
+    def sent(self, data: bytes) -> bytes:
+        """Count a frame that is about to be sent."""
+        self.sent_bytes += len(data)
+        self.frames += 1
+        return data
+
+    def received(self, data: str | bytes) -> bytes:
+        """Count a frame that came."""
+        self.received_bytes += len(data)
+        self.frames += 1
+        return typing.cast(bytes, data)
+
+
 class PeerPort(typing.NamedTuple):
     """Calls to peers.
 
