--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -37,6 +37,12 @@
     default=DEFAULTS['peer_listen'],
     help='Address for the other daemons.',
 )
+@click.option(
+    '--seed-peer',
+    type=settings.AddressType(),
+    multiple=True,
+    help='Peer to ask for the others while the store is down; repeatable.',
+)
 @click.option(
     '--operator-listen',
     type=settings.AddressType(),
@@ -92,6 +98,7 @@
 def command(**values: typing.Any) -> None:
     """Check the settings and run the daemon."""
     values['entry_ttl_seconds'] = values.pop('entry_ttl')
+    values['seed_peers'] = values.pop('seed_peer')
     values['drain_seconds'] = values.pop('drain_limit')
     given = {name: value for name, value in values.items() if value}
     options = settings.Settings(**given)
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -182,6 +182,7 @@
                 lambda: self._config.digest,
                 self._config.compare,
                 options.entry_ttl_seconds,
+                options.seed_peers,
             ),
         )
         self._targets = targets.Targets(
--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -209,6 +209,11 @@
             and now - self._since[row.host] >= SUSPECT_SECONDS
         ]
 
+    def resume(self, paused_seconds: float) -> None:
+        """Do not count a time during which this host stood still."""
+        for host in self._since:
+            self._since[host] += paused_seconds
+
     def forgettable(self, now: float) -> list[Member]:
         """Return the hosts that have been dead for long."""
         return [
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -32,6 +32,7 @@
     :ivar peer_address: ``ip:port`` that peers are told; empty for that of
         ``peer_listen``
     :ivar store_url: ``http://ip:port`` of the platform
+    :ivar seed_peers: peers' ``ip:port`` to ask while the store is down
     :ivar admin_token_sha256: digest of a token that is always an admin's
     :ivar peer_secret: secret that all hosts of the fleet share
     :ivar store_rate: store calls a second of the whole fleet
@@ -60,6 +61,7 @@
     data_dir: str = ''
     trace: str = ''
     log_file: str = ''
+    seed_peers: tuple[str, ...] = ()
 
 
 class AddressType(click.ParamType):
