Name each run of a daemon, so that peers can tell whether it has ended

Cause: attempts in the key ledgers were named by the incarnation that was a clock's time at the start; it is now the store's version, which a host does not know before it registered and which may rise within a run, so that a running attempt could have been taken for one of an earlier run (and the merged daemon used a name that no longer exists). Rows now carry the run; a run counts as ended if its row is dead or was followed by one of another run, never if it is unknown.

--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -84,6 +84,7 @@
         ``leaving`` or ``dead``
     :ivar generation: rises when the host leaves the entry answers or
         overrules what others say of it
+    :ivar run: names one run of the daemon, from its start to its end
     :ivar caller_address: ``ip:port`` for callers
     :ivar peer_address: ``ip:port`` for peers
     """
@@ -96,6 +97,7 @@
     state: str = 'alive'
     generation: int = 0
     has_disk: bool = False
+    run: str = ''
 
 
 class Target(typing.NamedTuple):
--- a/src/persimmonpass/controllers/membership.py
+++ b/src/persimmonpass/controllers/membership.py
@@ -120,6 +120,10 @@
             if member.state in LIVE_STATES
         ]
 
+    def is_ended(self, host: str, run: str) -> bool:
+        """Return whether a run of a host has ended, as far as known."""
+        return self._view.is_ended(host, run)
+
     def other_hosts(self) -> list[str]:
         """Return the other hosts that are not dead."""
         return [
--- a/src/persimmonpass/controllers/registration.py
+++ b/src/persimmonpass/controllers/registration.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import random
-import uuid
 
 import anyio
 import cbor2
@@ -34,7 +33,6 @@
         self._port = port
         self._row = row
         self._set_incarnation = set_incarnation
-        self._token = uuid.uuid4().hex
         self._version = 0
         self._again = anyio.Event()
 
@@ -66,14 +64,14 @@
             found = await self._port.get(self._key)
             if isinstance(found, result.Ok):
                 version = found.ok_value.version
-                if cbor2.loads(found.ok_value.data)[1] == self._token:
+                if decode(found.ok_value).run == self._row().run:
                     return version
             elif found.err_value.event == events.STORE_NOT_FOUND:
                 version = store.CREATE
             else:
                 await _pause()
                 continue
-            data = cbor2.dumps([list(self._row()), self._token])
+            data = cbor2.dumps(list(self._row()))
             written = await self._port.put(self._key, data, version)
             if isinstance(written, result.Ok):
                 return written.ok_value
@@ -90,6 +88,6 @@
     The row says that a host was started, not that it runs: it is given out
     once its own beats say so.
     """
-    payload = cbor2.loads(stored.data)[0]
+    payload = cbor2.loads(stored.data)
     row = blackboard.Member(*payload[: len(blackboard.Member._fields)])
     return row._replace(incarnation=stored.version, state='starting')
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -5,6 +5,7 @@
 import functools
 import socket
 import typing
+import uuid
 
 import anyio
 import anyio.abc
@@ -42,6 +43,7 @@
 MAX_CONNECTIONS = 10_000
 RESTART_SECONDS = 0.5
 STOP_SECONDS = 1.0
+RUN_DIGITS = 12
 
 
 class Addresses(typing.NamedTuple):
@@ -162,6 +164,7 @@
             options.peer_address or self.addresses.peer,
             state='starting',
             has_disk=bool(options.data_dir),
+            run=uuid.uuid4().hex[:RUN_DIGITS],
         )
         self._config = config.Config(
             options.host,
@@ -200,7 +203,7 @@
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
-            f'{options.host}#{incarnation}',
+            f'{options.host}#{me.run}',
             self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
@@ -241,11 +244,8 @@
 
     def _membership_says_gone(self, runner: str) -> bool:
         """Return whether a run of a daemon has certainly ended."""
-        host, _, incarnation = runner.partition('#')
-        member = self.board.members.get(host)
-        if member is None:
-            return False
-        return member.state == 'dead' or member.incarnation > int(incarnation)
+        host, _, run = runner.partition('#')
+        return self._membership.is_ended(host, run)
 
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -75,6 +75,7 @@
         self._random = random.Random(seed)  # noqa: S311
         self._since: dict[str, float] = {}
         self._fresh: dict[str, int] = {}
+        self._ended: dict[str, set[str]] = {}
         self._links: set[str] | None = None
         self._turn: list[str] = []
         self._ticks = 0
@@ -104,6 +105,16 @@
         """Return the row of a host."""
         return self._rows.get(host)
 
+    def is_ended(self, host: str, run: str) -> bool:
+        """Return whether a run of a host is dead or was followed by another.
+
+        A run that this host never knew may be a newer one than it knows.
+        """
+        row = self._rows.get(host)
+        if row is not None and row.run == run:
+            return row.state == 'dead'
+        return run in self._ended.get(host, ())
+
     def links(self) -> set[str]:
         """Return the hosts to which this one keeps links."""
         if self._links is None:
@@ -228,6 +239,7 @@
         self._rows.pop(host, None)
         self._since.pop(host, None)
         self._fresh.pop(host, None)
+        self._ended.pop(host, None)
 
     def should_sync(self, digest: int, now: float) -> bool:
         """Return whether to compare views, as gossip did not suffice."""
@@ -269,6 +281,8 @@
         known = self._rows.get(row.host)
         if known is not None:
             self._count(known)
+            if known.run != row.run:
+                self._ended.setdefault(row.host, set()).add(known.run)
         self._count(row)
         self._rows[row.host] = row
         self._since[row.host] = now
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Membership under faults, on a paused clock."""
 
+import itertools
 import unittest
 
 import anyio
@@ -32,6 +33,7 @@
         self.loads = {}
         self.configs = {}
         self.seeds = ()
+        self.runs = itertools.count()
 
     async def start(self, *hosts, settle=DETECT_SECONDS):
         for host in hosts:
@@ -41,7 +43,12 @@
     def _start(self, host):
         board = blackboard.Blackboard()
         me = blackboard.Member(
-            host, 0, f'zone-{host[0]}', f'caller-{host}', f'peer-{host}'
+            host,
+            0,
+            f'zone-{host[0]}',
+            f'caller-{host}',
+            f'peer-{host}',
+            run=f'run-{next(self.runs)}',
         )
         made = membership.Membership(
             me,
@@ -191,12 +198,18 @@
         old = fleet.controllers['b1'].me
         fleet.kill('b1')
         await anyio.sleep(DETECT_SECONDS)
+        self.assertTrue(fleet.controllers['a1'].is_ended('b1', old.run))
         fleet.store.outage = outage
         await fleet.start('b1', settle=HEAL_SECONDS)
         self.assertEqual({'alive'}, fleet.states('b1'))
         new = fleet.boards['a1'].members.get('b1')
         self.assertGreater(policy.age(new), policy.age(old))
         self.assertEqual(outage, new.incarnation == old.incarnation)
+        ended = fleet.controllers['a1'].is_ended
+        for run, expected in (
+            (old.run, True), (new.run, False), ('not known', False)
+        ):  # fmt: skip
+            self.assertIs(expected, ended('b1', run))
         self.assertEqual(3, len(fleet.boards['b1'].members))
         fleet.store.outage = False
         await anyio.sleep(HEAL_SECONDS)
@@ -333,7 +346,7 @@
     rows = [
         blackboard.Member(
             f'host-{n:04}', n + 1, f'zone-{n % ZONES:02}', '10.20.30.40:8000',
-            '10.20.30.40:8001',
+            '10.20.30.40:8001', run='0123456789ab',
         )
         for n in range(count)
     ]  # fmt: skip
