Repair a lost change also while others keep coming

Cause: a host compared digests only when nothing had changed on it for half a second, so that a lost offer stayed lost during a burst; seen in test_one_offer_lost_among_many, which failed first. Now the time counts from the first beat of that peer that differed.

--- a/src/persimmonpass/controllers/config.py
+++ b/src/persimmonpass/controllers/config.py
@@ -72,7 +72,7 @@
         self._live_hosts = live_hosts or (lambda: [host])
         self._documents = documents.Documents()
         self._random = random.Random(host)  # noqa: S311
-        self._changed_at = 0.0
+        self._differs_since: dict[str, float] = {}
         self._differing: set[str] = set()
         self._differs = anyio.Event()
 
@@ -117,10 +117,12 @@
 
     def compare(self, host: str, digest: int) -> None:
         """Take note of a peer's digest; what it has newer is fetched."""
-        recent = anyio.current_time() - self._changed_at < SETTLE_SECONDS
         if digest == self.digest:
-            self._differing.discard(host)
-        elif not recent:
+            self._differs_since.pop(host, None)
+            return
+        now = anyio.current_time()
+        since = self._differs_since.setdefault(host, now)
+        if now - since >= SETTLE_SECONDS:
             self._differing.add(host)
             self._differs.set()
 
@@ -155,7 +157,6 @@
     def _take(self, document: documents.Document) -> bool:
         if not self._documents.put(document):
             return False
-        self._changed_at = anyio.current_time()
         try:
             item = objects.from_document(document)
         except (msgspec.ValidationError, KeyError) as error:
@@ -256,7 +257,9 @@
             await self._differs.wait()
             self._differs = anyio.Event()
             while self._differing:
-                await self._fetch_newer(self._differing.pop())
+                host = self._differing.pop()
+                self._differs_since.pop(host, None)
+                await self._fetch_newer(host)
             await anyio.sleep(SETTLE_SECONDS)
 
     async def _fetch_newer(self, host: str) -> bool:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -103,6 +103,22 @@
         await watched.wait()
         self.assertEqual({item.version}, watched.in_force())
 
+    @on_watched
+    async def test_one_offer_lost_among_many(self, watched):
+        """Other changes come all the time meanwhile."""
+        fleet = watched.fleet
+        for host in HOSTS:
+            handlers = fleet.network.handlers[host]
+            take = handlers[config.METHOD_OFFER]
+            handlers[config.METHOD_OFFER] = _lose_some(take)
+        item = make(1000, say='second')
+        fleet.configs['b2'].offer(item)
+        for number in range(int(IN_FORCE_SECONDS * 10)):
+            other = item._replace(name='other', version=2000 + number)
+            fleet.configs['a1'].offer(other)
+            await watched.wait(0.1)
+        self.assertEqual({item.version}, watched.in_force())
+
     @on_watched
     async def test_log_cut_while_the_store_was_down(self, watched):
         fleet = watched.fleet
@@ -281,4 +297,15 @@
     return result.Ok(None)
 
 
+def _lose_some(take):
+    """Lose the offers of one object."""
+
+    async def handle(peer, payload):
+        if payload['name'] == KEY.name:
+            return result.Ok(None)
+        return await take(peer, payload)
+
+    return handle
+
+
 _NO_PEERS = fakes.Network().port('c1')
