--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -1,5 +1,6 @@
 """The drain of a host: on a paused clock, and as a process."""
 
+import json
 import signal
 import time
 import unittest
@@ -8,6 +9,7 @@
 import parameterized
 
 from persimmonpass.controllers import drain
+from persimmonpass.standins import engine
 from tests import fakes
 from tests import processes
 from tests import test_membership
@@ -178,6 +180,35 @@
         self.assertIsNotNone(self.old.find_event('drain_finished'))
         self.assertIsNone(self.old.find_event('drain_unconfirmed'))
 
+    def test_stream_in_progress_is_not_cut(self):
+        self.fleet.start_engine('engine-0', 'ruai', 'pumpread@3')
+        tokens = 200
+        body = {'model': 'pumpread', 'prompt': 'p', 'max_tokens': tokens}
+        headers = {'Authorization': 'Bearer athi-desk-token'}
+        url = f'{self.old.caller}/v1/completions'
+        processes.wait_until(
+            lambda: (
+                processes.CLIENT.post(
+                    url, json={**body, 'max_tokens': 1}, headers=headers
+                ).is_success
+            )
+        )
+        with processes.CLIENT.stream(
+            'POST', url, json={**body, 'stream': True}, headers=headers
+        ) as answer:
+            lines = answer.iter_lines()
+            first = next(lines)
+            self.old.send(signal.SIGTERM)
+            rest = [line for line in lines if line]
+        texts = [
+            json.loads(line.removeprefix('data: '))['choices'][0]['text']
+            for line in [first, *rest[:-1]]
+        ]
+        self.assertEqual('data: [DONE]', rest[-1])
+        self.assertEqual(engine.full_text('p', tokens), ''.join(texts))
+        processes.wait_until(lambda: self.old.process.poll() is not None)
+        self.assertEqual(0, self.old.process.returncode)
+
     def test_second_signal_with_a_frozen_peer(self):
         self.other.send(signal.SIGSTOP)
         self.old.send(signal.SIGTERM)
