--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -2,7 +2,9 @@
 
 import collections.abc
 import contextlib
+import functools
 import typing
+import uuid
 
 import anyio
 import anyio.abc
@@ -41,6 +43,7 @@
 from persimmonpass import tracing
 
 MAX_CONNECTIONS = 10_000
+RUN_DIGITS = 12
 
 STOP_SECONDS = servers.STOP_SECONDS
 
@@ -169,6 +172,7 @@
             handlers,
             self._tls,
         )
+        self._show_traffic()
         me = blackboard.Member(
             options.host,
             0,
@@ -177,6 +181,7 @@
             options.peer_address or self.addresses.peer,
             state='starting',
             has_disk=bool(options.data_dir),
+            run=uuid.uuid4().hex[:RUN_DIGITS],
         )
         self._config = config.Config(
             options.host,
@@ -197,6 +202,7 @@
                 lambda: self._config.digest,
                 self._config.compare,
                 options.entry_ttl_seconds,
+                options.seed_peers,
             ),
         )
         self._targets = targets.Targets(
@@ -250,6 +256,14 @@
         handlers |= explain.handlers(options.host)
         handlers |= self._keys.handlers
 
+    def _show_traffic(self) -> None:
+        """Let the metrics read the traffic with peers."""
+        traffic = self._peers.traffic
+        for unit in ('frames', 'sent_bytes', 'received_bytes'):
+            self.counters.peer_traffic.labels(unit).set_function(
+                functools.partial(getattr, traffic, unit)
+            )
+
     def _jobs(
         self,
     ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
@@ -272,11 +286,8 @@
 
     def _membership_says_gone(self, runner: str) -> bool:
         """Return whether a run of a daemon has certainly ended."""
-        host, _, incarnation = runner.partition('#')
-        member = self.board.members.get(host)
-        if member is None:
-            return False
-        return member.state == 'dead' or member.incarnation > int(incarnation)
+        host, _, run = runner.partition('#')
+        return self._membership.is_ended(host, run)
 
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
