--- a/src/persimmonpass/group_commit.py
+++ b/src/persimmonpass/group_commit.py
@@ -6,7 +6,7 @@
 from persimmonpass import verdicts
 
 MAX_LINGER_SECONDS = 0.05
-LINGER_SHARE = 0.5
+LINGER_SHARE = 0.9
 SMOOTHING = 0.2
 
 
--- a/src/persimmonpass/policy/compaction.py
+++ b/src/persimmonpass/policy/compaction.py
@@ -6,7 +6,9 @@
 FULL_SEGMENT_BYTES = 400_000
 MERGE_SEGMENTS = 8
 MAX_SEGMENTS = 1_000
-MAX_EXPIRED = 16
+# One is more than are added for each spill, once small ones are merged; so
+# the names that wait for their deletion stay few.
+MAX_EXPIRED = 1
 
 
 class Segment(typing.NamedTuple):
--- a/src/persimmonpass/segments.py
+++ b/src/persimmonpass/segments.py
@@ -19,6 +19,9 @@
 READ_ATTEMPTS = 3
 PARALLEL_READS = 8
 MAX_REMOVED = 50
+# More than are removed for each spill on average; spread, they don't hold
+# up one commit.
+DELETES_A_SPILL = 2
 
 
 def segment_key(path: str, commit: str) -> str:
@@ -144,7 +147,9 @@
     written = await _write(port, path, head, records, priority)
     if isinstance(written, result.Err):
         return result.Err(written.err_value)
-    left = await _delete(port, head.removed, priority)
+    doomed = head.removed[:DELETES_A_SPILL]
+    failed = await _delete(port, doomed, priority)
+    left = [*failed, *head.removed[DELETES_A_SPILL:]]
     replaced = [one.key for one in plan.expired + plan.merged]
     return result.Ok(
         head._replace(
