--- a/src/persimmonpass/controllers/membership.py
+++ b/src/persimmonpass/controllers/membership.py
@@ -1,165 +1,368 @@
-"""Keeps the table of hosts by heartbeats between peers."""
+"""Keeps the table of hosts by heartbeats, probes and gossip."""
 
+import collections.abc
 import typing
 
 import anyio
-import cbor2
+import anyio.abc
 import result
 
 from persimmonpass import blackboard
 from persimmonpass import budget
+from persimmonpass.controllers import registration
 from persimmonpass import events
-from persimmonpass.peers import link
 from persimmonpass.peers import port as peer_port
-from persimmonpass.policy import membership
+from persimmonpass.policy import membership as policy
+from persimmonpass.policy import shards
 from persimmonpass import store
 from persimmonpass import verdicts
 
-PREFIX = 'members/'
 METHOD_BEAT = 'membership.beat'
+METHOD_PROBE = 'membership.probe'
+METHOD_SYNC = 'membership.sync'
 METHOD_LEAVING = 'membership.leaving'
-BEAT_SECONDS = 0.5
-LIST_SECONDS = 10.0
-LIST_SECONDS_ALONE = 1.0
+RETRY_SECONDS = 1.0
+LIST_SECONDS = 30.0
+LISTERS = 3
+STALL_SECONDS = 1.0
+DEPART_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 2.0
 
+LIVE_STATES = ('alive', 'suspect')
+
+Follow = collections.abc.Callable[
+    [collections.abc.Mapping[str, str], collections.abc.Collection[str]], None
+]
+Answer = result.Result[typing.Any, verdicts.Failure]
 
-class Membership:
-    """The membership controller of one daemon.
 
-    :ivar me: this host's row
+class MembershipPorts(typing.NamedTuple):
+    """What membership works with.
+
+    :ivar follow: addresses by host, and the hosts to keep links to
+    :ivar load: requests in progress on this host
+    :ivar config_digest: digest of the configuration in force
+    :ivar compare_config: takes a host and the digest of its configuration
+    :ivar entry_ttl_seconds: how long callers may keep an entry answer
     """
 
+    store: store.StorePort
+    peers: peer_port.PeerPort
+    follow: Follow
+    calls: budget.Budget
+    load: collections.abc.Callable[[], int]
+    config_digest: collections.abc.Callable[[], int]
+    compare_config: collections.abc.Callable[[str, int], None]
+    entry_ttl_seconds: float
+
+
+class Membership:
+    """The membership controller of one daemon."""
+
     def __init__(
         self,
         me: blackboard.Member,
         board: blackboard.Blackboard,
-        port: store.StorePort,
-        peers: link.Peers,
-        calls: budget.Budget,
+        ports: MembershipPorts,
     ) -> None:
-        self.me = me
         self._board = board
-        self._port = port
-        self._peers = peers
-        self._calls = calls
-        self._heard: dict[str, float] = {}
+        self._ports = ports
+        self._port = ports.store
+        self._peers = ports.peers
+        self._host = me.host
+        self._view = policy.View(me, shards.score('draws', me.host))
+        self._registration = registration.Registration(
+            me.host, ports.store, lambda: self.me, self._set_incarnation
+        )
         board.members.put(me.host, me)
 
+    @property
+    def me(self) -> blackboard.Member:
+        """This host's row."""
+        return self._view.me
+
     @property
     def handlers(self) -> peer_port.Handlers:
         """Handlers of peers' calls."""
         return {
             METHOD_BEAT: self._take_beat,
-            METHOD_LEAVING: self._take_beat,
+            METHOD_PROBE: self._probe_for,
+            METHOD_SYNC: self._give_rows,
+            METHOD_LEAVING: self._take_leaving,
         }
 
     async def run(self) -> None:
-        """Register this host, then beat and watch the others for ever."""
+        """Register this host, then beat and judge the others for ever."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._register)
+            tasks.start_soon(self._registration.run)
             tasks.start_soon(self._find_members)
+            tasks.start_soon(self._forget_dead)
             while True:
-                self._beat()
-                self._judge()
-                await anyio.sleep(BEAT_SECONDS)
+                began = anyio.current_time()
+                self._tick(tasks, began)
+                await anyio.sleep(policy.TICK_SECONDS)
+                late = anyio.current_time() - began - policy.TICK_SECONDS
+                if late > policy.SUSPECT_SECONDS:
+                    self._registration.renew()
 
     def live_hosts(self) -> list[str]:
         """Return the hosts that may own ledgers and targets."""
         return [
             member.host
             for member in self._board.members.rows()
-            if member.state in ('alive', 'suspect')
+            if member.state in LIVE_STATES
         ]
 
-    def leave(self) -> None:
-        """Take this host out of the entry answers and out of ownership."""
-        self._set_me(
-            self.me._replace(
-                state='leaving', generation=self.me.generation + 1
-            )
-        )
+    def other_hosts(self) -> list[str]:
+        """Return the other hosts that are not dead."""
+        return [
+            row.host
+            for row in self._view.rows()
+            if row.state != 'dead' and row.host != self._host
+        ]
+
+    def enter(self) -> None:
+        """Let this host be given out to callers."""
+        if self.me.state == 'starting':
+            self._set_me(self.me._replace(state='alive'))
+
+    def leave(self) -> bool:
+        """Take this host out of the entry answers and out of ownership.
 
-    async def confirm_leaving(self, host: str) -> bool:
-        """Ask a peer to stop giving out this host's address."""
-        answered = await self._peers.port.call(
-            host, METHOD_LEAVING, list(self.me)
+        :returns: whether it was ever given out
+        """
+        given_out = self.me.state != 'starting'
+        me = self.me._replace(
+            state='leaving', generation=self.me.generation + 1
         )
-        return isinstance(answered, result.Ok)
+        self._set_me(me)
+        return given_out
 
-    def set_load(self, load: int) -> None:
-        """Say how many requests this host has in progress."""
-        self._set_me(self.me._replace(load=load))
+    async def confirm_leaving(self, host: str) -> float | None:
+        """Ask a peer to stop giving out this host's address.
+
+        :returns: for how long its callers keep an answer, in seconds, if it
+            has known this host as leaving since the present generation;
+            otherwise ``None``
+        """
+        me = self.me
+        answered = await self._peers.call(host, METHOD_LEAVING, list(me))
+        if isinstance(answered, result.Err):
+            return None
+        row, ttl = answered.ok_value
+        known = decode_row(row)
+        if known.state not in ('leaving', 'dead'):
+            return None
+        return float(ttl) if policy.age(known) >= policy.age(me) else None
+
+    async def depart(self) -> None:
+        """Tell the peers and the store that this host has ended."""
+        self._set_me(self.me._replace(state='dead'))
+        with anyio.move_on_after(DEPART_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for host in self._view.links():
+                    tasks.start_soon(self._call_beat, host)
+                tasks.start_soon(self._registration.remove)
+
+    def _set_incarnation(self, incarnation: int) -> None:
+        if incarnation > self.me.incarnation:
+            self._set_me(self.me._replace(incarnation=incarnation))
 
     def _set_me(self, me: blackboard.Member) -> None:
-        self.me = me
-        self._board.members.put(me.host, me)
+        self._view.set_me(me, anyio.current_time())
+        self._publish([me])
 
-    async def _register(self) -> None:
-        data = cbor2.dumps(list(self.me))
-        while True:
-            written = await self._port.put(PREFIX + self.me.host, data)
-            if isinstance(written, result.Ok):
-                return
-            await anyio.sleep(LIST_SECONDS_ALONE)
+    def _tick(self, tasks: anyio.abc.TaskGroup, now: float) -> None:
+        self._board.host_loads.put(self._host, self._ports.load())
+        self._publish(self._view.judge(now))
+        for host in self._view.targets():
+            tasks.start_soon(self._beat, host)
 
-    async def _find_members(self) -> None:
-        while True:
-            found = await self._port.list(PREFIX)
-            if isinstance(found, result.Ok):
-                for stored in found.ok_value:
-                    self._learn(decode(stored.data))
-            alone = len(self._board.members) == 1
-            await anyio.sleep(LIST_SECONDS_ALONE if alone else LIST_SECONDS)
-
-    def _learn(self, member: blackboard.Member) -> bool:
-        """Take a row that is not older than the known one."""
-        if member.host == self.me.host:
-            return False
-        known = self._board.members.get(member.host)
-        if known is not None:
-            age = (known.incarnation, known.generation)
-            if (member.incarnation, member.generation) < age:
-                return False
-            if known.incarnation == member.incarnation:
-                if known.state != 'dead' and member.state == 'alive':
-                    member = member._replace(state=known.state)
-        else:
-            self._heard.setdefault(member.host, anyio.current_time())
-        self._board.members.put(member.host, member)
-        self._peers.connect(member.host, member.peer_address)
-        return True
-
-    async def _take_beat(
-        self, peer: str, payload: typing.Any
-    ) -> result.Result[list[typing.Any], verdicts.Failure]:
-        member = blackboard.Member(*payload)
-        if self._learn(member):
-            self._heard[member.host] = anyio.current_time()
-        return result.Ok(list(self.me))
-
-    def _beat(self) -> None:
-        peer_port.broadcast(self._peers.port, METHOD_BEAT, list(self.me))
-
-    def _judge(self) -> None:
-        now = anyio.current_time()
-        for member in self._board.members.rows():
-            if member.host == self.me.host:
-                continue
-            silence = now - self._heard.get(member.host, now)
-            state = membership.state(member.state, silence)
-            if state != member.state:
+    def _publish(
+        self, rows: collections.abc.Iterable[blackboard.Member]
+    ) -> None:
+        """Put changed rows on the blackboard and follow them with links."""
+        changed = False
+        for row in rows:
+            changed = True
+            known = self._board.members.get(row.host)
+            if known is None or known.state != row.state:
                 events.log(
                     events.MEMBER_CHANGED,
-                    host=self.me.host,
-                    member=member.host,
-                    state=state,
+                    host=self._host,
+                    member=row.host,
+                    state=row.state,
                 )
-                self._board.members.put(
-                    member.host, member._replace(state=state)
-                )
-        self._calls.set_hosts(len(self.live_hosts()))
+            if row.host == self._host and known and known.state == 'dead':
+                self._registration.renew()
+            self._board.members.put(row.host, row)
+        if changed:
+            self._ports.follow(
+                {
+                    row.host: row.peer_address
+                    for row in self._view.rows()
+                    if row.host != self._host
+                },
+                self._view.links(),
+            )
+            self._ports.calls.set_hosts(len(self.live_hosts()))
+
+    async def _beat(self, host: str) -> None:
+        """Beat a host; one that does not answer is asked through others."""
+        seen = self._view.get(host)
+        began = anyio.current_time()
+        answered = await self._call_beat(host)
+        if isinstance(answered, result.Ok):
+            await self._heard(host, decode_beat(answered.ok_value))
+            return
+        if seen is None or seen.state not in ('alive', 'leaving'):
+            return
+        if await self._reached_by_others(host):
+            return
+        limit = policy.BEAT_TIMEOUT_SECONDS + PROBE_TIMEOUT_SECONDS
+        now = anyio.current_time()
+        if now - began > limit + STALL_SECONDS:
+            # It was this process that stood still.
+            return
+        changed = self._view.suspect(seen, now)
+        if changed is not None:
+            self._publish([changed])
+
+    async def _call_beat(self, host: str) -> Answer:
+        return await self._peers.call(
+            host, METHOD_BEAT, self._make_beat(), policy.BEAT_TIMEOUT_SECONDS
+        )
+
+    def _make_beat(self) -> list[typing.Any]:
+        beat = self._view.make_beat(
+            self._ports.load(), self._ports.config_digest()
+        )
+        return encode_beat(beat)
+
+    def _note(self, host: str, beat: policy.Beat) -> None:
+        """Take what a beat or its answer says."""
+        self._board.host_loads.put(host, beat.load)
+        self._ports.compare_config(host, beat.config_digest)
+        self._publish(self._view.take_beat(beat, anyio.current_time()))
+
+    async def _heard(self, host: str, beat: policy.Beat) -> None:
+        self._note(host, beat)
+        if not self._view.should_sync(beat.digest, anyio.current_time()):
+            return
+        answered = await self._peers.call(
+            host, METHOD_SYNC, self._view.buckets
+        )
+        if isinstance(answered, result.Ok):
+            self._learn(map(decode_row, answered.ok_value))
+
+    def _learn(
+        self, rows: collections.abc.Iterable[blackboard.Member]
+    ) -> None:
+        now = anyio.current_time()
+        merged = [self._view.merge(row, now) for row in rows]
+        self._publish(row for row in merged if row is not None)
+
+    async def _reached_by_others(self, host: str) -> bool:
+        """Ask other hosts whether a host answers them."""
+        reached = False
+
+        async def ask(prober: str) -> None:
+            nonlocal reached
+            answered = await self._peers.call(
+                prober, METHOD_PROBE, host, PROBE_TIMEOUT_SECONDS
+            )
+            if isinstance(answered, result.Ok) and answered.ok_value:
+                reached = True
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for prober in self._view.probers(host):
+                tasks.start_soon(ask, prober)
+        return reached
+
+    async def _take_beat(self, peer: str, payload: typing.Any) -> Answer:
+        self._note(peer, decode_beat(payload))
+        return result.Ok(self._make_beat())
+
+    async def _probe_for(self, peer: str, payload: typing.Any) -> Answer:
+        answered = await self._call_beat(str(payload))
+        return result.Ok(isinstance(answered, result.Ok))
+
+    async def _give_rows(self, peer: str, payload: typing.Any) -> Answer:
+        rows = self._view.differing(payload)
+        return result.Ok([list(row) for row in rows])
+
+    async def _take_leaving(self, peer: str, payload: typing.Any) -> Answer:
+        """Stop giving out a host; say what is in force from now on."""
+        row = decode_row(payload)
+        self._learn([row])
+        known = self._board.members.get(row.host) or row
+        return result.Ok([list(known), self._ports.entry_ttl_seconds])
+
+    async def _find_members(self) -> None:
+        """Read the registered hosts: at the start, alone, or as a lister."""
+        await self._registration.done.wait()
+        listed = False
+        while True:
+            if not listed or self._is_alone() or self._is_lister():
+                found = await self._port.list(registration.PREFIX)
+                if isinstance(found, result.Ok):
+                    listed = True
+                    self._learn(map(registration.decode, found.ok_value))
+            soon = not listed or self._is_alone()
+            await anyio.sleep(RETRY_SECONDS if soon else LIST_SECONDS)
+
+    def _is_alone(self) -> bool:
+        return len(self.live_hosts()) <= 1
+
+    def _is_lister(self) -> bool:
+        ranked = shards.ranked(registration.PREFIX, self.live_hosts())
+        return self._host in ranked[:LISTERS]
+
+    async def _forget_dead(self) -> None:
+        """Drop hosts that have been dead for long, and their objects.
+
+        One host removes the object, and only at the version of the dead
+        incarnation: a host that registered again keeps it.
+        """
+        while True:
+            await anyio.sleep(LIST_SECONDS)
+            for row in self._view.forgettable(anyio.current_time()):
+                key = registration.PREFIX + row.host
+                if shards.owner(key, self.live_hosts()) == self._host:
+                    deleted = await self._port.delete(key, row.incarnation)
+                    if store_failed(deleted):
+                        continue
+                if self._view.get(row.host) == row:
+                    self._view.forget(row.host)
+                    self._board.members.remove(row.host)
+                    self._board.host_loads.remove(row.host)
+
+
+def store_failed(deleted: result.Result[None, verdicts.Failure]) -> bool:
+    """Return whether a conditional removal has to be repeated."""
+    if isinstance(deleted, result.Ok):
+        return False
+    return deleted.err_value.event != events.STORE_CONFLICT
+
+
+def encode_beat(beat: policy.Beat) -> list[typing.Any]:
+    """Return the wire form of a heartbeat."""
+    rows = [list(row) for row in beat.rows]
+    return [list(beat.row), rows, *beat[2:]]
+
+
+def decode_beat(payload: typing.Any) -> policy.Beat:
+    """Read the wire form of a heartbeat.
+
+    :raises TypeError: if it is none
+    """
+    row, rows, *numbers = payload
+    return policy.Beat(
+        decode_row(row), [decode_row(other) for other in rows], *numbers
+    )
 
 
-def decode(data: bytes) -> blackboard.Member:
-    """Read a stored row."""
-    return blackboard.Member(*cbor2.loads(data))
+def decode_row(payload: typing.Any) -> blackboard.Member:
+    """Read a row; fields that a newer release added are left out."""
+    return blackboard.Member(*payload[: len(blackboard.Member._fields)])
