Tell attempts by host and run, and prove keys with killed daemons

Each controller makes an id for its run instead; an owner that hears of another run of a host ends the attempts of the one before (test_runner_restarts_unnoticed). ledger.encode_head, which batch uses, is there again.

--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import typing
+import uuid
 
 import anyio
 import result
@@ -70,13 +71,10 @@
         peers: peer_port.PeerPort,
         live_hosts: collections.abc.Callable[[], list[str]],
         key_shards_count: int,
-        runner: str = '',
         backup_hosts: collections.abc.Callable[[], list[str]] = list,
     ) -> None:
         """Make the controller.
 
-        :param runner: name of this run of the daemon, which the ``is_gone``
-            of the shards understands
         :param backup_hosts: hosts that may keep an uncommitted answer, the
             best one first
         """
@@ -85,7 +83,7 @@
         self._peers = peers
         self._live_hosts = live_hosts
         self._key_shards = key_shards_count
-        self._runner = runner or host
+        self._run = uuid.uuid4().hex
         self._backup_hosts = backup_hosts
         self._seen_hosts: list[str] = []
         self._here: dict[str, _Here] = {}
@@ -144,7 +142,8 @@
             fingerprint=fingerprint,
             attempt=attempt,
             durable=durable,
-            runner=self._runner,
+            host=self._host,
+            run=self._run,
             limit_seconds=limit_seconds,
         )
         begun = None
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -191,13 +191,10 @@
         )
         self._keys = key_controller.Keys(
             options.host,
-            key_shards.KeyShards(
-                self._store, options.host, self._membership_says_gone
-            ),
+            key_shards.KeyShards(self._store, options.host, self._is_dead),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
-            f'{options.host}#{incarnation}',
             self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
@@ -228,13 +225,10 @@
             self._keys.run,
         ]
 
-    def _membership_says_gone(self, runner: str) -> bool:
-        """Return whether a run of a daemon has certainly ended."""
-        host, _, incarnation = runner.partition('#')
+    def _is_dead(self, host: str) -> bool:
+        """Return whether membership took a host for dead."""
         member = self.board.members.get(host)
-        if member is None:
-            return False
-        return member.state == 'dead' or member.incarnation > int(incarnation)
+        return member is not None and member.state == 'dead'
 
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
--- a/src/persimmonpass/key_shards.py
+++ b/src/persimmonpass/key_shards.py
@@ -32,11 +32,17 @@
     """
 
     def __init__(
-        self, fingerprint: str, attempt: str, runner: str, seconds: float
+        self,
+        fingerprint: str,
+        attempt: str,
+        seconds: float,
+        host: str = '',
+        run: str = '',
     ) -> None:
         self.fingerprint = fingerprint
         self.attempt = attempt
-        self.runner = runner
+        self.host = host
+        self.run = run
         self.ends_at = anyio.current_time() + seconds
         self.done = anyio.Event()
         self.answer: keys.Answer | None = None
@@ -49,13 +55,14 @@
         self,
         port: store.StorePort,
         host: str,
-        is_gone: collections.abc.Callable[[str], bool],
+        is_dead: collections.abc.Callable[[str], bool],
     ) -> None:
         """Make the shards of a host.
 
-        :param is_gone: whether a runner of attempts certainly stopped
+        :param is_dead: whether a host that ran attempts is gone
         """
-        self._is_gone = is_gone
+        self._is_dead = is_dead
+        self._runs: dict[str, str] = {}
         self._books = open_ledgers.OpenLedgers(
             lambda shard: ledger.Ledger(
                 port,
@@ -73,7 +80,7 @@
         self._answers = caches.Answers()
 
     async def run(self) -> None:
-        """Open ledgers and end attempts whose runner is gone, for ever."""
+        """Open ledgers and end attempts whose host is gone, for ever."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._books.run)
             while True:
@@ -97,6 +104,7 @@
             same way
         :returns: a failure after which the request must not be sent
         """
+        self._runs[begin['host']] = begin['run']
         opened = await self._books.get(begin['shard'])
         if begin['attempt'] in self._given_up:
             return result.Err(keys.given_up(begin['key']))
@@ -310,8 +318,9 @@
             self._running[place] = _Running(
                 begin['fingerprint'],
                 begin['attempt'],
-                begin['runner'],
                 begin['limit_seconds'] + GRACE_SECONDS,
+                begin['host'],
+                begin['run'],
             )
 
     def _hold(self, place: caches.Place, finish: keys.Finish) -> None:
@@ -325,7 +334,7 @@
             return
         self._held_bytes += len(answer.body)
         running = _Running(
-            finish['fingerprint'], finish['attempt'], '', UNRECORDED_SECONDS
+            finish['fingerprint'], finish['attempt'], UNRECORDED_SECONDS
         )
         running.answer = answer
         running.done.set()
@@ -337,7 +346,9 @@
         if running is None:
             return None
         ended = anyio.current_time() >= running.ends_at
-        if ended or self._is_gone(running.runner):
+        restarted = self._runs.get(running.host) != running.run
+        held = running.answer is not None
+        if ended or not held and (restarted or self._is_dead(running.host)):
             self._stop(place)
             return None
         return running
--- a/src/persimmonpass/keys.py
+++ b/src/persimmonpass/keys.py
@@ -46,8 +46,8 @@
 
     :ivar shard: number of the ledger
     :ivar durable: commit the reservation before the request is sent
-    :ivar runner: daemon that will run it, which ends the attempt when it
-        stops
+    :ivar host: host that will run it
+    :ivar run: id of the present run of its daemon
     :ivar limit_seconds: how long it may run
     """
 
@@ -56,7 +56,8 @@
     fingerprint: str
     attempt: str
     durable: bool
-    runner: str
+    host: str
+    run: str
     limit_seconds: float
 
 
--- a/src/persimmonpass/ledger.py
+++ b/src/persimmonpass/ledger.py
@@ -30,6 +30,7 @@
 
 Record = heads.Record
 Head = heads.Head
+encode_head = heads.encode_head
 decode_head = heads.decode_head
 lost = heads.lost
 read_records = segments.read_records
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -47,7 +47,7 @@
 
     def start_host(self, host):
         shards = key_shards.KeyShards(
-            self.memory.port, host, lambda runner: runner in self.gone
+            self.memory.port, host, lambda other: other in self.gone
         )
         one = key_controller.Keys(
             host,
@@ -55,7 +55,6 @@
             self.network.port(host),
             lambda: list(self.live),
             SHARDS,
-            host,
             lambda: [name for name in self.live if name != host],
         )
         self.hosts[host] = one
@@ -303,6 +302,16 @@
         await anyio.sleep(LIMIT + key_shards.GRACE_SECONDS)
         self.assertEqual(state, await fleet.state('host-1', name))
 
+    @with_fleet
+    async def test_runner_restarts_unnoticed(self, fleet):
+        name = fleet.name('host-2')
+        await fleet.begin('host-0', name, 'a', durable=False)
+        fleet.kill('host-0', noticed=False)
+        fleet.start_host('host-0')
+        self.assertEqual(keys.RUNNING, await fleet.state('host-1', name))
+        again = await fleet.begin('host-0', name, 'b', durable=False)
+        self.assert_state(keys.STARTED, again)
+
     @with_fleet
     async def test_late_answer_does_not_replace_the_first(self, fleet):
         name = fleet.name('host-2')
@@ -506,7 +515,8 @@
                     fingerprint='f',
                     attempt=f'{number}-{count}',
                     durable=True,
-                    runner='rival',
+                    host='rival',
+                    run='1',
                     limit_seconds=LIMIT,
                 )
                 tasks.start_soon(rival.begin, begin)
--- /dev/null
+++ b/tests/test_keys_processes.py
@@ -0,0 +1,160 @@
+"""Keys across daemons that are killed and a platform with faults."""
+
+import concurrent.futures
+import unittest
+
+import httpx
+import parameterized
+
+from tests import processes
+
+ZONES = ('ruai', 'kasarani', 'embakasi')
+ACCOUNT = {'Authorization': 'Bearer athi-desk-token'}
+EXAMPLES = processes.ROOT / 'examples'
+SLOW_SECONDS = 3.0
+
+
+class TestKeysProcesses(unittest.TestCase):
+    """Three daemons, an engine and a plain service."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = processes.Fleet(ZONES)
+        cls.addClassCleanup(cls.fleet.close)
+        cls.fleet.start_engine('engine-0', 'ruai', 'pumpread@3')
+        cls.service = cls.fleet.start_service('crews', 'ruai')
+        applied = cls.fleet.tool('apply', '-f', str(EXAMPLES / 'athi'))
+        assert applied.returncode == 0, applied.stderr
+        cls.fleet.wait_ready()
+        for host in cls.fleet.hosts:
+            processes.wait_until(
+                lambda host=host: cls.complete(host).status_code == 200
+            )
+            processes.wait_until(
+                lambda host=host: (
+                    cls.dispatch(host, f'ready-{host.host}') is not None
+                )
+            )
+
+    def setUp(self):
+        self.addCleanup(self.fleet.platform.set_faults)
+        self.addCleanup(self.service.set_faults)
+
+    @staticmethod
+    def complete(host, key=None, prompt='pump 7'):
+        headers = ACCOUNT | ({'Idempotency-Key': key} if key else {})
+        return processes.CLIENT.post(
+            f'{host.caller}/v1/completions',
+            json={'model': 'pumpread', 'prompt': prompt},
+            headers=headers,
+        )
+
+    @staticmethod
+    def dispatch(host, key):
+        return processes.CLIENT.post(
+            f'{host.caller}/v1/services/crews/dispatch',
+            content=key.encode(),
+            headers=ACCOUNT | {'Idempotency-Key': key},
+        )
+
+    @staticmethod
+    def read(host, key):
+        url = f'{host.caller}/v1/requests/{key}'
+        return processes.CLIENT.get(url, headers=ACCOUNT)
+
+    def runs(self, key):
+        url = f'http://{self.service.address}/control/runs'
+        counts = processes.CLIENT.get(url).json()
+        return counts.get(f'POST /dispatch {key}', 0)
+
+    def start_extra(self, name):
+        host = self.fleet.start_host(name, 'ruai')
+        processes.wait_until(host.is_ready)
+        processes.wait_until(lambda: self.complete(host).status_code == 200)
+        return host
+
+    @parameterized.parameterized.expand([('dispatch',), ('complete',)])
+    def test_same_key_through_all_hosts_at_once(self, call):
+        key = f'at-once-{call}'
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            calls = [
+                pool.submit(getattr(self, call), host, key)
+                for host in self.fleet.hosts * 2
+            ]
+            answers = [one.result() for one in calls]
+        self.assertEqual({200}, {one.status_code for one in answers})
+        self.assertEqual(1, len({one.content for one in answers}))
+        if call == 'dispatch':
+            self.assertEqual(1, self.runs(key))
+
+    def test_result_outlives_the_host_that_answered(self):
+        host = self.start_extra('host-8')
+        first = self.complete(host, 'outlives')
+        self.assertEqual(200, first.status_code)
+        host.close()
+        reader = self.fleet.hosts[1]
+        processes.wait_until(
+            lambda: self.read(reader, 'outlives').status_code == 200
+        )
+        read = self.read(reader, 'outlives')
+        self.assertEqual(first.content, read.content)
+
+    def test_dispatch_whose_host_dies_is_never_sent_again(self):
+        host = self.start_extra('host-9')
+        self.service.set_faults(delay_seconds=SLOW_SECONDS)
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            call = pool.submit(self.dispatch, host, 'dies')
+            processes.wait_until(
+                lambda: (
+                    self.read(self.fleet.hosts[0], 'dies').status_code == 202
+                )
+            )
+            host.close()
+            with self.assertRaises(httpx.TransportError):
+                call.result()
+        self.service.set_faults()
+        for other in self.fleet.hosts:
+            again = self.dispatch(other, 'dies')
+            self.assertNotEqual(200, again.status_code)
+            self.assertEqual('may_have_run', again.json()['verdict'])
+        self.assertLessEqual(self.runs('dies'), 1)
+
+    def test_lost_answers_of_the_store(self):
+        for number, host in enumerate(self.fleet.hosts):
+            self.fleet.platform.set_faults(lose_answers=2)
+            answer = self.dispatch(host, f'lost-{number}')
+            self.assertEqual(200, answer.status_code, answer.text)
+            self.assertEqual(1, self.runs(f'lost-{number}'))
+
+    def test_outage(self):
+        first, second, third = self.fleet.hosts
+        self.fleet.platform.set_faults(outage=True)
+        answer = self.complete(first, 'outage')
+        self.assertEqual(200, answer.status_code, answer.text)
+        self.assertEqual('false', answer.headers['persimmonpass-recorded'])
+        again = self.complete(second, 'outage')
+        self.assertEqual(answer.content, again.content)
+        self.assertEqual('false', again.headers['persimmonpass-recorded'])
+        refused = self.dispatch(third, 'outage-once')
+        self.assertEqual(503, refused.status_code)
+        self.assertEqual('not_run', refused.json()['verdict'])
+        self.assertIn('Retry-After', refused.headers)
+        self.assertEqual(0, self.runs('outage-once'))
+        self.fleet.platform.set_faults()
+        processes.wait_until(
+            lambda: (
+                self.complete(third, 'outage').headers[
+                    'persimmonpass-recorded'
+                ]
+                == 'true'
+            )
+        )
+        kept = self.complete(third, 'outage')
+        self.assertEqual(answer.content, kept.content)
+        for host in self.fleet.hosts:
+            processes.wait_until(
+                lambda host=host: (
+                    self.dispatch(host, 'outage-once').status_code == 200
+                )
+            )
+        self.assertEqual(1, self.runs('outage-once'))
