--- a/src/persimmonpass/ledger.py
+++ b/src/persimmonpass/ledger.py
@@ -32,7 +32,6 @@
 Head = heads.Head
 encode_head = heads.encode_head
 decode_head = heads.decode_head
-encode_head = heads.encode_head
 lost = heads.lost
 read_records = segments.read_records
 read = segments.read
