--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -229,13 +229,10 @@
         )
         self._keys = key_controller.Keys(
             options.host,
-            key_shards.KeyShards(
-                self._store, options.host, self._membership_says_gone
-            ),
+            key_shards.KeyShards(self._store, options.host, self._is_dead),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
-            self._runner,
             self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
@@ -280,14 +277,10 @@
             self._keys.run,
         ]
 
-    def _runner(self) -> str:
-        """Return the name of this run of the daemon."""
-        return f'{self._options.host}#{self._membership.me.incarnation}'
-
-    def _membership_says_gone(self, runner: str) -> bool:
-        """Return whether a run of a daemon has certainly ended."""
-        host, _, run = runner.partition('#')
-        return self._membership.is_ended(host, run)
+    def _is_dead(self, host: str) -> bool:
+        """Return whether membership took a host for dead."""
+        member = self.board.members.get(host)
+        return member is not None and member.state == 'dead'
 
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
