Split the online controller and give it limits, ejection and quarantine

Cause: one module held key handling, attempts and routing; it retried without a budget, waited for silent streams three seconds at a time, returned the verdict of the last attempt although an earlier one may have run, and had no limits. Each concern now has a module. The HTTP library's own step reports tell whether a byte left, in place of exception types. Non-idempotent calls use connections of their own.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -22,7 +22,7 @@
 from persimmonpass import auth
 from persimmonpass.controllers import config
 from persimmonpass.controllers import keys as key_controller
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_requests
 from persimmonpass import events
 from persimmonpass import keys
 from persimmonpass import objects
@@ -126,7 +126,7 @@
     def __init__(
         self,
         ports: caller_ports.CallerPorts,
-        completion: online.CompletionRequest,
+        completion: online_requests.CompletionRequest,
         stream: bool,
     ) -> None:
         super().__init__()
@@ -158,12 +158,12 @@
                     self._count(update.err_value.status)
                     if not begun:
                         return answers.fail(update.err_value)
-                    await _send_event(
-                        send, dict(verdicts.to_body(update.err_value))
-                    )
-                    continue
+                    # A stream that failed ends without the final mark.
+                    body = dict(verdicts.to_body(update.err_value))
+                    await _send_event(send, body, more=False)
+                    return None
                 value = update.ok_value
-                if isinstance(value, online.Finished):
+                if isinstance(value, online_requests.Finished):
                     self._count(value.answer.status)
                     if not self._stream:
                         return _finished(request, value)
@@ -200,7 +200,7 @@
 
 
 async def _start_events(
-    send: types.Send, request: online.OnlineRequest
+    send: types.Send, request: online_requests.OnlineRequest
 ) -> None:
     headers = [
         (b'content-type', b'text/event-stream'),
@@ -211,9 +211,11 @@
     )
 
 
-async def _send_event(send: types.Send, body: dict[str, typing.Any]) -> None:
+async def _send_event(
+    send: types.Send, body: dict[str, typing.Any], *, more: bool = True
+) -> None:
     data = b'data: ' + msgspec.json.encode(body) + b'\n\n'
-    await send({'type': 'http.response.body', 'body': data, 'more_body': True})
+    await send({'type': 'http.response.body', 'body': data, 'more_body': more})
 
 
 async def _end_events(send: types.Send) -> None:
@@ -221,21 +223,21 @@
 
 
 def _piece_event(
-    request: online.OnlineRequest, text: str
+    request: online_requests.OnlineRequest, text: str
 ) -> dict[str, typing.Any]:
     choice = {'index': 0, 'text': text, 'finish_reason': None}
     return {'id': request.name.key, 'choices': [choice]}
 
 
 def _whole_event(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> dict[str, typing.Any]:
     body = json.loads(finished.answer.body)
     return _piece_event(request, body['choices'][0]['text'])
 
 
 def _final_event(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> dict[str, typing.Any]:
     choice = {'index': 0, 'text': '', 'finish_reason': 'length'}
     return {
@@ -246,7 +248,7 @@
 
 
 def _finished(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> responses.Response:
     answer = finished.answer
     headers = {
@@ -261,7 +263,9 @@
 
 async def _check_completion(
     ports: caller_ports.CallerPorts, request: requests.Request
-) -> result.Result[tuple[online.CompletionRequest, bool], verdicts.Failure]:
+) -> result.Result[
+    tuple[online_requests.CompletionRequest, bool], verdicts.Failure
+]:
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
         return account
@@ -284,7 +288,9 @@
     )
     return checked.map(
         lambda made: (
-            online.CompletionRequest(made, body.prompt, body.max_tokens),
+            online_requests.CompletionRequest(
+                made, body.prompt, body.max_tokens
+            ),
             body.stream,
         )
     )
@@ -293,7 +299,7 @@
 async def _check_call(
     ports: caller_ports.CallerPorts, request: requests.Request
 ) -> result.Result[
-    tuple[online.OnlineRequest, service.ServiceCall], verdicts.Failure
+    tuple[online_requests.OnlineRequest, service.ServiceCall], verdicts.Failure
 ]:
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
@@ -313,7 +319,7 @@
     call = service.ServiceCall(
         request.method, path, dict(request.headers), raw.ok_value
     )
-    once = online.is_non_idempotent(found.spec, call)
+    once = online_requests.is_non_idempotent(found.spec, call)
     if once and KEY_HEADER not in request.headers:
         return result.Err(
             verdicts.invalid(
@@ -333,7 +339,7 @@
     found: config.Service,
     content: bytes,
     new_key: str,
-) -> result.Result[online.OnlineRequest, verdicts.Failure]:
+) -> result.Result[online_requests.OnlineRequest, verdicts.Failure]:
     key = request.headers.get(KEY_HEADER, new_key)
     if not 0 < len(key) <= MAX_KEY_LENGTH:
         return result.Err(
@@ -347,13 +353,14 @@
     if isinstance(limit, result.Err):
         return result.Err(verdicts.invalid(DEADLINE_HEADER, limit.err_value))
     return result.Ok(
-        online.OnlineRequest(
+        online_requests.OnlineRequest(
             key_controller.KeyName(account.name, key),
             hashlib.sha256(content).hexdigest(),
             found.name,
             found.spec,
             min(limit.ok_value, found.spec.deadline_seconds),
             dict(request.headers),
+            account.spec.limits,
         )
     )
 
--- /dev/null
+++ b/src/persimmonpass/controllers/attempts.py
@@ -0,0 +1,199 @@
+"""What the attempts of all online requests have in common."""
+
+import collections.abc
+import contextlib
+import typing
+
+import anyio
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import choice
+from persimmonpass.controllers import health
+from persimmonpass.controllers import online_requests
+from persimmonpass.controllers import quarantine
+from persimmonpass import events
+from persimmonpass import metrics
+from persimmonpass.policy import retry
+from persimmonpass import sends
+from persimmonpass import verdicts
+
+ALONE_POLL_SECONDS = 0.02
+# Share of the time left that a suspect may wait for a target of its own.
+ALONE_WAIT_SHARE = 0.5
+
+# Failures after which a request is not tried again.
+FINAL = (events.REQUEST_QUARANTINED, events.DEADLINE_EXCEEDED)
+
+MarkLeaving = collections.abc.Callable[[str, str], None]
+
+
+class Work(typing.NamedTuple):
+    """What an attempt is about.
+
+    :ivar digest: names the body across callers and keys
+    :ivar blocks: hashes of the prompt's leading blocks
+    """
+
+    online: online_requests.OnlineRequest
+    digest: str
+    blocks: choice.Blocks = ()
+
+
+class Slot(typing.NamedTuple):
+    """A target for one attempt.
+
+    :ivar reserved: context that keeps the target for a suspect
+    """
+
+    target: blackboard.Target
+    reserved: contextlib.AbstractContextManager[None]
+
+
+SlotResult = result.Result[Slot, verdicts.Failure]
+
+
+class Attempts:
+    """Chooses targets, allows retries and learns from failures."""
+
+    def __init__(
+        self,
+        chooser: choice.Chooser,
+        healths: health.Health,
+        suspects: quarantine.Quarantine,
+        sent: sends.Sends,
+        counters: metrics.Metrics,
+        mark_leaving: MarkLeaving,
+    ) -> None:
+        self._chooser = chooser
+        self._healths = healths
+        self._suspects = suspects
+        self._sent = sent
+        self._counters = counters
+        self._mark_leaving = mark_leaving
+        self._budgets: dict[str, retry.RetryBudget] = {}
+
+    def check(self, work: Work) -> verdicts.Failure | None:
+        """Return the failure of a body that must not run again."""
+        if self._suspects.is_convicted(work.digest):
+            return online_requests.quarantined(work.online.service)
+        return None
+
+    def allow(self, service: str, number: int) -> bool:
+        """Return whether an attempt may be sent now.
+
+        :param number: 0 for a request's first attempt, which earns a share
+            of a retry
+        """
+        budget = self._budgets.get(service, retry.RetryBudget())
+        if number == 0:
+            self._budgets[service] = retry.earn(budget)
+            return True
+        left = retry.spend(budget)
+        if left is None:
+            return False
+        self._budgets[service] = left
+        self._counters.retries.labels(service).inc()
+        return True
+
+    async def pick(
+        self,
+        work: Work,
+        tried: set[str],
+        deadline: online_requests.Deadline,
+    ) -> SlotResult:
+        """Return a target; a suspect waits for one of its own."""
+        online = work.online
+        if deadline.left <= 0:
+            failure = online_requests.deadline_exceeded(online.service)
+            return result.Err(failure)
+        if self._suspects.must_isolate(work.digest):
+            return await self._pick_alone(work, tried, deadline)
+        target = self._chooser.choose(online.spec, tried, work.blocks)
+        if target is None:
+            return result.Err(online_requests.no_target(online.service))
+        return result.Ok(Slot(target, contextlib.nullcontext()))
+
+    @contextlib.contextmanager
+    def run_at(
+        self, slot: Slot, work: Work
+    ) -> collections.abc.Iterator[quarantine.Run]:
+        """Count an attempt while the context is open."""
+        target = slot.target
+        self._chooser.note_sent(target.name, work.blocks)
+        with (
+            self._sent.track(self._sent.online, target.name),
+            self._suspects.running(work.digest, target) as run,
+        ):
+            yield run
+
+    def note_success(self, run: quarantine.Run) -> None:
+        """Learn from an attempt that ended well."""
+        self._healths.note_success(run.target)
+        self._suspects.note_finished(run.digest)
+
+    async def note_failure(
+        self, run: quarantine.Run, failure: verdicts.Failure
+    ) -> None:
+        """Learn from an attempt that failed."""
+        target = run.target
+        events.log(
+            events.TARGET_FAILED, target=target.name, message=failure.message
+        )
+        if failure.event == events.TARGET_LEAVING:
+            self._mark_leaving(target.name, target.address)
+            return
+        if failure.event == events.DEADLINE_EXCEEDED:
+            return
+        self._healths.note_failure(target)
+        if failure.verdict == verdicts.Verdict.NOT_RUN:
+            self._chooser.forget(target.name)
+        else:
+            await self._suspects.note_broken(run)
+
+    async def _pick_alone(
+        self,
+        work: Work,
+        tried: set[str],
+        deadline: online_requests.Deadline,
+    ) -> SlotResult:
+        """Keep a target for a suspect once nothing else runs there."""
+        online = work.online
+        give_up = deadline.left * (1 - ALONE_WAIT_SHARE)
+        while deadline.left > give_up:
+            if self._suspects.is_convicted(work.digest):
+                failure = online_requests.quarantined(online.service)
+                return result.Err(failure)
+            target = self._chooser.choose_for_suspect(online.spec, tried)
+            if target is not None:
+                reserved = self._suspects.reserve(target.name)
+                with contextlib.ExitStack() as stack:
+                    stack.enter_context(reserved)
+                    if await self._wait_idle(target, deadline, give_up):
+                        return result.Ok(Slot(target, stack.pop_all()))
+            await anyio.sleep(ALONE_POLL_SECONDS)
+        return result.Err(online_requests.no_target(online.service))
+
+    async def _wait_idle(
+        self,
+        target: blackboard.Target,
+        deadline: online_requests.Deadline,
+        give_up: float,
+    ) -> bool:
+        while self._sent.known_online(target.name):
+            if deadline.left <= give_up:
+                return False
+            await anyio.sleep(ALONE_POLL_SECONDS)
+        return True
+
+
+def last_failure(
+    earlier: verdicts.Failure | None, latest: verdicts.Failure
+) -> verdicts.Failure:
+    """Return how a request ends that is not tried again.
+
+    The end says why the last attempt failed rather than that none is left.
+    """
+    if earlier is not None and latest.event == events.NO_TARGET:
+        return earlier
+    return online_requests.combine(earlier, latest)
--- /dev/null
+++ b/src/persimmonpass/controllers/choice.py
@@ -0,0 +1,145 @@
+"""Chooses the target of a request from the blackboard."""
+
+import collections.abc
+import random
+
+import anyio
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import health
+from persimmonpass.controllers import quarantine
+from persimmonpass.controllers import targets
+from persimmonpass import objects
+from persimmonpass.policy import prefixes
+from persimmonpass.policy import routing
+from persimmonpass import sends
+from persimmonpass.targets import engine
+
+EVENTS_SECONDS = 0.5
+
+Blocks = collections.abc.Sequence[int]
+
+
+class Chooser:
+    """Routing state of one host: prefix caches and times of reports."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        sent: sends.Sends,
+        engines: engine.EnginePort,
+        healths: health.Health,
+        suspects: quarantine.Quarantine,
+        availability_zone: str,
+        draw: collections.abc.Callable[[int], int] = random.randrange,
+    ) -> None:
+        self._board = board
+        self._sent = sent
+        self._engines = engines
+        self._healths = healths
+        self._suspects = suspects
+        self._zone = availability_zone
+        self._draw = draw
+        self._caches: dict[str, prefixes.PrefixCache] = {}
+        self._known_then: dict[str, tuple[float, int]] = {}
+
+    def choose(
+        self, spec: objects.ServiceSpec, tried: set[str], blocks: Blocks = ()
+    ) -> blackboard.Target | None:
+        """Return the target that should take a request.
+
+        :param tried: names of targets that failed the request
+        :param blocks: hashes of the prompt's leading blocks
+        """
+        usable = self._usable(spec, tried)
+        free = [
+            target
+            for target in usable
+            if not self._suspects.is_reserved(target.name)
+        ]
+        candidates = [
+            routing.Candidate(
+                target.name,
+                target.availability_zone,
+                self._work(target.name),
+                self._cached(target.name, blocks),
+            )
+            for target in free or usable
+        ]
+        name = routing.choose(candidates, self._zone, self._draw)
+        return self._board.targets.get(name) if name else None
+
+    def choose_for_suspect(
+        self, spec: objects.ServiceSpec, tried: set[str]
+    ) -> blackboard.Target | None:
+        """Return the target with the least work that no suspect has."""
+        free = [
+            target
+            for target in self._usable(spec, tried)
+            if not self._suspects.is_reserved(target.name)
+        ]
+        return min(
+            free, key=lambda target: self._work(target.name), default=None
+        )
+
+    def note_sent(self, target: str, blocks: Blocks) -> None:
+        """Note that a target computes the blocks of a prompt."""
+        if blocks:
+            self._cache(target).add(blocks)
+
+    def forget(self, target: str) -> None:
+        """Note that a target died, and its cache with it."""
+        self._caches.pop(target, None)
+
+    async def run(self) -> None:
+        """Follow the cache events of all engines for ever."""
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for target in self._board.targets.rows():
+                    if target.kind == 'engine':
+                        tasks.start_soon(self._read_events, target)
+            self._forget_removed()
+            await anyio.sleep(EVENTS_SECONDS)
+
+    async def _read_events(self, target: blackboard.Target) -> None:
+        cache = self._cache(target.name)
+        read = await self._engines.cache_events(target, cache.next_number - 1)
+        if isinstance(read, result.Err):
+            return
+        for event in read.ok_value:
+            if event.kind == 'removed':
+                cache.remove(event.block)
+            else:
+                cache.add([event.block])
+            cache.next_number = event.number + 1
+
+    def _usable(
+        self, spec: objects.ServiceSpec, tried: set[str]
+    ) -> list[blackboard.Target]:
+        found = self._healths.usable(targets.matching(self._board, spec))
+        return [target for target in found if target.name not in tried]
+
+    def _work(self, name: str) -> int:
+        known_now = self._sent.known(name)
+        load = self._board.loads.get(name)
+        if load is None:
+            return known_now
+        time, known_then = self._known_then.get(name, (-1.0, 0))
+        if time != load.report_time:
+            known_then = known_now
+            self._known_then[name] = (load.report_time, known_then)
+        return routing.estimate_work(load.reported, known_then, known_now)
+
+    def _cached(self, name: str, blocks: Blocks) -> int:
+        cache = self._caches.get(name)
+        return cache.count_leading(blocks) if cache and blocks else 0
+
+    def _cache(self, name: str) -> prefixes.PrefixCache:
+        return self._caches.setdefault(name, prefixes.PrefixCache())
+
+    def _forget_removed(self) -> None:
+        for name in list(self._caches):
+            if name not in self._board.targets:
+                del self._caches[name]
+                self._known_then.pop(name, None)
--- /dev/null
+++ b/src/persimmonpass/controllers/health.py
@@ -0,0 +1,98 @@
+"""Ejects targets that fail and probes them until they are back."""
+
+import anyio
+
+from persimmonpass import blackboard
+from persimmonpass import events
+from persimmonpass.policy import health
+from persimmonpass.targets import probe
+
+CHECK_SECONDS = 0.1
+PROBE_SECONDS = 1.0
+
+
+class Health:
+    """What this host's attempts showed of each target.
+
+    A target is known by its name and address, so that a replacement under
+    the same name starts with a clean slate.
+    """
+
+    def __init__(
+        self, board: blackboard.Blackboard, check: probe.Probe
+    ) -> None:
+        self._board = board
+        self._probe = check
+        self._healths: dict[str, health.TargetHealth] = {}
+        self._addresses: dict[str, str] = {}
+        self._probing: set[str] = set()
+
+    def usable(
+        self, targets: list[blackboard.Target]
+    ) -> list[blackboard.Target]:
+        """Return the targets that get requests."""
+        for target in targets:
+            self._forget_replaced(target)
+        names = [target.name for target in targets]
+        kept = health.usable(names, self._healths)
+        return [target for target in targets if target.name in kept]
+
+    def note_success(self, target: blackboard.Target) -> None:
+        """Note that a target has answered a request."""
+        if self._healths.pop(target.name, health.TargetHealth()).ejected:
+            events.log(events.TARGET_RESTORED, target=target.name)
+
+    def note_failure(self, target: blackboard.Target) -> None:
+        """Note that a target failed, which ejects it."""
+        known = self._healths.get(target.name, health.TargetHealth())
+        if not known.ejected:
+            events.log(events.TARGET_SUSPECT, target=target.name)
+        self._addresses[target.name] = target.address
+        self._healths[target.name] = health.on_failure(
+            known, anyio.current_time()
+        )
+
+    async def run(self) -> None:
+        """Probe ejected targets for ever."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for target in self._due():
+                    self._probing.add(target.name)
+                    tasks.start_soon(self._check, target)
+                await anyio.sleep(CHECK_SECONDS)
+
+    def _due(self) -> list[blackboard.Target]:
+        now = anyio.current_time()
+        due = []
+        for name, known in list(self._healths.items()):
+            target = self._board.targets.get(name)
+            if target is None:
+                del self._healths[name]
+            elif known.ejected and known.probe_time <= now:
+                if name not in self._probing:
+                    due.append(target)
+        return due
+
+    async def _check(self, target: blackboard.Target) -> None:
+        answered = False
+        try:
+            with anyio.move_on_after(PROBE_SECONDS):
+                answered = await self._probe(target)
+        finally:
+            self._probing.discard(target.name)
+        known = self._healths.get(target.name)
+        if known is None or not known.ejected:
+            return
+        if answered:
+            self._healths[target.name] = health.on_probe_success(known)
+            events.log(events.TARGET_RESTORED, target=target.name)
+        else:
+            self._healths[target.name] = health.on_failure(
+                known, anyio.current_time()
+            )
+
+    def _forget_replaced(self, target: blackboard.Target) -> None:
+        address = self._addresses.get(target.name, target.address)
+        if address != target.address:
+            del self._addresses[target.name]
+            self._healths.pop(target.name, None)
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -22,7 +22,7 @@
 from persimmonpass.controllers import config
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_parts
 from persimmonpass.controllers import targets
 from persimmonpass import events
 from persimmonpass import keys
@@ -103,11 +103,13 @@
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS,
         )
+        fresh = limits_without_reuse()
         async with (
             httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            httpx.AsyncClient(limits=fresh, trust_env=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client)
+            self._build(client, fresh_client)
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
@@ -127,7 +129,9 @@
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
-    def _build(self, client: httpx.AsyncClient) -> None:
+    def _build(
+        self, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient
+    ) -> None:
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
@@ -135,7 +139,7 @@
         self._calls = budget.Budget(options.store_rate)
         self._store = store.connect(client, options.store_url, self._calls)
         self._engines = engine.connect(client)
-        self._services = service.connect(client)
+        self._services = service.connect(client, fresh_client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
             link.Identity(options.host, incarnation, options.peer_secret),
@@ -182,6 +186,22 @@
         handlers |= self._config.handlers
         handlers |= self._targets.handlers
         handlers |= self._keys.handlers
+        self._online = online_parts.make(
+            online_parts.OnlinePorts(
+                self.board,
+                self._store,
+                self._keys,
+                self._peers.port,
+                self._engines,
+                self._services,
+                self._sent,
+                self.counters,
+                self.spans,
+                self._targets.mark_leaving,
+            ),
+            options.availability_zone,
+        )
+        handlers |= self._online.handlers
 
     def _jobs(
         self,
@@ -191,6 +211,7 @@
             self._config.run,
             self._targets.run,
             self._batch.run,
+            *self._online.jobs,
             self._follow_members,
         ]
 
@@ -198,16 +219,7 @@
         return caller.make_app(
             ports.CallerPorts(
                 self.board,
-                online.Online(
-                    self.board,
-                    self._keys,
-                    self._engines,
-                    self._services,
-                    self._sent,
-                    self.counters,
-                    self.spans,
-                    self._options.availability_zone,
-                ),
+                self._online.online,
                 self._keys,
                 self._store,
                 self.counters,
@@ -343,6 +355,13 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
+def limits_without_reuse() -> httpx.Limits:
+    """Return the limits of a client that opens a connection each time."""
+    return httpx.Limits(
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+    )
+
+
 def listen(address: str) -> socket.socket:
     """Bind a listening socket.
 
--- /dev/null
+++ b/src/persimmonpass/policy/retry.py
@@ -0,0 +1,31 @@
+"""Limits retries to a share of the traffic."""
+
+import typing
+
+RETRY_SHARE = 0.1
+MAX_TOKENS = 50.0
+FIRST_TOKENS = 5.0
+
+
+class RetryBudget(typing.NamedTuple):
+    """Retries that may be sent now.
+
+    Each request earns a share of a retry, so that retries cannot multiply
+    the load while many targets fail.
+
+    :ivar tokens: retries in reserve
+    """
+
+    tokens: float = FIRST_TOKENS
+
+
+def earn(budget: RetryBudget) -> RetryBudget:
+    """Return the budget after a request's first attempt."""
+    return RetryBudget(min(MAX_TOKENS, budget.tokens + RETRY_SHARE))
+
+
+def spend(budget: RetryBudget) -> RetryBudget | None:
+    """Return the budget after a retry, or ``None`` if it allows none."""
+    if budget.tokens < 1:
+        return None
+    return RetryBudget(budget.tokens - 1)
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -4,6 +4,7 @@
 import json
 import typing
 
+import anyio
 import httpx
 import result
 
@@ -12,13 +13,20 @@
 from persimmonpass import verdicts
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-PROGRESS_TIMEOUT_SECONDS = 3.0
+FIRST_PIECE_SECONDS = 2.5
+NEXT_PIECE_SECONDS = 1.5
 REPORT_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 5.0
+REST_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
 
-_DATA = 'data: '
-_DONE = '[DONE]'
+HTTP_UNAVAILABLE = 503
+LEAVING = 'leaving'
+
+_DATA = b'data: '
+_DONE = b'[DONE]'
+_EVENT_END = b'\n\n'
+_HEADERS_STARTED = 'http11.send_request_headers.started'
 
 
 class Completion(typing.NamedTuple):
@@ -58,6 +66,19 @@
     models: tuple[str, ...]
 
 
+class CacheEvent(typing.NamedTuple):
+    """A change of an engine's prefix cache.
+
+    :ivar number: rises by one with each change; some are missing
+    :ivar kind: ``stored`` or ``removed``
+    :ivar block: hash of a leading block of a prompt
+    """
+
+    number: int
+    kind: str
+    block: int
+
+
 PieceResult = result.Result[Piece, verdicts.Failure]
 
 
@@ -67,6 +88,7 @@
     :ivar stream: target, completion, trace headers -> pieces; the last one
         has a finish reason, or a failure ends the stream
     :ivar report: target -> its load
+    :ivar cache_events: target, number -> later changes of its prefix cache
     """
 
     stream: collections.abc.Callable[
@@ -76,6 +98,65 @@
         ...,
         collections.abc.Awaitable[result.Result[Report, verdicts.Failure]],
     ]
+    cache_events: collections.abc.Callable[
+        ...,
+        collections.abc.Awaitable[
+            result.Result[list[CacheEvent], verdicts.Failure]
+        ],
+    ]
+
+
+class SendWatch:
+    """Tells whether a byte of a request may have left.
+
+    The HTTP library reports each step; nothing leaves before it starts to
+    write the headers. What it raises proves less: a connection that it
+    reuses may break at any point.
+
+    :ivar extensions: to be given to the request
+    """
+
+    def __init__(self) -> None:
+        self._started = 0
+        self.extensions = {'trace': self._note}
+
+    @property
+    def sent(self) -> int:
+        """How often the library began to write the request."""
+        return self._started
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """What a failure now says of the request."""
+        if self._started:
+            return verdicts.Verdict.MAY_HAVE_RUN
+        return verdicts.Verdict.NOT_RUN
+
+    async def _note(self, step: str, details: object) -> None:
+        if step == _HEADERS_STARTED:
+            self._started += 1
+
+
+def target_leaving(target: blackboard.Target) -> verdicts.Failure:
+    """Return the failure of an attempt that a leaving target refused."""
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.TARGET_LEAVING,
+        f'target {target.name} is leaving',
+        HTTP_UNAVAILABLE,
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def is_leaving(status: int, body: bytes) -> bool:
+    """Return whether an answer says that its target is leaving."""
+    if status != HTTP_UNAVAILABLE:
+        return False
+    try:
+        decoded = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(decoded, dict) and decoded.get('error') == LEAVING
 
 
 def target_failed(
@@ -105,14 +186,14 @@
         completion: Completion,
         headers: dict[str, str],
     ) -> collections.abc.AsyncGenerator[PieceResult, None]:
+        watch = SendWatch()
         request = client.build_request(
             'POST',
             f'http://{target.address}/v1/completions',
             json={**completion._asdict(), 'stream': True},
             headers=headers,
-            timeout=httpx.Timeout(
-                PROGRESS_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
-            ),
+            timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
+            extensions=watch.extensions,
         )
         answer = None
         try:
@@ -125,14 +206,9 @@
                 if piece.finish_reason is not None:
                     return
             yield result.Err(_broken(target, 'the stream ended early'))
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            yield result.Err(
-                target_failed(
-                    target, verdicts.Verdict.NOT_RUN, type(error).__name__
-                )
-            )
-        except (httpx.HTTPError, ValueError, KeyError) as error:
-            yield result.Err(_broken(target, type(error).__name__))
+        except (httpx.HTTPError, ValueError, LookupError, TypeError) as error:
+            detail = type(error).__name__
+            yield result.Err(target_failed(target, watch.verdict, detail))
         finally:
             if answer is not None:
                 await answer.aclose()
@@ -156,27 +232,62 @@
         except (httpx.HTTPError, ValueError, KeyError) as error:
             return result.Err(_broken(target, type(error).__name__))
 
-    return EnginePort(stream, report)
+    async def cache_events(
+        target: blackboard.Target, after: int
+    ) -> result.Result[list[CacheEvent], verdicts.Failure]:
+        try:
+            answer = await client.get(
+                f'http://{target.address}/v1/cache/events',
+                params={'after': after},
+                timeout=REPORT_TIMEOUT_SECONDS,
+            )
+            rows = [
+                CacheEvent(int(row['number']), row['kind'], int(row['block']))
+                for row in answer.json()
+            ]
+        except (httpx.HTTPError, ValueError, LookupError, TypeError) as error:
+            return result.Err(_broken(target, type(error).__name__))
+        return result.Ok(rows)
+
+    return EnginePort(stream, report, cache_events)
 
 
 async def _read_pieces(
     answer: httpx.Response, attempt: str
 ) -> collections.abc.AsyncGenerator[Piece, None]:
-    """Read server-sent events.
+    """Read server-sent events; those that came together are one piece.
 
     :raises ValueError: if a piece belongs to another attempt
     """
-    async for line in answer.aiter_lines():
-        if not line.startswith(_DATA):
+    rest = b''
+    chunks = answer.aiter_bytes()
+    async for chunk in chunks:
+        whole, end, rest = (rest + chunk).rpartition(_EVENT_END)
+        if not end:
             continue
-        data = line.removeprefix(_DATA)
-        if data == _DONE:
-            return
-        body = json.loads(data)
-        if body['id'] != attempt:
-            raise ValueError('piece of another attempt')
-        choice = body['choices'][0]
-        yield Piece(choice['text'], choice['finish_reason'])
+        texts = []
+        reason = None
+        for line in whole.splitlines():
+            data = line.removeprefix(_DATA)
+            if data == line or data == _DONE:
+                continue
+            body = json.loads(data)
+            if body['id'] != attempt:
+                raise ValueError('piece of another attempt')
+            choice = body['choices'][0]
+            texts.append(choice['text'])
+            reason = choice['finish_reason'] or reason
+        if reason is not None:
+            await _read_rest(chunks)
+        if texts:
+            yield Piece(''.join(texts), reason)
+
+
+async def _read_rest(chunks: collections.abc.AsyncIterator[bytes]) -> None:
+    """Read an answer to its end, so that its connection is used again."""
+    with anyio.move_on_after(REST_SECONDS):
+        async for _ in chunks:
+            pass
 
 
 async def _refused(
@@ -187,8 +298,12 @@
     An engine refuses with 4xx and 503 before it admits a request; after any
     other status the request may have run.
     """
-    await answer.aread()
-    refused = answer.status_code < 500 or answer.status_code == 503
+    body = await answer.aread()
+    if is_leaving(answer.status_code, body):
+        return target_leaving(target)
+    refused = (
+        answer.status_code < 500 or answer.status_code == HTTP_UNAVAILABLE
+    )
     verdict = (
         verdicts.Verdict.NOT_RUN if refused else verdicts.Verdict.MAY_HAVE_RUN
     )
--- a/src/persimmonpass/targets/service.py
+++ b/src/persimmonpass/targets/service.py
@@ -3,10 +3,12 @@
 import collections.abc
 import typing
 
+import anyio
 import httpx
 import result
 
 from persimmonpass import blackboard
+from persimmonpass import events
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
@@ -18,6 +20,10 @@
 )  # fmt: skip
 
 
+# A target that stays silent for less is not held to have failed.
+SILENCE_SECONDS = 2.5
+
+
 class ServiceCall(typing.NamedTuple):
     """A call that is passed on.
 
@@ -44,7 +50,9 @@
 class ServicePort(typing.NamedTuple):
     """Calls of plain services.
 
-    :ivar call: target, call, timeout in seconds -> the answer
+    :ivar call: target, call, timeout in seconds, whether it must run at
+        most once -> the answer; a call whose time is up fails like one whose
+        connection broke
     """
 
     call: collections.abc.Callable[
@@ -53,42 +61,72 @@
     ]
 
 
-def connect(client: httpx.AsyncClient) -> ServicePort:
+def connect(
+    client: httpx.AsyncClient, fresh_client: httpx.AsyncClient
+) -> ServicePort:
     """Make the port of services that are reached over HTTP.
 
     :param client: HTTP client
+    :param fresh_client: HTTP client that keeps no connections, for calls
+        that may run only once: a kept connection that the target has closed
+        breaks after the call was written, which leaves its outcome unknown
     """
 
     async def call(
-        target: blackboard.Target, request: ServiceCall, timeout: float
+        target: blackboard.Target,
+        request: ServiceCall,
+        timeout: float,
+        once: bool = False,
     ) -> result.Result[Answer, verdicts.Failure]:
         headers = {
             name: value
             for name, value in request.headers.items()
             if name.lower() not in DROPPED_HEADERS
         }
-        limits = httpx.Timeout(
-            timeout, connect=min(timeout, engine.CONNECT_TIMEOUT_SECONDS)
-        )
+        chosen = fresh_client if once else client
+        watch = engine.SendWatch()
+        detail = 'no answer in time'
         try:
-            answer = await client.request(
-                request.method,
-                f'http://{target.address}{request.path}',
-                content=request.body,
-                headers=headers,
-                timeout=limits,
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-            verdict = verdicts.Verdict.NOT_RUN
-            detail = type(error).__name__
-        except httpx.HTTPError as error:
-            verdict = verdicts.Verdict.MAY_HAVE_RUN
+            with anyio.move_on_after(timeout):
+                answer = await chosen.request(
+                    request.method,
+                    f'http://{target.address}{request.path}',
+                    content=request.body,
+                    headers=headers,
+                    timeout=httpx.Timeout(
+                        None, connect=engine.CONNECT_TIMEOUT_SECONDS
+                    ),
+                    extensions=watch.extensions,
+                )
+                return _read_answer(target, answer)
+        except (httpx.HTTPError, httpx.InvalidURL, ValueError) as error:
             detail = type(error).__name__
         else:
-            content_type = answer.headers.get('content-type', '')
-            return result.Ok(
-                Answer(answer.status_code, content_type, answer.content)
-            )
-        return result.Err(engine.target_failed(target, verdict, detail))
+            if timeout < SILENCE_SECONDS:
+                failure = _out_of_time(target, watch.verdict)
+                return result.Err(failure)
+        return result.Err(engine.target_failed(target, watch.verdict, detail))
 
     return ServicePort(call)
+
+
+def _read_answer(
+    target: blackboard.Target, answer: httpx.Response
+) -> result.Result[Answer, verdicts.Failure]:
+    """Pass an answer on, whatever its status, unless the target leaves."""
+    if engine.is_leaving(answer.status_code, answer.content):
+        return result.Err(engine.target_leaving(target))
+    content_type = answer.headers.get('content-type', '')
+    return result.Ok(Answer(answer.status_code, content_type, answer.content))
+
+
+def _out_of_time(
+    target: blackboard.Target, verdict: verdicts.Verdict
+) -> verdicts.Failure:
+    return verdicts.Failure(
+        verdict,
+        events.DEADLINE_EXCEEDED,
+        f'target {target.name} did not answer by the deadline',
+        504,
+        engine.RETRY_AFTER_SECONDS,
+    )
