--- /dev/null
+++ b/tests/online_fakes.py
@@ -0,0 +1,238 @@
+"""An entry host's online controllers over scripted targets."""
+
+import collections
+import contextlib
+
+import anyio
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import keys as key_controller
+from persimmonpass.controllers import online_parts
+from persimmonpass.controllers import online_requests
+from persimmonpass import keys
+from persimmonpass import metrics
+from persimmonpass import objects
+from persimmonpass import sends
+from persimmonpass.targets import engine
+from persimmonpass.targets import probe
+from persimmonpass.targets import service
+from persimmonpass import tracing
+from persimmonpass import verdicts
+from tests import fakes
+
+SILENT = 'silent'
+BREAK = 'break'
+REFUSE = 'refuse'
+LEAVING = 'leaving'
+WORDS = [f'word{index} ' for index in range(6)]
+KILLER = 'this body kills'
+STEP_SECONDS = 0.1
+
+ENGINE_SPEC = objects.ServiceSpec(
+    selector='serves=pumpread', model='pumpread', version='3'
+)
+PLAIN_SPEC = objects.ServiceSpec(
+    selector='serves=crews', type='plain', non_idempotent=('POST /dispatch',)
+)
+
+
+class Targets:
+    """Scripted engines and services.
+
+    :ivar faults: what a target does: after how many words, and how
+    :ivar dead: targets that refuse connections
+    :ivar runs: prompts or bodies that each target has run
+    :ivar running: requests in progress by target
+    """
+
+    def __init__(self):
+        self.faults = {}
+        self.dead = set()
+        self.runs = collections.defaultdict(list)
+        self.running = collections.Counter()
+        self.engines = engine.EnginePort(
+            self._stream, self._report, self._cache_events
+        )
+        self.services = service.ServicePort(self._call)
+
+    async def connect(self, target):
+        gone = target.name in self.dead
+        return probe.Connected.REFUSED if gone else probe.Connected.ACCEPTED
+
+    def _fail(self, target, verdict):
+        return result.Err(engine.target_failed(target, verdict, 'scripted'))
+
+    async def _stream(self, target, completion, headers):
+        not_run = verdicts.Verdict.NOT_RUN
+        may_have_run = verdicts.Verdict.MAY_HAVE_RUN
+        after, fault = self.faults.get(target.name, (None, ''))
+        if target.name in self.dead or fault == REFUSE:
+            yield self._fail(target, not_run)
+            return
+        if fault == LEAVING:
+            yield result.Err(engine.target_leaving(target))
+            return
+        self.runs[target.name].append(completion.prompt)
+        self.running[target.name] += 1
+        try:
+            if KILLER in completion.prompt:
+                self.dead.add(target.name)
+            words = WORDS[len(completion.resume_text.split()) :]
+            for index, word in enumerate(words):
+                await anyio.sleep(STEP_SECONDS)
+                if target.name in self.dead or (index, BREAK) == (
+                    after,
+                    fault,
+                ):
+                    yield self._fail(target, may_have_run)
+                    return
+                if (index, SILENT) == (after, fault):
+                    await anyio.sleep_forever()
+                yield result.Ok(engine.Piece(word))
+            yield result.Ok(engine.Piece('', 'length'))
+        finally:
+            self.running[target.name] -= 1
+
+    async def _report(self, target):
+        if target.name in self.dead:
+            return self._fail(target, verdicts.Verdict.NOT_RUN)
+        return result.Ok(engine.Report(0, 0, ('pumpread@3',)))
+
+    async def _cache_events(self, target, after):
+        return result.Ok([])
+
+    async def _call(self, target, call, timeout, once=False):
+        after, fault = self.faults.get(target.name, (None, ''))
+        if target.name in self.dead or fault == REFUSE:
+            return self._fail(target, verdicts.Verdict.NOT_RUN)
+        if fault == LEAVING:
+            return result.Err(engine.target_leaving(target))
+        self.runs[target.name].append(call.body)
+        with anyio.move_on_after(timeout):
+            if fault == SILENT:
+                await anyio.sleep_forever()
+            await anyio.sleep(STEP_SECONDS)
+            if fault == BREAK:
+                return self._fail(target, verdicts.Verdict.MAY_HAVE_RUN)
+            return result.Ok(service.Answer(200, 'text/plain', call.body))
+        return self._fail(target, verdicts.Verdict.MAY_HAVE_RUN)
+
+
+class Fleet:
+    """Hosts that share a store, a network and targets."""
+
+    def __init__(self, tasks, targets=('e1', 'e2', 'e3'), hosts=('h1',)):
+        self.store = fakes.MemoryStore()
+        self.network = fakes.Network()
+        self.targets = Targets()
+        self.left = []
+        self.hosts = {host: Host(self, host, tasks) for host in hosts}
+        for host in self.hosts.values():
+            for name in targets:
+                host.list_target(name)
+        for host in self.hosts.values():
+            host.start(tasks)
+
+
+class Host:
+    """One host of a fleet."""
+
+    def __init__(self, fleet, host, tasks):
+        self.board = blackboard.Blackboard()
+        self.sent = sends.Sends()
+        port = fleet.network.port(host, tasks)
+        names = ['h1']
+        self.keys = key_controller.Keys(
+            host,
+            keys.KeyShards(fleet.store.port, host),
+            port,
+            lambda: names,
+            4,
+        )
+        self.counters = metrics.Metrics()
+        self.parts = online_parts.make(
+            online_parts.OnlinePorts(
+                self.board,
+                fleet.store.port,
+                self.keys,
+                port,
+                fleet.targets.engines,
+                fleet.targets.services,
+                self.sent,
+                self.counters,
+                tracing.Tracing(host, ''),
+                self._mark_leaving,
+            ),
+            'ruai',
+            fleet.targets.connect,
+        )
+        fleet.network.handlers[host] = {
+            **self.keys.handlers,
+            **self.parts.handlers,
+        }
+
+    def _mark_leaving(self, name, address):
+        row = self.board.targets.get(name)
+        self.board.targets.put(name, row._replace(leaving=True))
+
+    def list_target(self, name):
+        kind = 'engine' if name.startswith('e') else 'service'
+        serves = 'pumpread' if kind == 'engine' else 'crews'
+        self.board.targets.put(
+            name,
+            blackboard.Target(
+                name, f'{name}:1', kind, 'ruai', {'serves': serves}
+            ),
+        )
+        self.board.loads.put(name, blackboard.Load(0, 0, 0.0, ('pumpread@3',)))
+
+    def start(self, tasks):
+        for job in self.parts.jobs:
+            tasks.start_soon(job)
+
+    async def complete(self, prompt, key='key', **changes):
+        """Return the text, and how the completion ended."""
+        request = make_request(key, ENGINE_SPEC, prompt, **changes)
+        text = ''
+        updates = self.parts.online.complete(
+            online_requests.CompletionRequest(request, prompt, len(WORDS))
+        )
+        async with contextlib.aclosing(updates):
+            async for update in updates:
+                if update.is_ok() and isinstance(
+                    update.ok_value, engine.Piece
+                ):
+                    text += update.ok_value.text
+        return text, update
+
+    async def call(self, body=b'station 9', key='key', **changes):
+        """Return how a non-idempotent call ended."""
+        spec = changes.pop('spec', PLAIN_SPEC)
+        request = make_request(key, spec, body.decode(), **changes)
+        return await self.parts.online.call(
+            request, service.ServiceCall('POST', '/dispatch', {}, body)
+        )
+
+
+def make_request(key, spec, content, **changes):
+    """Return a request of one account."""
+    return online_requests.OnlineRequest(
+        key_controller.KeyName('desk', key),
+        content,
+        'pumpread' if spec.model else 'crews',
+        spec,
+        20.0,
+        {},
+    )._replace(**changes)
+
+
+def run(test, **options):
+    """Run ``test(fleet)`` on a paused clock."""
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await test(Fleet(tasks, **options))
+            tasks.cancel_scope.cancel()
+
+    fakes.run(main)
