--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -15,6 +15,7 @@
 METHOD_BEGIN = 'keys.begin'
 METHOD_FINISH = 'keys.finish'
 METHOD_RELEASE = 'keys.release'
+METHOD_ABANDON = 'keys.abandon'
 METHOD_LOOK_UP = 'keys.look_up'
 
 CALL_TIMEOUT_SECONDS = 3.0
@@ -56,6 +57,7 @@
             METHOD_BEGIN: self._take_begin,
             METHOD_FINISH: self._take_finish,
             METHOD_RELEASE: self._take_release,
+            METHOD_ABANDON: self._take_abandon,
             METHOD_LOOK_UP: self._take_look_up,
         }
 
@@ -113,6 +115,17 @@
         )
         return await self._persist(METHOD_RELEASE, payload, limit_seconds)
 
+    async def abandon(self, name: KeyName, attempt: str) -> None:
+        """Say that an attempt ended and that its outcome is unknown.
+
+        Whoever waits for the key is told at once. A new owner knows of no
+        running attempt, so that the call is made only once.
+        """
+        payload = keys.Release(
+            shard=self._shard(name), key=_full_key(name), attempt=attempt
+        )
+        await self._call(METHOD_ABANDON, payload)
+
     async def look_up(
         self, name: KeyName, wait_seconds: float = 0.0
     ) -> result.Result[keys.Begun, verdicts.Failure]:
@@ -188,6 +201,11 @@
     ) -> result.Result[typing.Any, verdicts.Failure]:
         return await self._owned.release(payload)
 
+    async def _take_abandon(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        return await self._owned.abandon(payload)
+
     async def _take_look_up(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
--- a/src/persimmonpass/controllers/online.py
+++ b/src/persimmonpass/controllers/online.py
@@ -20,6 +20,7 @@
 from persimmonpass import verdicts
 
 RECORD_SECONDS = 2.0
+ABANDON_SECONDS = 0.5
 JSON = 'application/json'
 
 
@@ -144,6 +145,8 @@
         if failure.verdict == verdicts.Verdict.NOT_RUN or not once:
             await self._keys.release(online.name, attempt, RECORD_SECONDS)
             return result.Err(failure)
+        with anyio.move_on_after(ABANDON_SECONDS):
+            await self._keys.abandon(online.name, attempt)
         if failure.event == events.REQUEST_QUARANTINED:
             return result.Err(failure)
         unknown = failure._replace(event=events.OUTCOME_UNKNOWN)
--- a/src/persimmonpass/keys.py
+++ b/src/persimmonpass/keys.py
@@ -217,6 +217,13 @@
         )
         return await book.append([record])
 
+    async def abandon(
+        self, release: Release
+    ) -> result.Result[None, verdicts.Failure]:
+        """Note that an attempt ended and that its outcome is unknown."""
+        self._stop(release['shard'], release['key'], release['attempt'])
+        return result.Ok(None)
+
     async def look_up(
         self, shard: int, key: str, wait_seconds: float = 0.0
     ) -> result.Result[Begun, verdicts.Failure]:
