--- /dev/null
+++ b/tests/test_target_clients.py
@@ -0,0 +1,239 @@
+"""The clients of targets against sockets that fail in each way."""
+
+import contextlib
+import json
+import socket
+import unittest
+
+import anyio
+import httpx
+import parameterized
+
+from persimmonpass import blackboard
+from persimmonpass import events
+from persimmonpass.targets import engine
+from persimmonpass.targets import probe
+from persimmonpass.targets import service
+from persimmonpass import verdicts
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+HALF = b'HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhalf'
+BUSY = b'HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno'
+LEAVING = (
+    b'HTTP/1.1 503 Leaving\r\ncontent-length: 20\r\n\r\n{"error": "leaving"}'
+)
+CLOSE = b''
+TIMEOUT_SECONDS = 0.3
+CALL = service.ServiceCall('POST', '/dispatch', {}, b'station 9')
+
+
+class RawTarget:
+    """A socket that answers each request with the next bytes of a script.
+
+    :ivar received: bodies that arrived whole
+    """
+
+    def __init__(self, *script):
+        self.received = 0
+        self.connections = 0
+        self._script = list(script)
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while await self._answer(stream):
+                    pass
+
+    async def _answer(self, stream):
+        data = b''
+        while not data.endswith((CALL.body, b'}')):
+            data += await stream.receive()
+        self.received += 1
+        parts = self._script.pop(0)
+        if parts is None:
+            await anyio.sleep_forever()
+        for part in parts if isinstance(parts, list) else [parts]:
+            await stream.send(part)
+            await anyio.sleep(0.02)
+        return parts in (OK, BUSY, LEAVING) or parts == [EVENTS]
+
+
+def event(attempt, text, reason=None):
+    """Return the bytes of a piece."""
+    choice = {'index': 0, 'text': text, 'finish_reason': reason}
+    body = {'id': attempt, 'choices': [choice]}
+    return f'data: {json.dumps(body)}\n\n'.encode()
+
+
+def chunked(*parts):
+    """Return a chunked answer as the writes that send it."""
+    head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    chunks = [b'%x\r\n%s\r\n' % (len(part), part) for part in parts]
+    return [head, *chunks, b'0\r\n\r\n']
+
+
+DONE = event('a-0', '', 'length') + b'data: [DONE]\n\n'
+EVENTS = b''.join(
+    chunked(event('a-0', 'x ') + event('a-0', 'y ') + event('a-0', 'z '), DONE)
+)
+
+
+def run(test, *script):
+    """Run ``test(target, clients, raw)`` beside a raw target."""
+
+    async def main():
+        raw = RawTarget(*script)
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        target = blackboard.Target('t', f'127.0.0.1:{port}', '', '', {})
+        fresh = httpx.Limits(max_keepalive_connections=0)
+        async with (
+            httpx.AsyncClient(trust_env=False) as client,
+            httpx.AsyncClient(trust_env=False, limits=fresh) as fresh_client,
+            listener,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(listener.serve, raw.serve)
+            with anyio.fail_after(10):
+                await test(target, (client, fresh_client), raw)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def closed_target():
+    """Return a target on which nothing listens."""
+    with socket.socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        port = unused.getsockname()[1]
+    return blackboard.Target('t', f'127.0.0.1:{port}', '', '', {})
+
+
+class TestServiceCalls(unittest.TestCase):
+    """A verdict is true and nothing is written twice."""
+
+    @parameterized.parameterized.expand(
+        [
+            ('silent', None, MAY_HAVE_RUN),
+            ('crash', CLOSE, MAY_HAVE_RUN),
+            ('lost answer', HALF, MAY_HAVE_RUN),
+            ('leaving', LEAVING, NOT_RUN),
+        ]
+    )
+    def test_fault(self, name, script, verdict):
+        async def test(target, clients, raw):
+            port = service.connect(*clients)
+            for once in (True, False):
+                failed = await port.call(target, CALL, TIMEOUT_SECONDS, once)
+                self.assertEqual(verdict, failed.err_value.verdict)
+            self.assertEqual(2, raw.received)
+
+        run(test, script, script)
+
+    def test_refused(self):
+        async def test(target, clients, raw):
+            port = service.connect(*clients)
+            failed = await port.call(closed_target(), CALL, 1.0, True)
+            self.assertEqual(NOT_RUN, failed.err_value.verdict)
+            gone = await probe.connect(closed_target())
+            self.assertEqual(probe.Connected.REFUSED, gone)
+            there = await probe.connect(target)
+            self.assertEqual(probe.Connected.ACCEPTED, there)
+
+        run(test)
+
+    def test_answer_with_any_status_is_passed_on(self):
+        async def test(target, clients, raw):
+            port = service.connect(*clients)
+            answered = await port.call(target, CALL, 1.0, True)
+            self.assertEqual((503, b'no'), answered.ok_value[::2])
+
+        run(test, BUSY)
+
+    def test_stale_connection(self):
+        """The target closes a kept connection while a call is written."""
+
+        async def test(target, clients, raw):
+            port = service.connect(*clients)
+            await port.call(target, CALL, 1.0, False)
+            stale = await port.call(target, CALL, 1.0, False)
+            self.assertEqual(MAY_HAVE_RUN, stale.err_value.verdict)
+            self.assertEqual(2, raw.received)
+            await port.call(target, CALL, 1.0, False)
+            kept = raw.connections
+            fresh = await port.call(target, CALL, 1.0, True)
+            self.assertTrue(fresh.is_ok())
+            self.assertEqual((kept + 1, 4), (raw.connections, raw.received))
+
+        run(test, OK, CLOSE, OK, OK)
+
+
+class TestEngineStream(unittest.TestCase):
+    """Pieces of one attempt, whole and in order."""
+
+    async def _read(self, target, clients):
+        completion = engine.Completion('a-0', 'm', '1', '', 'p', 3)
+        port = engine.connect(clients[0])
+        stream = port.stream(target, completion, {})
+        return [piece async for piece in stream]
+
+    def test_buffered_events_are_one_piece(self):
+        async def test(target, clients, raw):
+            for _ in range(2):
+                pieces = await self._read(target, clients)
+                self.assertEqual(
+                    'x y z ', ''.join(p.ok_value.text for p in pieces)
+                )
+                self.assertEqual('length', pieces[-1].ok_value.finish_reason)
+                self.assertLessEqual(len(pieces), 2)
+            self.assertEqual(1, raw.connections)
+
+        run(test, [EVENTS], [EVENTS])
+
+    def test_split_event(self):
+        async def test(target, clients, raw):
+            pieces = await self._read(target, clients)
+            texts = [piece.ok_value.text for piece in pieces]
+            self.assertEqual(['x ', 'y ', ''], texts)
+
+        whole = event('a-0', 'x ')
+        run(
+            test,
+            chunked(whole[:9], whole[9:], event('a-0', 'y '), DONE),
+        )
+
+    @parameterized.parameterized.expand(
+        [
+            ('crossed', chunked(event('a-0', 'x '), event('b-0', 'no '))),
+            ('early end', chunked(event('a-0', 'x '))),
+            ('crash', chunked(event('a-0', 'x '))[:-1]),
+            ('no JSON', chunked(event('a-0', 'x '), b'data: {\n\n')),
+            ('no choice', chunked(event('a-0', 'x '), b'data: 1\n\n')),
+        ]
+    )
+    def test_broken(self, name, script):
+        async def test(target, clients, raw):
+            first, failed = await self._read(target, clients)
+            self.assertEqual('x ', first.ok_value.text)
+            self.assertEqual(MAY_HAVE_RUN, failed.err_value.verdict)
+
+        run(test, script)
+
+    @parameterized.parameterized.expand(
+        [
+            ('busy', BUSY, events.TARGET_FAILED),
+            ('leaving', LEAVING, events.TARGET_LEAVING),
+        ]
+    )
+    def test_refusal(self, name, script, expected):
+        async def test(target, clients, raw):
+            (failed,) = await self._read(target, clients)
+            self.assertEqual(expected, failed.err_value.event)
+            self.assertEqual(NOT_RUN, failed.err_value.verdict)
+
+        run(test, script)
