Answer at once in a store outage and prove fault rows with processes

Cause: a reservation was retried until the request's deadline while the store was down (a refusal took 30 s), results read later lacked the verdict header, and a quarantined body still asked the key's owner.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -374,7 +374,11 @@
         return responses.Response(
             answer.body,
             answer.status,
-            {answers.REQUEST_HEADER: name.key},
+            {
+                answers.REQUEST_HEADER: name.key,
+                answers.RECORDED_HEADER: 'true',
+                answers.VERDICT_HEADER: verdicts.Verdict.RAN.value,
+            },
             answer.content_type or None,
         )
     if begun['state'] == keys.RELEASED:
@@ -393,4 +397,8 @@
             'verdict': verdicts.Verdict.MAY_HAVE_RUN.value,
         },
         202,
+        {
+            answers.REQUEST_HEADER: name.key,
+            answers.VERDICT_HEADER: verdicts.Verdict.MAY_HAVE_RUN.value,
+        },
     )
--- a/src/persimmonpass/controllers/calls.py
+++ b/src/persimmonpass/controllers/calls.py
@@ -25,6 +25,14 @@
         self._services = services
         self._spans = spans
 
+    def check(
+        self,
+        online: online_requests.OnlineRequest,
+        request: service.ServiceCall,
+    ) -> verdicts.Failure | None:
+        """Return the failure of a call that must not run again."""
+        return self._tries.check(make_work(online, request))
+
     async def send(
         self,
         online: online_requests.OnlineRequest,
--- a/src/persimmonpass/controllers/completions.py
+++ b/src/persimmonpass/controllers/completions.py
@@ -31,6 +31,12 @@
         self._engines = engines
         self._spans = spans
 
+    def check(
+        self, request: online_requests.CompletionRequest
+    ) -> verdicts.Failure | None:
+        """Return the failure of a completion that must not run again."""
+        return self._tries.check(make_work(request))
+
     async def stream(
         self,
         request: online_requests.CompletionRequest,
--- a/src/persimmonpass/controllers/online.py
+++ b/src/persimmonpass/controllers/online.py
@@ -21,7 +21,15 @@
 
 RECORD_SECONDS = 2.0
 ABANDON_SECONDS = 0.5
+# Time for a key's next owner to be found after the last one died.
+BEGIN_SECONDS = 8.0
+BEGIN_PAUSE_SECONDS = 0.1
 JSON = 'application/json'
+OWNER_CHANGED = (
+    events.PEER_UNREACHABLE,
+    events.LEDGER_LOST,
+    events.STORE_OUTCOME_UNKNOWN,
+)
 
 
 class CompletionBody(typing.TypedDict):
@@ -57,6 +65,10 @@
 
         :returns: pieces, then how it finished, or a failure
         """
+        barred = self._completions.check(request)
+        if barred is not None:
+            yield result.Err(barred)
+            return
         deadline = online_requests.Deadline(request.online.limit_seconds)
         entered = await self._limits.enter(request.online, deadline)
         if isinstance(entered, result.Err):
@@ -82,6 +94,9 @@
 
         A call that is not idempotent is reserved first and sent once.
         """
+        barred = self._calls.check(online, request)
+        if barred is not None:
+            return result.Err(barred)
         deadline = online_requests.Deadline(online.limit_seconds)
         entered = await self._limits.enter(online, deadline)
         if isinstance(entered, result.Err):
@@ -163,13 +178,7 @@
         """Start a request, or return what its key led to before."""
         with self._spans.span('store.begin', online.headers):
             while True:
-                begun = await self._keys.begin(
-                    online.name,
-                    online.fingerprint,
-                    attempt,
-                    durable,
-                    deadline.left,
-                )
+                begun = await self._reserve(online, attempt, deadline, durable)
                 if isinstance(begun, result.Ok):
                     if begun.ok_value['state'] == keys.STARTED:
                         return None
@@ -182,6 +191,31 @@
                 if begun.ok_value['state'] != keys.RELEASED:
                     return online_requests.find_earlier(begun.ok_value)
 
+    async def _reserve(
+        self,
+        online: online_requests.OnlineRequest,
+        attempt: str,
+        deadline: online_requests.Deadline,
+        durable: bool,
+    ) -> result.Result[keys.Begun, verdicts.Failure]:
+        """Ask the key's owner, or the next one if it cannot be reached.
+
+        A store that is down is reported at once; an owner that has changed
+        is looked for, since the fleet notices it soon.
+        """
+        patience = online_requests.Deadline(min(deadline.left, BEGIN_SECONDS))
+        while True:
+            begun = await self._keys.begin(
+                online.name, online.fingerprint, attempt, durable, 0.0
+            )
+            if isinstance(begun, result.Ok):
+                return begun
+            if begun.err_value.event not in OWNER_CHANGED:
+                return begun
+            if patience.left <= BEGIN_PAUSE_SECONDS:
+                return begun
+            await anyio.sleep(BEGIN_PAUSE_SECONDS)
+
     async def _record(
         self,
         online: online_requests.OnlineRequest,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -168,11 +168,11 @@
         self.list_target(name, made.address, 'engine', zone, model)
         return made
 
-    def start_service(self, name: str, zone: str) -> Standin:
+    def start_service(self, name: str, zone: str, serves: str = '') -> Standin:
         """Start a plain service and list it."""
         made = self._add(Standin('service', '--name', name))
         self.services[name] = made
-        self.list_target(name, made.address, 'service', zone, name)
+        self.list_target(name, made.address, 'service', zone, serves or name)
         return made
 
     def list_target(
--- /dev/null
+++ b/tests/test_online_processes.py
@@ -0,0 +1,199 @@
+"""Online requests while processes die, freeze and lose the store."""
+
+import json
+import signal
+import threading
+import unittest
+import uuid
+
+import httpx
+import parameterized
+
+from persimmonpass.policy import shards
+from persimmonpass.standins import engine
+from tests import processes
+
+ZONES = ('ruai', 'kasarani', 'embakasi')
+ACCOUNT = {'Authorization': 'Bearer athi-desk-token'}
+EXAMPLES = processes.ROOT / 'examples'
+KEY_SHARDS = 64
+SETTLE_SECONDS = 15.0
+
+
+def call(host, key, body):
+    """Send a call that may run only once."""
+    return processes.CLIENT.post(
+        f'{host.caller}/v1/services/crews/dispatch',
+        content=body,
+        headers={**ACCOUNT, 'Idempotency-Key': key},
+    )
+
+
+def runs(fleet, body):
+    """Return how often the services ran a body."""
+    total = 0
+    for service in fleet.services.values():
+        counts = processes.CLIENT.get(
+            f'http://{service.address}/control/runs'
+        ).json()
+        total += counts.get(f'POST /dispatch {body}', 0)
+    return total
+
+
+class TestProcesses(unittest.TestCase):
+    """Three daemons, five engines and two plain services.
+
+    Engines that a test ends stay away: one is killed and two crash.
+    """
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = processes.Fleet(ZONES)
+        cls.addClassCleanup(cls.fleet.close)
+        for index in range(5):
+            zone = ZONES[index % 3]
+            cls.fleet.start_engine(f'engine-{index}', zone, 'pumpread@3')
+        for index in range(2):
+            name = f'crews-{index}'
+            cls.fleet.start_service(name, 'ruai', 'crews')
+        applied = cls.fleet.tool('apply', '-f', str(EXAMPLES / 'athi'))
+        assert applied.returncode == 0, applied.stderr
+        cls.fleet.wait_ready()
+        for host in cls.fleet.hosts:
+            processes.wait_until(lambda host=host: cls._serves(host))
+
+    @classmethod
+    def _serves(cls, host):
+        ready = uuid.uuid4().hex
+        return (
+            cls._complete(host, 'ready?').status_code == 200
+            and call(host, ready, ready).status_code == 200
+        )
+
+    def _lost(self):
+        return [
+            made
+            for made in self.fleet.engines.values()
+            if made.process.poll() is not None
+        ]
+
+    @staticmethod
+    def _complete(host, prompt, tokens=4, **headers):
+        return processes.CLIENT.post(
+            f'{host.caller}/v1/completions',
+            json={'model': 'pumpread', 'prompt': prompt, 'max_tokens': tokens},
+            headers={**ACCOUNT, **headers},
+        )
+
+    def test_store_outage(self):
+        """A call that may run once is refused at once, and did not run."""
+        self.fleet.platform.set_faults(outage=True)
+        self.addCleanup(self.fleet.platform.set_faults)
+        for host in self.fleet.hosts[:2]:
+            refused = call(host, f'outage-{host.host}', 'outage')
+            self.assertEqual(503, refused.status_code)
+            self.assertEqual('not_run', refused.json()['verdict'])
+            self.assertIn('retry-after', refused.headers)
+        self.assertEqual(0, runs(self.fleet, 'outage'))
+
+    def test_host_killed(self):
+        """The owner of keys dies: calls run once, results stay readable."""
+        names = [host.host for host in self.fleet.hosts]
+        owner = {}
+        for number in range(50):
+            key = f'owner-{number}'
+            shard = shards.shard('operations-desk', key, KEY_SHARDS)
+            owner[shards.owner(f'keys/{shard}', names)] = key
+        victim = self.fleet.hosts[2]
+        key = owner[victim.host]
+        for service in self.fleet.services.values():
+            service.set_faults(delay_seconds=0.5)
+        kept = self._complete(victim, 'kept', **{'Idempotency-Key': 'kept'})
+        answers = []
+        sending = threading.Thread(
+            target=lambda: answers.append(
+                call(self.fleet.hosts[0], key, 'owner')
+            )
+        )
+        sending.start()
+        sending.join(0.25)
+        victim.send(signal.SIGKILL)
+        sending.join(30)
+        (first,) = answers
+        for service in self.fleet.services.values():
+            service.set_faults()
+        again = call(self.fleet.hosts[1], key, 'owner')
+        self.assertEqual(1, runs(self.fleet, 'owner'))
+        if first.status_code == 200:
+            self.assertEqual(1, first.json()['runs'])
+        for answer in (first, again):
+            if answer.status_code != 200:
+                self.assertEqual('may_have_run', answer.json()['verdict'])
+        url = f'{self.fleet.hosts[1].caller}/v1/requests/kept'
+        read = processes.wait_until(lambda: self._read(url))
+        self.assertEqual(kept.content, read.content)
+        self.assertEqual('kept', read.headers['persimmonpass-request-id'])
+        self.assertEqual('ran', read.headers['persimmonpass-verdict'])
+        self.assertEqual('text_completion', json.loads(read.content)['object'])
+
+    @parameterized.parameterized.expand(
+        [('kill', signal.SIGKILL), ('freeze', signal.SIGSTOP)]
+    )
+    def test_engine_lost(self, name, number):
+        """Streams of a lost engine end elsewhere without a gap."""
+        texts = {}
+
+        def send(index):
+            prompt = f'{name} {index}'
+            host = self.fleet.hosts[index % 2]
+            texts[prompt] = self._complete(host, prompt, 60)
+
+        threads = [
+            threading.Thread(target=send, args=(index,)) for index in range(9)
+        ]
+        for thread in threads:
+            thread.start()
+        threads[0].join(0.3)
+        lost = self.fleet.engines[f'engine-{int(name == "kill")}']
+        lost.send(number)
+        self.addCleanup(lost.send, signal.SIGCONT)
+        for thread in threads:
+            thread.join(SETTLE_SECONDS)
+        self.assertEqual(9, len(texts))
+        for prompt, answer in texts.items():
+            self.assertEqual(200, answer.status_code, answer.text)
+            text = answer.json()['choices'][0]['text']
+            self.assertEqual(engine.full_text(prompt, 60), text)
+
+    def test_killing_body_is_stopped_on_every_host(self):
+        prompt = f'{engine.CRASH_MARK} reading'
+        before = len(self._lost())
+        for host in (*self.fleet.hosts[:2], self.fleet.hosts[0]):
+            answer = self._complete(host, prompt)
+            self.assertEqual(422, answer.status_code, answer.text)
+            self.assertEqual('may_have_run', answer.json()['verdict'])
+            self.assertEqual('request_quarantined', answer.json()['error'])
+        processes.wait_until(lambda: len(self._lost()) >= before + 2)
+        self.assertEqual(before + 2, len(self._lost()))
+
+    def test_hang_up_frees_the_engine(self):
+        body = {'model': 'pumpread', 'prompt': 'long', 'max_tokens': 9000}
+        body['stream'] = True
+        url = f'{self.fleet.hosts[0].caller}/v1/completions'
+        with httpx.Client(trust_env=False) as client:
+            with client.stream('POST', url, json=body, headers=ACCOUNT) as got:
+                next(got.iter_lines())
+        processes.wait_until(lambda: self._running() == 0)
+
+    def _running(self):
+        return sum(
+            processes.CLIENT.get(f'http://{made.address}/v1/load').json()[
+                'running'
+            ]
+            for made in self.fleet.engines.values()
+            if made not in self._lost()
+        )
+
+    def _read(self, url):
+        read = processes.CLIENT.get(url, headers=ACCOUNT)
+        return read if read.status_code == 200 else None
