--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,56 @@
+"""A bare relay to one engine, the baseline of ``bench.overhead``."""
+
+import sys
+
+import anyio
+import httpx
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from persimmonpass import daemon
+
+
+def make_app(client: httpx.AsyncClient, url: str) -> applications.Starlette:
+    """Make an application that passes everything on as it comes."""
+
+    async def relay(request: requests.Request) -> responses.Response:
+        onwards = client.build_request(
+            request.method,
+            url + request.url.path,
+            content=await request.body(),
+            headers={'content-type': 'application/json'},
+        )
+        answer = await client.send(onwards, stream=True)
+
+        async def body():
+            try:
+                async for chunk in answer.aiter_raw():
+                    yield chunk
+            finally:
+                await answer.aclose()
+
+        return responses.StreamingResponse(
+            body(), answer.status_code, media_type='text/event-stream'
+        )
+
+    return applications.Starlette(
+        routes=[routing.Route('/{path:path}', relay, methods=['POST'])]
+    )
+
+
+async def main(address: str) -> None:
+    """Relay to an engine until the process is killed."""
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=100)
+    async with httpx.AsyncClient(
+        limits=limits, trust_env=False, timeout=None
+    ) as client:
+        listener = daemon.listen('127.0.0.1:0')
+        print(f'listening on {daemon.address_of(listener)}', flush=True)
+        app = make_app(client, f'http://{address}')
+        await daemon.serve_http(app, listener, anyio.Event())
+
+
+if __name__ == '__main__':
+    anyio.run(main, sys.argv[1])
