Keep a connection pool for each target and read progress limits from the library

Cause: the HTTP library goes through all connections of a pool with each request (589 k calls of is_idle in 736 requests, by cProfile), and each piece opened a cancel scope of its own. Random draws of the tests are seeded.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -135,17 +135,25 @@
         fleet.wait_ready()
         host = fleet.hosts[0]
         ways = {
-            'relay': (relay.process.pid, f'http://{relay.address}/v1/comple'
-                      'tions', engine_body),
-            'host': (host.process.pid, f'{host.caller}/v1/completions',
-                     caller_body),
+            'relay': (
+                relay.process.pid,
+                f'http://{relay.address}/v1/completions',
+                engine_body,
+            ),
+            'host': (
+                host.process.pid,
+                f'{host.caller}/v1/completions',
+                caller_body,
+            ),
         }
         url = f'{host.caller}/v1/completions'
         processes.wait_until(
-            lambda: processes.CLIENT.post(
-                url, json=caller_body(), headers=ACCOUNT
-            ).status_code
-            == 200
+            lambda: (
+                processes.CLIENT.post(
+                    url, json=caller_body(), headers=ACCOUNT
+                ).status_code
+                == 200
+            )
         )
         rows = {way: [] for way in ways}
         for _ in range(ROUNDS):
--- a/src/persimmonpass/controllers/choice.py
+++ b/src/persimmonpass/controllers/choice.py
@@ -1,7 +1,6 @@
 """Chooses the target of a request from the blackboard."""
 
 import collections.abc
-import random
 
 import anyio
 import result
@@ -32,7 +31,7 @@
         healths: health.Health,
         suspects: quarantine.Quarantine,
         availability_zone: str,
-        draw: collections.abc.Callable[[int], int] = random.randrange,
+        draw: collections.abc.Callable[[int], int],
     ) -> None:
         self._board = board
         self._sent = sent
--- a/src/persimmonpass/controllers/completions.py
+++ b/src/persimmonpass/controllers/completions.py
@@ -144,28 +144,29 @@
         run: quarantine.Run,
         deadline: online_requests.Deadline,
     ) -> Pieces:
-        """Give a stream up that makes no progress or is out of time."""
-        limit = engine.FIRST_PIECE_SECONDS
+        """Give a stream up that is out of time.
+
+        The engines' client sees to it that a silent stream ends, so that a
+        time limit is needed only near the deadline.
+        """
         async with contextlib.aclosing(pieces):
             while True:
-                piece = None
-                with anyio.move_on_after(min(limit, deadline.left)) as scope:
+                if deadline.left > engine.PROGRESS_SECONDS:
                     piece = await anext(pieces, None)
+                else:
+                    piece = None
+                    with anyio.move_on_after(deadline.left) as scope:
+                        piece = await anext(pieces, None)
+                    if scope.cancelled_caught:
+                        break
                 if piece is None:
-                    break
+                    return
                 yield piece
-                limit = engine.NEXT_PIECE_SECONDS
-        if scope.cancelled_caught:
-            yield result.Err(_gave_up(run, deadline))
-
-
-def _gave_up(
-    run: quarantine.Run, deadline: online_requests.Deadline
-) -> verdicts.Failure:
-    verdict = verdicts.Verdict.MAY_HAVE_RUN
-    if deadline.left <= 0:
-        return online_requests.deadline_exceeded(run.target.name, verdict)
-    return engine.target_failed(run.target, verdict, 'no progress in time')
+        yield result.Err(
+            online_requests.deadline_exceeded(
+                run.target.name, verdicts.Verdict.MAY_HAVE_RUN
+            )
+        )
 
 
 def make_work(
--- a/src/persimmonpass/controllers/online_parts.py
+++ b/src/persimmonpass/controllers/online_parts.py
@@ -1,6 +1,7 @@
 """Puts the controllers of online requests together."""
 
 import collections.abc
+import random
 import typing
 
 from persimmonpass import blackboard
@@ -62,11 +63,13 @@
     ports: OnlinePorts,
     availability_zone: str,
     connect: probe.Connect = probe.connect,
+    draw: collections.abc.Callable[[int], int] = random.randrange,
 ) -> OnlineParts:
     """Make the controllers of one host.
 
     :param availability_zone: zone of this host
     :param connect: tries whether a target takes connections
+    :param draw: random number below its argument
     """
     shared = sharing.Sharing(ports.sent, ports.peers)
     healths = health.Health(
@@ -82,6 +85,7 @@
         healths,
         suspects,
         availability_zone,
+        draw,
     )
     tries = attempts.Attempts(
         chooser,
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -32,6 +32,7 @@
 from persimmonpass import settings
 from persimmonpass import store
 from persimmonpass.targets import engine
+from persimmonpass.targets import pools
 from persimmonpass.targets import service
 from persimmonpass import tracing
 
@@ -103,13 +104,13 @@
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS,
         )
-        fresh = limits_without_reuse()
         async with (
             httpx.AsyncClient(limits=limits, trust_env=False) as client,
-            httpx.AsyncClient(limits=fresh, trust_env=False) as fresh_client,
+            pools.make_client(keep_connections=True) as target_client,
+            pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client, fresh_client)
+            self._build(client, target_client, fresh_client)
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
@@ -130,7 +131,10 @@
         self.spans.shut_down()
 
     def _build(
-        self, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient
+        self,
+        client: httpx.AsyncClient,
+        target_client: httpx.AsyncClient,
+        fresh_client: httpx.AsyncClient,
     ) -> None:
         """Make the ports and the controllers."""
         options = self._options
@@ -138,8 +142,8 @@
         incarnation = time.time_ns()
         self._calls = budget.Budget(options.store_rate)
         self._store = store.connect(client, options.store_url, self._calls)
-        self._engines = engine.connect(client)
-        self._services = service.connect(client, fresh_client)
+        self._engines = engine.connect(target_client)
+        self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
             link.Identity(options.host, incarnation, options.peer_secret),
@@ -355,13 +359,6 @@
         await anyio.sleep(RESTART_SECONDS)
 
 
-def limits_without_reuse() -> httpx.Limits:
-    """Return the limits of a client that opens a connection each time."""
-    return httpx.Limits(
-        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
-    )
-
-
 def listen(address: str) -> socket.socket:
     """Bind a listening socket.
 
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+import msgspec
 import result
 
 from persimmonpass import blackboard
@@ -13,8 +14,7 @@
 from persimmonpass import verdicts
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-FIRST_PIECE_SECONDS = 2.5
-NEXT_PIECE_SECONDS = 1.5
+PROGRESS_SECONDS = 2.5
 REPORT_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 5.0
 REST_SECONDS = 0.05
@@ -24,11 +24,28 @@
 LEAVING = 'leaving'
 
 _DATA = b'data: '
-_DONE = b'[DONE]'
+_DONE = b'data: [DONE]'
 _EVENT_END = b'\n\n'
 _HEADERS_STARTED = 'http11.send_request_headers.started'
 
 
+class _Choice(msgspec.Struct):
+    """Text of an event."""
+
+    text: str
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    """A server-sent event of an engine."""
+
+    id: str
+    choices: list[_Choice]
+
+
+_DECODER = msgspec.json.Decoder(_Event)
+
+
 class Completion(typing.NamedTuple):
     """Work for an engine.
 
@@ -86,7 +103,8 @@
     """Calls of an engine.
 
     :ivar stream: target, completion, trace headers -> pieces; the last one
-        has a finish reason, or a failure ends the stream
+        has a finish reason, or a failure ends the stream. One that makes no
+        progress for ``PROGRESS_SECONDS`` fails.
     :ivar report: target -> its load
     :ivar cache_events: target, number -> later changes of its prefix cache
     """
@@ -192,7 +210,9 @@
             f'http://{target.address}/v1/completions',
             json={**completion._asdict(), 'stream': True},
             headers=headers,
-            timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
+            timeout=httpx.Timeout(
+                PROGRESS_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
+            ),
             extensions=watch.extensions,
         )
         answer = None
@@ -265,22 +285,28 @@
         whole, end, rest = (rest + chunk).rpartition(_EVENT_END)
         if not end:
             continue
-        texts = []
-        reason = None
-        for line in whole.splitlines():
-            data = line.removeprefix(_DATA)
-            if data == line or data == _DONE:
-                continue
-            body = json.loads(data)
-            if body['id'] != attempt:
-                raise ValueError('piece of another attempt')
-            choice = body['choices'][0]
-            texts.append(choice['text'])
-            reason = choice['finish_reason'] or reason
-        if reason is not None:
+        piece = _join_events(whole, attempt)
+        if piece is None:
+            continue
+        if piece.finish_reason is not None:
             await _read_rest(chunks)
-        if texts:
-            yield Piece(''.join(texts), reason)
+        yield piece
+
+
+def _join_events(data: bytes, attempt: str) -> Piece | None:
+    """Return whole events as one piece, or ``None`` without any text."""
+    texts = []
+    reason = None
+    for line in data.splitlines():
+        if not line.startswith(_DATA) or line == _DONE:
+            continue
+        event = _DECODER.decode(line[len(_DATA) :])
+        if event.id != attempt:
+            raise ValueError('piece of another attempt')
+        choice = event.choices[0]
+        texts.append(choice.text)
+        reason = choice.finish_reason or reason
+    return Piece(''.join(texts), reason) if texts else None
 
 
 async def _read_rest(chunks: collections.abc.AsyncIterator[bytes]) -> None:
--- /dev/null
+++ b/src/persimmonpass/targets/pools.py
@@ -0,0 +1,62 @@
+"""Keeps a connection pool for each target.
+
+The HTTP library goes through all connections of a pool with each request,
+so that one pool for the whole fleet would make each request cost as much as
+the fleet is large.
+"""
+
+import collections
+
+import httpx
+
+MAX_TARGETS = 20_000
+MAX_KEPT_CONNECTIONS = 32
+
+
+class TargetPools(httpx.AsyncBaseTransport):
+    """Transport that gives each address a pool of its own.
+
+    :param limits: limits of each pool
+    """
+
+    def __init__(self, limits: httpx.Limits) -> None:
+        self._limits = limits
+        self._pools: collections.OrderedDict[str, httpx.AsyncHTTPTransport] = (
+            collections.OrderedDict()
+        )
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request through the pool of its address."""
+        address = request.url.netloc.decode('ascii')
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpx.AsyncHTTPTransport(
+                limits=self._limits, trust_env=False
+            )
+            self._pools[address] = pool
+        self._pools.move_to_end(address)
+        if len(self._pools) > MAX_TARGETS:
+            _, oldest = self._pools.popitem(last=False)
+            await oldest.aclose()
+        return await pool.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close all pools."""
+        for pool in self._pools.values():
+            await pool.aclose()
+
+
+def make_client(*, keep_connections: bool) -> httpx.AsyncClient:
+    """Make an HTTP client for targets.
+
+    :param keep_connections: whether connections are used again
+    """
+    limits = httpx.Limits(
+        max_connections=None,
+        max_keepalive_connections=(
+            MAX_KEPT_CONNECTIONS if keep_connections else 0
+        ),
+    )
+    return httpx.AsyncClient(transport=TargetPools(limits), trust_env=False)
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import random
 
 import anyio
 import result
@@ -88,7 +89,9 @@
                     yield self._fail(target, may_have_run)
                     return
                 if (index, SILENT) == (after, fault):
-                    await anyio.sleep_forever()
+                    await anyio.sleep(engine.PROGRESS_SECONDS)
+                    yield self._fail(target, may_have_run)
+                    return
                 yield result.Ok(engine.Piece(word))
             yield result.Ok(engine.Piece('', 'length'))
         finally:
@@ -166,6 +169,7 @@
             ),
             'ruai',
             fleet.targets.connect,
+            random.Random(host).randrange,
         )
         fleet.network.handlers[host] = {
             **self.keys.handlers,
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import unittest
+from unittest import mock
 
 import anyio
 import httpx
@@ -55,9 +56,9 @@
             data += await stream.receive()
         self.received += 1
         parts = self._script.pop(0)
-        if parts is None:
-            await anyio.sleep_forever()
         for part in parts if isinstance(parts, list) else [parts]:
+            if part is None:
+                await anyio.sleep_forever()
             await stream.send(part)
             await anyio.sleep(0.02)
         return parts in (OK, BUSY, LEAVING) or parts == [EVENTS]
@@ -224,6 +225,15 @@
 
         run(test, script)
 
+    def test_silence(self):
+        async def test(target, clients, raw):
+            with mock.patch.object(engine, 'PROGRESS_SECONDS', 0.2):
+                first, failed = await self._read(target, clients)
+            self.assertEqual('x ', first.ok_value.text)
+            self.assertEqual(MAY_HAVE_RUN, failed.err_value.verdict)
+
+        run(test, [*chunked(event('a-0', 'x '))[:-1], None])
+
     @parameterized.parameterized.expand(
         [
             ('busy', BUSY, events.TARGET_FAILED),
