--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,208 @@
+"""Compares the routing policy with random and least-outstanding choice."""
+
+import json
+import random
+import time
+
+import anyio
+import httpx
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import choice
+from persimmonpass.controllers import health
+from persimmonpass.controllers import quarantine
+from persimmonpass import objects
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import prefixes
+from persimmonpass.policy import routing
+from persimmonpass import sends
+from persimmonpass.targets import engine
+from persimmonpass.targets import probe
+from tests import fakes
+from tests import processes
+
+ENGINES = 4
+HOSTS = 2
+REQUESTS = 280
+REQUESTS_PER_SECOND = 35.0
+PREFIXES = 40
+PREFIX_BLOCKS = 30
+TOKENS = 12
+REPORT_SECONDS = 1.0
+LAG_SECONDS = 0.5
+LOST_EVENTS = 0.2
+SPEC = objects.ServiceSpec(
+    selector='serves=pumpread', model='pumpread', version='3'
+)
+
+
+def choose_random(candidates, zone, draw):
+    """Return any target."""
+    return candidates[draw(len(candidates))].name
+
+
+def choose_least(candidates, zone, draw):
+    """Return the target with the least estimated work."""
+    return min(candidates, key=lambda row: row.work).name
+
+
+POLICIES = {
+    'random': choose_random,
+    'least': choose_least,
+    'policy': routing.choose,
+}
+
+
+def make_prompts(draws):
+    """Return prompts that share few long prefixes."""
+    size = prefixes.BLOCK_CHARACTERS
+    heads = [
+        f'station {number} '.ljust(size, '.') * PREFIX_BLOCKS
+        for number in range(PREFIXES)
+    ]
+    return [
+        draws.choice(heads) + f'reading {number}'.ljust(2 * size)
+        for number in range(REQUESTS)
+    ]
+
+
+class Host:
+    """Routing state of one host, as the daemon has it."""
+
+    def __init__(self, engines, names, policy, seed):
+        self.board = blackboard.Blackboard()
+        self.engines = engines
+        self.sent = sends.Sends()
+        peers = peer_port.PeerPort(None, None, lambda: [])
+        store = fakes.MemoryStore().port
+        suspects = quarantine.Quarantine(
+            store, peers, self.sent, probe.connect
+        )
+        check = probe.make_probe(engines, probe.connect)
+        healths = health.Health(self.board, check, peers)
+        self.chooser = choice.Chooser(
+            self.board,
+            self.sent,
+            engines,
+            healths,
+            suspects,
+            'ruai',
+            random.Random(seed).randrange,
+            policy,
+        )
+        for name, address in names.items():
+            labels = {'serves': 'pumpread'}
+            self.board.targets.put(
+                name,
+                blackboard.Target(name, address, 'engine', 'ruai', labels),
+            )
+
+    async def follow_reports(self):
+        """Read the reports as the daemon does."""
+        while True:
+            for target in self.board.targets.rows():
+                report = (await self.engines.report(target)).unwrap()
+                self.board.loads.put(
+                    target.name,
+                    blackboard.Load(
+                        report.running,
+                        report.pending_tokens,
+                        anyio.current_time(),
+                        report.models,
+                    ),
+                )
+            await anyio.sleep(REPORT_SECONDS)
+
+    async def complete(self, client, prompt, number, found):
+        """Run one request; note its cached share and its first token."""
+        started = time.perf_counter()
+        blocks = prefixes.hash_blocks(prompt)
+        target = self.chooser.choose(SPEC, set(), blocks)
+        held = await client.post(
+            f'http://{target.address}/v1/kv/export', json={'text': prompt}
+        )
+        self.chooser.note_sent(target.name, blocks)
+        completion = engine.Completion(
+            f'{number}', 'pumpread', '3', '', prompt, TOKENS
+        )
+        first = None
+        with self.sent.track(self.sent.online, target.name):
+            async for piece in self.engines.stream(target, completion, {}):
+                piece.unwrap()
+                first = first or time.perf_counter()
+        cached = len(held.json()['kv']) / len(blocks)
+        found.append((cached, first - started))
+
+
+async def measure(names, policy, seed):
+    """Run all requests.
+
+    :returns: prefix-hit share, p50 and p99 of the first token in seconds
+    """
+    found = []
+    draws = random.Random(seed)
+    limits = httpx.Limits(max_connections=None)
+    async with (
+        httpx.AsyncClient(
+            trust_env=False, timeout=30, limits=limits
+        ) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        engines = engine.connect(client)
+        hosts = [
+            Host(engines, names, policy, seed + index)
+            for index in range(HOSTS)
+        ]
+        for host in hosts:
+            tasks.start_soon(host.follow_reports)
+            tasks.start_soon(host.chooser.run)
+        await anyio.sleep(0.5)
+        async with anyio.create_task_group() as requests:
+            for number, prompt in enumerate(make_prompts(draws)):
+                host = hosts[number % HOSTS]
+                requests.start_soon(
+                    host.complete, client, prompt, number, found
+                )
+                wait = draws.expovariate(REQUESTS_PER_SECOND)
+                await anyio.sleep(wait)
+        tasks.cancel_scope.cancel()
+    firsts = sorted(first for _, first in found)
+    hits = sum(cached for cached, _ in found) / len(found)
+    return hits, firsts[len(firsts) // 2], firsts[int(len(firsts) * 0.99)]
+
+
+def main() -> None:
+    """Print a table and one line of JSON."""
+    figures = {}
+    for name, policy in POLICIES.items():
+        started = []
+        try:
+            addresses = {}
+            for index in range(ENGINES):
+                made = processes.Standin(
+                    *('engine', '--name', f'e{index}'),
+                    *('--model', 'pumpread@3', '--seed', str(index)),
+                )
+                started.append(made)
+                made.set_faults(
+                    lag_seconds=LAG_SECONDS, drop_cache_events=LOST_EVENTS
+                )
+                addresses[f'e{index}'] = made.address
+            figures[name] = anyio.run(measure, addresses, policy, 7)
+        finally:
+            for made in started:
+                made.close()
+        print(name, *(f'{value:8.4f}' for value in figures[name]))
+    hits, _, p99 = figures['policy']
+    ratios = {
+        name: {
+            'hit_share': round(hits / row[0], 3),
+            'first_p99': round(p99 / row[2], 3),
+        }
+        for name, row in figures.items()
+    }
+    print(json.dumps({'policy_to': ratios}))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/persimmonpass/controllers/attempts.py
+++ b/src/persimmonpass/controllers/attempts.py
@@ -16,6 +16,7 @@
 from persimmonpass import metrics
 from persimmonpass.policy import retry
 from persimmonpass import sends
+from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
 ALONE_POLL_SECONDS = 0.02
@@ -145,10 +146,11 @@
             return
         if failure.event == events.DEADLINE_EXCEEDED:
             return
-        self._healths.note_failure(target)
-        if failure.verdict == verdicts.Verdict.NOT_RUN:
+        refused = engine.is_unreachable(failure)
+        self._healths.note_failure(target, refused=refused)
+        if refused:
             self._chooser.forget(target.name)
-        else:
+        elif failure.verdict != verdicts.Verdict.NOT_RUN:
             await self._suspects.note_broken(run)
 
     async def _pick_alone(
--- a/src/persimmonpass/controllers/choice.py
+++ b/src/persimmonpass/controllers/choice.py
@@ -32,6 +32,7 @@
         suspects: quarantine.Quarantine,
         availability_zone: str,
         draw: collections.abc.Callable[[int], int],
+        choose: routing.Choose = routing.choose,
     ) -> None:
         self._board = board
         self._sent = sent
@@ -40,6 +41,7 @@
         self._suspects = suspects
         self._zone = availability_zone
         self._draw = draw
+        self._choose = choose
         self._caches: dict[str, prefixes.PrefixCache] = {}
         self._known_then: dict[str, tuple[float, int]] = {}
 
@@ -66,7 +68,7 @@
             )
             for target in free or usable
         ]
-        name = routing.choose(candidates, self._zone, self._draw)
+        name = self._choose(candidates, self._zone, self._draw)
         return self._board.targets.get(name) if name else None
 
     def choose_for_suspect(
--- a/src/persimmonpass/controllers/completions.py
+++ b/src/persimmonpass/controllers/completions.py
@@ -15,6 +15,10 @@
 from persimmonpass import tracing
 from persimmonpass import verdicts
 
+# An engine that has not begun by then is asked whether it is alive.
+FIRST_CHECK_SECONDS = 1.0
+CHECK_SECONDS = 0.3
+
 Pieces = collections.abc.AsyncGenerator[engine.PieceResult, None]
 
 
@@ -149,24 +153,54 @@
         The engines' client sees to it that a silent stream ends, so that a
         time limit is needed only near the deadline.
         """
+        failure = online_requests.deadline_exceeded(
+            run.target.name, verdicts.Verdict.MAY_HAVE_RUN
+        )
         async with contextlib.aclosing(pieces):
             while True:
-                if deadline.left > engine.PROGRESS_SECONDS:
+                piece = None
+                if not run.has_output:
+                    with anyio.move_on_after(deadline.left) as scope:
+                        piece = await self._first(pieces, run)
+                elif deadline.left > engine.PROGRESS_SECONDS:
                     piece = await anext(pieces, None)
                 else:
-                    piece = None
                     with anyio.move_on_after(deadline.left) as scope:
                         piece = await anext(pieces, None)
-                    if scope.cancelled_caught:
-                        break
                 if piece is None:
-                    return
+                    break
                 yield piece
-        yield result.Err(
-            online_requests.deadline_exceeded(
-                run.target.name, verdicts.Verdict.MAY_HAVE_RUN
-            )
+                if isinstance(piece, result.Err):
+                    return
+        if scope.cancelled_caught:
+            yield result.Err(failure)
+
+    async def _first(
+        self, pieces: Pieces, run: quarantine.Run
+    ) -> engine.PieceResult | None:
+        """Return a first piece, or a failure if the engine is silent.
+
+        A busy engine may take long to begin, so that silence counts only
+        where a new connection is silent too.
+        """
+        failure = engine.target_failed(
+            run.target, verdicts.Verdict.MAY_HAVE_RUN, 'silent'
         )
+        piece: engine.PieceResult | None = result.Err(failure)
+
+        async def check() -> None:
+            await anyio.sleep(FIRST_CHECK_SECONDS)
+            with anyio.move_on_after(CHECK_SECONDS):
+                reported = await self._engines.report(run.target)
+                if reported.is_ok():
+                    return
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(check)
+            piece = await anext(pieces, None)
+            tasks.cancel_scope.cancel()
+        return piece
 
 
 def make_work(
--- a/src/persimmonpass/controllers/health.py
+++ b/src/persimmonpass/controllers/health.py
@@ -1,12 +1,16 @@
 """Ejects targets that fail and probes them until they are back."""
 
 import anyio
+import result
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import health
 from persimmonpass.targets import probe
+from persimmonpass import verdicts
 
+METHOD_SUSPECT = 'health.suspect'
 CHECK_SECONDS = 0.1
 PROBE_SECONDS = 1.0
 
@@ -19,14 +23,23 @@
     """
 
     def __init__(
-        self, board: blackboard.Blackboard, check: probe.Probe
+        self,
+        board: blackboard.Blackboard,
+        check: probe.Connect,
+        peers: peer_port.PeerPort,
     ) -> None:
         self._board = board
+        self._peers = peers
         self._probe = check
         self._healths: dict[str, health.TargetHealth] = {}
         self._addresses: dict[str, str] = {}
         self._probing: set[str] = set()
 
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of peers' notices."""
+        return {METHOD_SUSPECT: self._take_suspect}
+
     def usable(
         self, targets: list[blackboard.Target]
     ) -> list[blackboard.Target]:
@@ -42,14 +55,22 @@
         if self._healths.pop(target.name, health.TargetHealth()).ejected:
             events.log(events.TARGET_RESTORED, target=target.name)
 
-    def note_failure(self, target: blackboard.Target) -> None:
-        """Note that a target failed, which ejects it."""
+    def note_failure(
+        self, target: blackboard.Target, *, refused: bool = False
+    ) -> None:
+        """Note that a target failed, which ejects it.
+
+        :param refused: whether it took no connection
+        """
         known = self._healths.get(target.name, health.TargetHealth())
         if not known.ejected:
             events.log(events.TARGET_SUSPECT, target=target.name)
+            peer_port.broadcast(
+                self._peers, METHOD_SUSPECT, [target.name, target.address]
+            )
         self._addresses[target.name] = target.address
         self._healths[target.name] = health.on_failure(
-            known, anyio.current_time()
+            known, anyio.current_time(), refused
         )
 
     async def run(self) -> None:
@@ -74,23 +95,45 @@
         return due
 
     async def _check(self, target: blackboard.Target) -> None:
-        answered = False
+        connected = probe.Connected.SILENT
         try:
             with anyio.move_on_after(PROBE_SECONDS):
-                answered = await self._probe(target)
+                connected = await self._probe(target)
         finally:
             self._probing.discard(target.name)
         known = self._healths.get(target.name)
-        if known is None or not known.ejected:
+        if known is None:
             return
-        if answered:
+        if connected == probe.Connected.ACCEPTED:
+            if not known.ejected:
+                return
             self._healths[target.name] = health.on_probe_success(known)
             events.log(events.TARGET_RESTORED, target=target.name)
         else:
             self._healths[target.name] = health.on_failure(
-                known, anyio.current_time()
+                known,
+                anyio.current_time(),
+                connected == probe.Connected.REFUSED,
             )
 
+    async def _take_suspect(
+        self, peer: str, payload: tuple[str, str]
+    ) -> result.Result[None, verdicts.Failure]:
+        """Probe a target that failed a peer, before requests find out.
+
+        A peer's word alone ejects nothing: only the peer may be cut off.
+        """
+        name, address = payload
+        target = self._board.targets.get(name)
+        if target is None or target.address != address:
+            return result.Ok(None)
+        known = self._healths.setdefault(name, health.TargetHealth())
+        if name not in self._probing and not known.ejected:
+            self._probing.add(name)
+            self._addresses[name] = address
+            await self._check(target)
+        return result.Ok(None)
+
     def _forget_replaced(self, target: blackboard.Target) -> None:
         address = self._addresses.get(target.name, target.address)
         if address != target.address:
--- a/src/persimmonpass/controllers/online_parts.py
+++ b/src/persimmonpass/controllers/online_parts.py
@@ -73,7 +73,9 @@
     """
     shared = sharing.Sharing(ports.sent, ports.peers)
     healths = health.Health(
-        ports.board, probe.make_probe(ports.engines, connect)
+        ports.board,
+        probe.make_probe(ports.engines, connect),
+        ports.peers,
     )
     suspects = quarantine.Quarantine(
         ports.store, ports.peers, ports.sent, connect
@@ -103,6 +105,5 @@
         ports.spans,
     )
     jobs: list[Job] = [shared.run, healths.run, suspects.run, chooser.run]
-    return OnlineParts(
-        made, suspects, jobs, shared.handlers | suspects.handlers
-    )
+    handlers = shared.handlers | suspects.handlers | healths.handlers
+    return OnlineParts(made, suspects, jobs, handlers)
--- a/src/persimmonpass/policy/health.py
+++ b/src/persimmonpass/policy/health.py
@@ -15,19 +15,26 @@
     :ivar failures: failures since the last success
     :ivar ejected: whether it gets probes only
     :ivar probe_time: local clock of the next probe, in seconds
+    :ivar refused: whether it took no connection at all
     """
 
     failures: int = 0
     ejected: bool = False
     probe_time: float = 0.0
+    refused: bool = False
 
 
-def on_failure(health: TargetHealth, now: float) -> TargetHealth:
-    """Return the health after a failed attempt or probe."""
+def on_failure(
+    health: TargetHealth, now: float, refused: bool = False
+) -> TargetHealth:
+    """Return the health after a failed attempt or probe.
+
+    :param refused: whether the target took no connection
+    """
     failures = health.failures + 1
     doublings = min(failures - 1, 8)
     wait = min(MAX_PROBE_SECONDS, FIRST_PROBE_SECONDS * 2**doublings)
-    return TargetHealth(failures, True, now + wait)
+    return TargetHealth(failures, True, now + wait, refused)
 
 
 def on_probe_success(health: TargetHealth) -> TargetHealth:
@@ -36,7 +43,7 @@
     The failures stay until a request succeeds: a target that answers probes
     and fails requests is ejected for longer each time.
     """
-    return health._replace(ejected=False)
+    return health._replace(ejected=False, refused=False)
 
 
 def usable(
@@ -47,11 +54,12 @@
 
     :param names: targets that could serve a request
     :returns: those not ejected, and those with the fewest failures where
-        more than a bounded share would be ejected
+        more than a bounded share would be ejected; those that take no
+        connection could not serve anyway and do not count
     """
-    ejected = [
-        name for name in names if healths.get(name, TargetHealth()).ejected
-    ]
-    limit = math.floor(len(names) * MAX_EJECTED_SHARE)
-    ejected.sort(key=lambda name: (-healths[name].failures, name))
-    return set(names) - set(ejected[:limit])
+    known = {name: healths.get(name, TargetHealth()) for name in names}
+    there = [name for name in names if not known[name].refused]
+    ejected = [name for name in there if known[name].ejected]
+    limit = math.floor(len(there) * MAX_EJECTED_SHARE)
+    ejected.sort(key=lambda name: (-known[name].failures, name))
+    return set(there) - set(ejected[:limit])
--- a/src/persimmonpass/policy/routing.py
+++ b/src/persimmonpass/policy/routing.py
@@ -23,6 +23,16 @@
     cached_blocks: int = 0
 
 
+Choose = collections.abc.Callable[
+    [
+        collections.abc.Sequence[Candidate],
+        str,
+        collections.abc.Callable[[int], int],
+    ],
+    str | None,
+]
+
+
 def estimate_work(reported: int, known_then: int, known_now: int) -> int:
     """Return the requests that are probably in progress at a target.
 
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -14,18 +14,21 @@
 from persimmonpass import verdicts
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-PROGRESS_SECONDS = 2.5
+PROGRESS_SECONDS = 2.0
+FIRST_PIECE_SECONDS = 8.0
 REPORT_TIMEOUT_SECONDS = 1.0
 ORDER_TIMEOUT_SECONDS = 5.0
 REST_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
 
+HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 LEAVING = 'leaving'
 
 _DATA = b'data: '
 _DONE = b'data: [DONE]'
 _EVENT_END = b'\n\n'
+_CONNECTED = 'connection.connect_tcp.complete'
 _HEADERS_STARTED = 'http11.send_request_headers.started'
 
 
@@ -104,7 +107,8 @@
 
     :ivar stream: target, completion, trace headers -> pieces; the last one
         has a finish reason, or a failure ends the stream. One that makes no
-        progress for ``PROGRESS_SECONDS`` fails.
+        progress for ``PROGRESS_SECONDS``, or for ``FIRST_PIECE_SECONDS``
+        before it begins, fails.
     :ivar report: target -> its load
     :ivar cache_events: target, number -> later changes of its prefix cache
     """
@@ -132,11 +136,15 @@
     reuses may break at any point.
 
     :ivar extensions: to be given to the request
+    :ivar limits: the request's time limits; a connection that was used
+        before must make progress sooner, since it may have been lost
     """
 
     def __init__(self) -> None:
         self._started = 0
+        self._fresh = False
         self.extensions = {'trace': self._note}
+        self.limits: dict[str, float | None] = {}
 
     @property
     def sent(self) -> int:
@@ -151,8 +159,12 @@
         return verdicts.Verdict.NOT_RUN
 
     async def _note(self, step: str, details: object) -> None:
-        if step == _HEADERS_STARTED:
+        if step == _CONNECTED:
+            self._fresh = True
+        elif step == _HEADERS_STARTED:
             self._started += 1
+            if not self._fresh:
+                self.limits['read'] = PROGRESS_SECONDS
 
 
 def target_leaving(target: blackboard.Target) -> verdicts.Failure:
@@ -166,6 +178,12 @@
     )
 
 
+def is_unreachable(failure: verdicts.Failure) -> bool:
+    """Return whether an attempt failed since no connection was made."""
+    not_run = failure.verdict == verdicts.Verdict.NOT_RUN
+    return not_run and failure.status == HTTP_BAD_GATEWAY
+
+
 def is_leaving(status: int, body: bytes) -> bool:
     """Return whether an answer says that its target is leaving."""
     if status != HTTP_UNAVAILABLE:
@@ -188,7 +206,7 @@
         verdict,
         events.TARGET_FAILED,
         f'target {target.name} failed: {detail}',
-        502,
+        HTTP_BAD_GATEWAY,
         RETRY_AFTER_SECONDS,
     )
 
@@ -211,13 +229,16 @@
             json={**completion._asdict(), 'stream': True},
             headers=headers,
             timeout=httpx.Timeout(
-                PROGRESS_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
+                FIRST_PIECE_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
             ),
             extensions=watch.extensions,
         )
+        # The library reads the limits anew for each step.
+        watch.limits = request.extensions['timeout']
         answer = None
         try:
             answer = await client.send(request, stream=True)
+            watch.limits['read'] = PROGRESS_SECONDS
             if answer.status_code != 200:
                 yield result.Err(await _refused(target, answer))
                 return
@@ -333,7 +354,9 @@
     verdict = (
         verdicts.Verdict.NOT_RUN if refused else verdicts.Verdict.MAY_HAVE_RUN
     )
-    return target_failed(target, verdict, f'status {answer.status_code}')
+    detail = f'status {answer.status_code}'
+    failure = target_failed(target, verdict, detail)
+    return failure._replace(status=HTTP_UNAVAILABLE)
 
 
 def _broken(target: blackboard.Target, detail: str) -> verdicts.Failure:
--- a/src/persimmonpass/targets/probe.py
+++ b/src/persimmonpass/targets/probe.py
@@ -22,9 +22,6 @@
 Connect = collections.abc.Callable[
     [blackboard.Target], collections.abc.Awaitable[Connected]
 ]
-Probe = collections.abc.Callable[
-    [blackboard.Target], collections.abc.Awaitable[bool]
-]
 
 
 async def connect(target: blackboard.Target) -> Connected:
@@ -41,17 +38,18 @@
     return Connected.ACCEPTED
 
 
-def make_probe(engines: engine.EnginePort, connects: Connect) -> Probe:
+def make_probe(engines: engine.EnginePort, connects: Connect) -> Connect:
     """Make the check whether a target that failed is back.
 
     :param engines: engines are asked for their load
     :param connects: plain services need only take connections
     """
 
-    async def answers(target: blackboard.Target) -> bool:
-        if target.kind == 'engine':
-            reported = await engines.report(target)
-            return reported.is_ok()
-        return await connects(target) == Connected.ACCEPTED
+    async def check(target: blackboard.Target) -> Connected:
+        connected = await connects(target)
+        if connected != Connected.ACCEPTED or target.kind != 'engine':
+            return connected
+        reported = await engines.report(target)
+        return Connected.ACCEPTED if reported.is_ok() else Connected.SILENT
 
-    return answers
+    return check
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -176,6 +176,13 @@
             **self.parts.handlers,
         }
 
+    @property
+    def retries(self):
+        value = self.counters.registry.get_sample_value(
+            'persimmonpass_retries_total', {'service': 'pumpread'}
+        )
+        return value or 0
+
     def _mark_leaving(self, name, address):
         row = self.board.targets.get(name)
         self.board.targets.put(name, row._replace(leaving=True))
--- a/tests/test_online_faults.py
+++ b/tests/test_online_faults.py
@@ -110,6 +110,22 @@
 
         online_fakes.run(test)
 
+    def test_peers_learn_of_a_dead_target(self):
+        """A host's first request avoids what failed at another host."""
+
+        async def test(fleet):
+            first, second = fleet.hosts.values()
+            fleet.targets.dead = {'e1', 'e2'}
+            for number in range(8):
+                await first.complete('pump', f'key-{number}')
+            await anyio.sleep(0.1)
+            for number in range(20):
+                text, _ = await second.complete('pump', f'other-{number}')
+                self.assertEqual(TEXT, text)
+            self.assertEqual(0, second.retries)
+
+        online_fakes.run(test, hosts=('h1', 'h2'))
+
 
 class TestNonIdempotentCalls(unittest.TestCase):
     """A call runs at most once, and its verdict is true."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -163,6 +163,17 @@
         }
         self.assertEqual(count - ejected, len(health.usable(names, healths)))
 
+    def test_refusing_targets_do_not_count(self):
+        """Three of five take no connection, one of the rest failed."""
+        names = [f't{index}' for index in range(5)]
+        good = health.TargetHealth()
+        healths = {
+            name: health.on_failure(good, 0.0, refused=True)
+            for name in names[:3]
+        }
+        healths['t3'] = health.on_failure(good, 0.0)
+        self.assertEqual({'t4'}, health.usable(names, healths))
+
     def test_wait_grows_until_a_request_succeeds(self):
         state = health.TargetHealth()
         waits = []
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -100,7 +100,7 @@
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(listener.serve, raw.serve)
-            with anyio.fail_after(10):
+            with anyio.fail_after(4):
                 await test(target, (client, fresh_client), raw)
             tasks.cancel_scope.cancel()
 
@@ -234,6 +234,18 @@
 
         run(test, [*chunked(event('a-0', 'x '))[:-1], None])
 
+    def test_silence_of_a_reused_connection(self):
+        """It is given up long before a new one that has not begun yet."""
+
+        async def test(target, clients, raw):
+            await self._read(target, clients)
+            with mock.patch.object(engine, 'PROGRESS_SECONDS', 0.2):
+                (failed,) = await self._read(target, clients)
+            self.assertEqual(MAY_HAVE_RUN, failed.err_value.verdict)
+            self.assertEqual(1, raw.connections)
+
+        run(test, [EVENTS], [None])
+
     @parameterized.parameterized.expand(
         [
             ('busy', BUSY, events.TARGET_FAILED),
