--- a/tests/test_online_processes.py
+++ b/tests/test_online_processes.py
@@ -87,6 +87,11 @@
 
     def test_store_outage(self):
         """A call that may run once is refused at once, and did not run."""
+        for host in self.fleet.hosts[:2]:
+            # The ledger of the key is open: earlier use is ruled out.
+            url = f'{host.caller}/v1/requests/outage-{host.host}'
+            unused = processes.CLIENT.get(url, headers=ACCOUNT)
+            self.assertEqual(404, unused.status_code, unused.text)
         self.fleet.platform.set_faults(outage=True)
         self.addCleanup(self.fleet.platform.set_faults)
         for host in self.fleet.hosts[:2]:
@@ -94,6 +99,10 @@
             self.assertEqual(503, refused.status_code)
             self.assertEqual('not_run', refused.json()['verdict'])
             self.assertIn('retry-after', refused.headers)
+            answer = self._complete(host, 'outage')
+            self.assertEqual(200, answer.status_code, answer.text)
+            recorded = answer.headers['persimmonpass-recorded']
+            self.assertEqual('false', recorded)
         self.assertEqual(0, runs(self.fleet, 'outage'))
 
     def test_host_killed(self):
