--- a/bench/routing.py
+++ b/bench/routing.py
@@ -69,7 +69,7 @@
 class Host:
     """Routing state of one host, as the daemon has it."""
 
-    def __init__(self, engines, names, policy, seed):
+    def __init__(self, engines, cache_events, names, policy, seed):
         self.board = blackboard.Blackboard()
         self.engines = engines
         self.sent = sends.Sends()
@@ -83,7 +83,7 @@
         self.chooser = choice.Chooser(
             self.board,
             self.sent,
-            engines,
+            cache_events,
             healths,
             suspects,
             'ruai',
@@ -149,8 +149,9 @@
         anyio.create_task_group() as tasks,
     ):
         engines = engine.connect(client)
+        cache_events = engine.connect_cache_events(client)
         hosts = [
-            Host(engines, names, policy, seed + index)
+            Host(engines, cache_events, names, policy, seed + index)
             for index in range(HOSTS)
         ]
         for host in hosts:
--- a/src/persimmonpass/controllers/choice.py
+++ b/src/persimmonpass/controllers/choice.py
@@ -27,7 +27,7 @@
         self,
         board: blackboard.Blackboard,
         sent: sends.Sends,
-        engines: engine.EnginePort,
+        cache_events: engine.ReadCacheEvents,
         healths: health.Health,
         suspects: quarantine.Quarantine,
         availability_zone: str,
@@ -36,7 +36,7 @@
     ) -> None:
         self._board = board
         self._sent = sent
-        self._engines = engines
+        self._cache_events = cache_events
         self._healths = healths
         self._suspects = suspects
         self._zone = availability_zone
@@ -105,7 +105,7 @@
 
     async def _read_events(self, target: blackboard.Target) -> None:
         cache = self._cache(target.name)
-        read = await self._engines.cache_events(target, cache.next_number - 1)
+        read = await self._cache_events(target, cache.next_number - 1)
         if isinstance(read, result.Err):
             return
         for event in read.ok_value:
--- a/src/persimmonpass/controllers/online_parts.py
+++ b/src/persimmonpass/controllers/online_parts.py
@@ -39,6 +39,7 @@
     key_calls: key_controller.Keys
     peers: peer_port.PeerPort
     engines: engine.EnginePort
+    cache_events: engine.ReadCacheEvents
     services: service.ServicePort
     sent: sends.Sends
     counters: metrics.Metrics
@@ -83,7 +84,7 @@
     chooser = choice.Chooser(
         ports.board,
         ports.sent,
-        ports.engines,
+        ports.cache_events,
         healths,
         suspects,
         availability_zone,
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -230,6 +230,7 @@
                 self._keys,
                 self._peers.port,
                 self._batch.preemption.observe(self._engines),
+                engine.connect_cache_events(target_client),
                 self._services,
                 self._sent,
                 self.counters,
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -99,6 +99,13 @@
     block: int
 
 
+# Target, number of an event -> later changes of the target's prefix cache.
+ReadCacheEvents = collections.abc.Callable[
+    [blackboard.Target, int],
+    collections.abc.Awaitable[
+        result.Result[list[CacheEvent], verdicts.Failure]
+    ],
+]
 PieceResult = result.Result[Piece, verdicts.Failure]
 
 
@@ -110,7 +117,6 @@
         progress for ``PROGRESS_SECONDS``, or for ``FIRST_PIECE_SECONDS``
         before it begins, fails.
     :ivar report: target -> its load
-    :ivar cache_events: target, number -> later changes of its prefix cache
     """
 
     stream: collections.abc.Callable[
@@ -120,12 +126,6 @@
         ...,
         collections.abc.Awaitable[result.Result[Report, verdicts.Failure]],
     ]
-    cache_events: collections.abc.Callable[
-        ...,
-        collections.abc.Awaitable[
-            result.Result[list[CacheEvent], verdicts.Failure]
-        ],
-    ]
 
 
 class SendWatch:
@@ -273,6 +273,15 @@
         except (httpx.HTTPError, ValueError, KeyError) as error:
             return result.Err(_broken(target, type(error).__name__))
 
+    return EnginePort(stream, report)
+
+
+def connect_cache_events(client: httpx.AsyncClient) -> ReadCacheEvents:
+    """Make the call that reads the cache events of engines.
+
+    :param client: HTTP client
+    """
+
     async def cache_events(
         target: blackboard.Target, after: int
     ) -> result.Result[list[CacheEvent], verdicts.Failure]:
@@ -290,7 +299,7 @@
             return result.Err(_broken(target, type(error).__name__))
         return result.Ok(rows)
 
-    return EnginePort(stream, report, cache_events)
+    return cache_events
 
 
 async def _read_pieces(
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -53,9 +53,7 @@
         self.dead = set()
         self.runs = collections.defaultdict(list)
         self.running = collections.Counter()
-        self.engines = engine.EnginePort(
-            self._stream, self._report, self._cache_events
-        )
+        self.engines = engine.EnginePort(self._stream, self._report)
         self.services = service.ServicePort(self._call)
 
     async def connect(self, target):
@@ -103,7 +101,7 @@
             return self._fail(target, verdicts.Verdict.NOT_RUN)
         return result.Ok(engine.Report(0, 0, ('pumpread@3',)))
 
-    async def _cache_events(self, target, after):
+    async def cache_events(self, target, after):
         return result.Ok([])
 
     async def _call(self, target, call, timeout, once=False):
@@ -162,6 +160,7 @@
                 self.keys,
                 port,
                 fleet.targets.engines,
+                fleet.targets.cache_events,
                 fleet.targets.services,
                 self.sent,
                 self.counters,
--- a/tests/test_online_faults.py
+++ b/tests/test_online_faults.py
@@ -147,7 +147,10 @@
             failed = await host.call(limit_seconds=5.0)
             self.assertEqual(verdict, failed.err_value.verdict)
             fleet.targets.faults = {}
+            started = anyio.current_time()
             again = await host.call()
+            spent = anyio.current_time() - started
+            self.assertLessEqual(spent, 2 * online_fakes.STEP_SECONDS)
             if verdict == NOT_RUN and fault != online_fakes.LEAVING:
                 self.assertEqual(b'station 9', again.ok_value.answer.body)
                 runs_expected = 1
