--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -23,7 +23,7 @@
 from persimmonpass.controllers import explain
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_parts
 from persimmonpass.controllers import orders
 from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
@@ -38,6 +38,7 @@
 from persimmonpass import store
 from persimmonpass.targets import engine
 from persimmonpass.targets import orders as target_orders
+from persimmonpass.targets import pools
 from persimmonpass.targets import service
 from persimmonpass import tls
 from persimmonpass import tracing
@@ -130,9 +131,11 @@
         )
         async with (
             httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            pools.make_client(keep_connections=True) as target_client,
+            pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client)
+            self._build(client, target_client, fresh_client)
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
@@ -155,7 +158,12 @@
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
-    def _build(self, client: httpx.AsyncClient) -> None:
+    def _build(
+        self,
+        client: httpx.AsyncClient,
+        target_client: httpx.AsyncClient,
+        fresh_client: httpx.AsyncClient,
+    ) -> None:
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
@@ -164,8 +172,8 @@
         )
         self.counters.show_budget(self._calls)
         self._store = store.connect(client, options.store_url, self._calls)
-        self._engines = engine.connect(client)
-        self._services = service.connect(client)
+        self._engines = engine.connect(target_client)
+        self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
             listener.Identity(options.host, options.peer_secret),
@@ -252,6 +260,23 @@
         handlers |= self._reports.handlers
         handlers |= explain.handlers(options.host)
         handlers |= self._keys.handlers
+        self._online = online_parts.make(
+            online_parts.OnlinePorts(
+                self.board,
+                self._store,
+                self._keys,
+                self._peers.port,
+                self._batch.preemption.observe(self._engines),
+                engine.connect_cache_events(target_client),
+                self._services,
+                self._sent,
+                self.counters,
+                self.spans,
+                self._targets.mark_leaving,
+            ),
+            options.availability_zone,
+        )
+        handlers |= self._online.handlers
 
     def _show_traffic(self) -> None:
         """Let the metrics read the traffic with peers."""
@@ -273,6 +298,7 @@
             self._reports.run,
             self._orders.run,
             self._batch.run,
+            *self._online.jobs,
             self._follow_members,
             self._keys.run,
         ]
@@ -297,16 +323,7 @@
         return caller.make_app(
             ports.CallerPorts(
                 self.board,
-                online.Online(
-                    self.board,
-                    self._keys,
-                    self._batch.preemption.observe(self._engines),
-                    self._services,
-                    self._sent,
-                    self.counters,
-                    self.spans,
-                    self._options.availability_zone,
-                ),
+                self._online.online,
                 self._keys,
                 self._batch,
                 self.counters,
--- a/src/persimmonpass/key_shards.py
+++ b/src/persimmonpass/key_shards.py
@@ -175,6 +175,16 @@
             self._reserving.discard(attempt)
         return kept
 
+    def abandon(
+        self, release: keys.Release
+    ) -> result.Result[None, verdicts.Failure]:
+        """Note that an attempt ended and that its outcome is unknown."""
+        place = release['shard'], release['key']
+        running = self._running.get(place)
+        if running is not None and running.attempt == release['attempt']:
+            self._stop(place)
+        return result.Ok(None)
+
     async def look_up(
         self, shard: int, key: str, wait_seconds: float = 0.0
     ) -> result.Result[keys.Begun, verdicts.Failure]:
