Size the idle width by the share of requests that meet it

Now the bound sets how long the target must be quiet, and the measured first-token delay is weighed by the share of requests that arrive at an idle target.

Ran: tests.test_batch_policy, tests.test_batch_preemption: 58 passed.

--- a/src/persimmonpass/controllers/batch_runner.py
+++ b/src/persimmonpass/controllers/batch_runner.py
@@ -94,7 +94,9 @@
 
     def _width(self) -> int:
         return self._state.width(
-            anyio.current_time(), self._ports.preemption.is_certain()
+            anyio.current_time(),
+            self._harm_percent(),
+            self._ports.preemption.is_certain(),
         )
 
     def _harm_percent(self) -> float:
