--- a/src/persimmonpass/controllers/preemption.py
+++ b/src/persimmonpass/controllers/preemption.py
@@ -120,6 +120,7 @@
         self._shared = _Width()
         self._idle = _Width()
         self._shrunk_at = now - preemption.RECOVER_SECONDS
+        self._idle_shrunk_at = self._shrunk_at
         self._idle_share = _Mean()
 
     def set_batch(self, running: int, now: float) -> None:
@@ -189,9 +190,12 @@
             self._idle.delay(),
             harm_percent,
             self._idle_share.value,
+            now - self._idle_shrunk_at,
         )
         if shared < self.limits.shared:
             self._shrunk_at = now
+        if idle < self.limits.idle:
+            self._idle_shrunk_at = now
         if shared != self.limits.shared:
             self._shared.beside.clear()
         if idle != self.limits.idle:
