--- a/src/persimmonpass/standins/cli.py
+++ b/src/persimmonpass/standins/cli.py
@@ -1,5 +1,7 @@
 """Command line of ``persimmonpass-standin``."""
 
+import os
+
 import anyio
 import anyio.abc
 import click
@@ -11,6 +13,8 @@
 from persimmonpass.standins import platform
 from persimmonpass.standins import service
 
+EXIT_CRASHED = 1
+
 listen_option = click.option(
     '--listen', type=settings.AddressType(), default='127.0.0.1:0'
 )
@@ -72,7 +76,8 @@
     async with anyio.create_task_group() as tasks:
         await start_engine(tasks, made, listen)
         await made.wait_crashed()
-        tasks.cancel_scope.cancel()
+        # A crashed engine closes nothing in order.
+        os._exit(EXIT_CRASHED)
 
 
 async def start_engine(
