Commit answers before a drained host stops

Cause: a drain ended while answers of an outage were still queued on the host; with no other host their record was lost. The drain now counts them as in progress, within its time limit. test_drain_commits_answers_first fails without that (the result was unknown to the next daemon) and passes with it.

--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -7,6 +7,7 @@
 import anyio
 import result
 
+from persimmonpass.controllers import key_attempts
 from persimmonpass import events
 from persimmonpass import key_shards
 from persimmonpass import keys
@@ -29,9 +30,6 @@
 UNCHECKED_SECONDS = 1.5
 HOLD_SECONDS = 0.5
 FOLLOW_UP_SECONDS = 0.5
-KEEP_SECONDS = 5.0
-RELEASE_SECONDS = 600.0
-MAX_RELEASES = 10_000
 
 
 class KeyName(typing.NamedTuple):
@@ -44,19 +42,6 @@
     key: str
 
 
-class _Here:
-    """An attempt that runs on this host.
-
-    :ivar owner: host that knows of it
-    :ivar ends_at: local time at which it has certainly ended
-    """
-
-    def __init__(self, begin: keys.Begin, owner: str, ends_at: float) -> None:
-        self.begin = begin
-        self.owner = owner
-        self.ends_at = ends_at
-
-
 class Keys:
     """The key controller of one daemon.
 
@@ -87,8 +72,11 @@
         self._run = uuid.uuid4().hex
         self._backup_hosts = backup_hosts
         self._seen_hosts: list[str] = []
-        self._here: dict[str, _Here] = {}
-        self._releases: dict[str, tuple[keys.Release, float]] = {}
+        self._attempts = key_attempts.Attempts(
+            self.owner,
+            lambda begin: self._call(METHOD_BEGIN, begin),
+            lambda release: self._call(METHOD_RELEASE, release),
+        )
         self._unrecorded = unrecorded.Unrecorded(self._commit)
 
     @property
@@ -113,10 +101,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._owned.run)
             tasks.start_soon(self._unrecorded.run)
+            tasks.start_soon(self._attempts.run)
             while True:
                 self.drop_others()
-                await self._announce()
-                await self._repeat_releases()
                 await anyio.sleep(FOLLOW_UP_SECONDS)
 
     def owner(self, shard: int) -> str:
@@ -162,12 +149,12 @@
                 return begun.map_err(_unknown_to_unread)
             # No owner is there to ask; a request that may be repeated does
             # not wait for one.
-            self._track(payload, '')
+            self._attempts.track(payload, '')
             return result.Ok(
                 keys.Begun(state=keys.STARTED, answer=None, recorded=True)
             )
         if begun.ok_value['state'] == keys.STARTED:
-            self._track(payload, self.owner(payload['shard']))
+            self._attempts.track(payload, self.owner(payload['shard']))
         return begun
 
     async def finish(
@@ -194,7 +181,7 @@
         try:
             kept = await self._persist(METHOD_FINISH, payload, limit_seconds)
         finally:
-            self._here.pop(attempt, None)
+            self._attempts.end(attempt)
             if kept is None:
                 self._unrecorded.add(payload)
         if isinstance(kept, result.Ok):
@@ -214,10 +201,10 @@
         payload = keys.Release(
             shard=self._shard(name), key=_full_key(name), attempt=attempt
         )
-        self._here.pop(attempt, None)
+        self._attempts.end(attempt)
         released = await self._persist(METHOD_RELEASE, payload, limit_seconds)
         if released.is_err():
-            self._release_later(payload)
+            self._attempts.release_later(payload)
         return released
 
     async def abandon(self, name: KeyName, attempt: str) -> None:
@@ -229,7 +216,7 @@
         payload = keys.Release(
             shard=self._shard(name), key=_full_key(name), attempt=attempt
         )
-        self._here.pop(attempt, None)
+        self._attempts.end(attempt)
         await self._call(METHOD_ABANDON, payload)
 
     async def look_up(
@@ -264,26 +251,6 @@
             if self.owner(shard) == self._host
         )
 
-    async def _announce(self) -> None:
-        """Tell new owners of the attempts that run here."""
-        now = anyio.current_time()
-        for attempt, here in list(self._here.items()):
-            if now >= here.ends_at:
-                self._here.pop(attempt, None)
-                continue
-            owner = self.owner(here.begin['shard'])
-            if owner == here.owner:
-                continue
-            left = here.ends_at - now - KEEP_SECONDS
-            begin = here.begin | {'limit_seconds': max(0.0, left)}
-            begun = await self._call(METHOD_BEGIN, begin)
-            if begun.is_ok():
-                here.owner = owner
-
-    def _track(self, begin: keys.Begin, owner: str) -> None:
-        ends_at = anyio.current_time() + begin['limit_seconds'] + KEEP_SECONDS
-        self._here[begin['attempt']] = _Here(begin, owner, ends_at)
-
     def _begin_failed(
         self,
         begin: keys.Begin,
@@ -298,20 +265,7 @@
             events.STORE_UNAVAILABLE,
         )
         if begin['durable'] and not sure:
-            self._release_later(_release_of(begin))
-
-    def _release_later(self, release: keys.Release) -> None:
-        until = anyio.current_time() + RELEASE_SECONDS
-        if len(self._releases) < MAX_RELEASES:
-            self._releases.setdefault(release['attempt'], (release, until))
-
-    async def _repeat_releases(self) -> None:
-        for attempt, (release, until) in list(self._releases.items()):
-            released = await self._call(METHOD_RELEASE, release)
-            if released.is_ok() or anyio.current_time() >= until:
-                del self._releases[attempt]
-            else:
-                return
+            self._attempts.release_later(_release_of(begin))
 
     async def _commit(
         self, finish: keys.Finish
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -90,7 +90,7 @@
                 lambda: self._membership.leave(),
                 lambda: self._membership.other_hosts(),
                 lambda host: self._membership.confirm_leaving(host),
-                lambda: self._progress.in_progress,
+                lambda: self._progress.in_progress + self._keys.uncommitted,
             ),
             options.entry_ttl_seconds,
             options.drain_seconds,
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -1,6 +1,8 @@
 """Keys across daemons that are killed and a platform with faults."""
 
 import concurrent.futures
+import signal
+import time
 import unittest
 
 import httpx
@@ -158,3 +160,31 @@
                 )
             )
         self.assertEqual(1, self.runs('outage-once'))
+
+
+class TestLastHost(unittest.TestCase):
+    """A fleet of one daemon, which nobody can relieve of its answers."""
+
+    def test_drain_commits_answers_first(self):
+        fleet = processes.Fleet(('ruai',))
+        self.addCleanup(fleet.close)
+        fleet.start_engine('engine-0', 'ruai', 'pumpread@3')
+        fleet.tool('apply', '-f', str(EXAMPLES / 'athi'))
+        host = fleet.hosts[0]
+        complete = TestKeysProcesses.complete
+        processes.wait_until(lambda: complete(host).status_code == 200)
+        fleet.platform.set_faults(outage=True)
+        answer = complete(host, 'last')
+        self.assertEqual('false', answer.headers['persimmonpass-recorded'])
+        host.send(signal.SIGTERM)
+        processes.wait_until(lambda: host.find_event('drain_started'))
+        time.sleep(SLOW_SECONDS)
+        fleet.platform.set_faults()
+        self.assertEqual(0, host.process.wait(processes.START_SECONDS))
+        later = fleet.start_host('host-1', 'ruai')
+        processes.wait_until(later.is_ready)
+        processes.wait_until(
+            lambda: TestKeysProcesses.read(later, 'last').status_code != 503
+        )
+        read = TestKeysProcesses.read(later, 'last')
+        self.assertEqual(answer.content, read.content)
