--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -15,6 +15,7 @@
 from persimmonpass import settings
 
 EXIT_USAGE = 2
+PEM_FILE = click.Path(dir_okay=False)
 DEFAULTS = settings.Settings._field_defaults
 
 
@@ -37,6 +38,12 @@
     default=DEFAULTS['peer_listen'],
     help='Address for the other daemons.',
 )
+@click.option(
+    '--seed-peer',
+    type=settings.AddressType(),
+    multiple=True,
+    help='Peer to ask for the others while the store is down; repeatable.',
+)
 @click.option(
     '--operator-listen',
     type=settings.AddressType(),
@@ -62,11 +69,38 @@
     help='Digest of a token that is always an admin.',
 )
 @click.option('--peer-secret', default='', help='Shared by all daemons.')
+@click.option(
+    '--tls-cert',
+    type=PEM_FILE,
+    default='',
+    help='PEM file with the certificate of this host; all ports use TLS.',
+)
+@click.option(
+    '--tls-key', type=PEM_FILE, default='', help='PEM file with its key.'
+)
+@click.option(
+    '--tls-ca',
+    type=PEM_FILE,
+    default='',
+    help='PEM file of authorities; peers must show a certificate of one.',
+)
 @click.option(
     '--store-rate',
     type=click.FloatRange(min=0, min_open=True),
     default=DEFAULTS['store_rate'],
-    help='Store calls a second of the whole fleet.',
+    help='Reads of the store a second of the whole fleet.',
+)
+@click.option(
+    '--store-write-rate',
+    type=click.FloatRange(min=0, min_open=True),
+    default=DEFAULTS['store_write_rate'],
+    help='Writes to the store a second of the whole fleet.',
+)
+@click.option(
+    '--model-loads',
+    type=click.IntRange(min=1),
+    default=DEFAULTS['model_loads'],
+    help='Loads of one model at once in the whole fleet.',
 )
 @click.option(
     '--key-shards',
@@ -92,6 +126,7 @@
 def command(**values: typing.Any) -> None:
     """Check the settings and run the daemon."""
     values['entry_ttl_seconds'] = values.pop('entry_ttl')
+    values['seed_peers'] = values.pop('seed_peer')
     values['drain_seconds'] = values.pop('drain_limit')
     given = {name: value for name, value in values.items() if value}
     options = settings.Settings(**given)
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -23,6 +23,7 @@
 from persimmonpass.peers import listener
 from persimmonpass.peers import messages
 from persimmonpass.peers import port
+from persimmonpass import tls
 from persimmonpass import verdicts
 
 RECONNECT_SECONDS = 0.5
@@ -69,13 +70,23 @@
     """All links of one daemon.
 
     :ivar port: calls for the rest of the daemon
+    :ivar traffic: what went over the links
     """
 
     def __init__(
-        self, identity: listener.Identity, handlers: port.Handlers
+        self,
+        identity: listener.Identity,
+        handlers: port.Handlers,
+        contexts: tls.Tls | None = None,
     ) -> None:
+        """Make the links.
+
+        :param contexts: links use TLS
+        """
+        self._contexts = contexts
         self._identity = identity
-        self._listener = listener.Listener(identity, handlers)
+        self.traffic = port.Traffic()
+        self._listener = listener.Listener(identity, handlers, self.traffic)
         self._links: dict[str, _Link] = {}
         self._addresses: dict[str, str] = {}
         self._numbers = itertools.count(1)
@@ -100,6 +111,7 @@
                     max_size=messages.MAX_FRAME_BYTES,
                     close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
                     compression=None,
+                    ssl=self._contexts.peer_server if self._contexts else None,
                 )
             )
             self._tasks = await stack.enter_async_context(
@@ -235,15 +247,17 @@
                 link.outbox.receive_nowait()
 
     async def _run_link(self, link: _Link) -> None:
+        contexts = self._contexts
         async with websockets.asyncio.client.connect(
-            f'ws://{link.address}',
+            f'{"wss" if contexts else "ws"}://{link.address}',
+            ssl=contexts.peer_client if contexts else None,
             max_size=messages.MAX_FRAME_BYTES,
             open_timeout=listener.OPEN_TIMEOUT_SECONDS,
             close_timeout=listener.CLOSE_TIMEOUT_SECONDS,
             compression=None,
             proxy=None,
         ) as connection:
-            await connection.send(self._hello())
+            await connection.send(self.traffic.sent(self._hello()))
             link.up = True
             link.heard_at = anyio.current_time()
             link.tried.set()
@@ -275,7 +289,8 @@
         connection: websockets.asyncio.client.ClientConnection,
     ) -> None:
         while True:
-            await connection.send(await link.outbox.receive())
+            data = await link.outbox.receive()
+            await connection.send(self.traffic.sent(data))
 
     async def _read_answers(
         self,
@@ -284,7 +299,7 @@
     ) -> None:
         async for data in connection:
             link.heard_at = anyio.current_time()
-            frame = messages.decode(typing.cast(bytes, data))
+            frame = messages.decode(self.traffic.received(data))
             pending = link.pending.pop(frame.number, None)
             if pending is None:
                 continue
