--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -21,6 +21,9 @@
 
     def __init__(self, limits: httpx.Limits) -> None:
         self._limits = limits
+        # Loading the certificate authorities takes tens of milliseconds, in
+        # which the process does nothing else.
+        self._context = httpx.create_ssl_context(trust_env=False)
         self._pools: collections.OrderedDict[str, httpx.AsyncHTTPTransport] = (
             collections.OrderedDict()
         )
@@ -33,7 +36,7 @@
         pool = self._pools.get(address)
         if pool is None:
             pool = httpx.AsyncHTTPTransport(
-                limits=self._limits, trust_env=False
+                verify=self._context, limits=self._limits, trust_env=False
             )
             self._pools[address] = pool
         self._pools.move_to_end(address)
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import ssl
 import unittest
 from unittest import mock
 
@@ -13,6 +14,7 @@
 from persimmonpass import blackboard
 from persimmonpass import events
 from persimmonpass.targets import engine
+from persimmonpass.targets import pools
 from persimmonpass.targets import probe
 from persimmonpass.targets import service
 from persimmonpass import verdicts
@@ -174,6 +176,38 @@
         run(test, OK, CLOSE, OK, OK)
 
 
+class TestPools(unittest.TestCase):
+    """Each address has a pool, and all share what is costly to make."""
+
+    def test_certificates_are_loaded_once(self):
+        answer = httpx.Response(200)
+        made = []
+
+        async def test():
+            with (
+                mock.patch.object(
+                    ssl.SSLContext, 'load_verify_locations'
+                ) as load,
+                mock.patch.object(
+                    httpx.AsyncHTTPTransport,
+                    'handle_async_request',
+                    lambda pool, request: made.append(pool) or _return(answer),
+                ),
+            ):
+                async with pools.make_client(keep_connections=True) as client:
+                    for port in (1, 2, 3, 1):
+                        await client.get(f'http://127.0.0.1:{port}')
+            self.assertLessEqual(load.call_count, 1)
+            self.assertEqual(3, len(set(map(id, made))))
+            self.assertIs(made[0], made[3])
+
+        anyio.run(test)
+
+
+async def _return(value):
+    return value
+
+
 class TestEngineStream(unittest.TestCase):
     """Pieces of one attempt, whole and in order."""
 
