--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -10,6 +10,7 @@
 
 from persimmonpass import budget
 from persimmonpass import events
+from persimmonpass import metrics
 from tests import fakes
 
 RATE = 400.0
@@ -241,6 +242,25 @@
 
         fakes.run(test)
 
+    def test_metrics_tell_each_class(self):
+        async def test():
+            calls = budget.Budget(RATE, RATE, lambda: 0.99)
+            counters = metrics.Metrics()
+            counters.show_budget(calls)
+            await calls.take(Priority.RESERVATION)
+            with anyio.move_on_after(0.001):
+                await calls.take(Priority.STATUS)
+                await calls.take(Priority.STATUS)
+            text = counters.render().decode()
+            for name in ('calls', 'calls_exhausted', 'calls_waiting'):
+                for priority in Priority:
+                    label = f'{{priority="{priority.name.lower()}"}}'
+                    self.assertIn(f'persimmonpass_store_{name}{label}', text)
+            line = 'persimmonpass_store_calls{priority="reservation"} 1.0'
+            self.assertIn(line, text)
+
+        fakes.run(test)
+
     def test_reads_do_not_wait_for_writes(self):
         async def test():
             calls = budget.Budget(RATE, 1.0, lambda: 0.99)
