--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -22,7 +22,7 @@
 from persimmonpass import auth
 from persimmonpass.controllers import config
 from persimmonpass.controllers import keys as key_controller
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_requests
 from persimmonpass import events
 from persimmonpass import keys
 from persimmonpass import objects
@@ -127,7 +127,7 @@
     def __init__(
         self,
         ports: caller_ports.CallerPorts,
-        completion: online.CompletionRequest,
+        completion: online_requests.CompletionRequest,
         stream: bool,
     ) -> None:
         super().__init__()
@@ -159,12 +159,12 @@
                     self._count(update.err_value.status)
                     if not begun:
                         return answers.fail(update.err_value)
-                    await _send_event(
-                        send, dict(verdicts.to_body(update.err_value))
-                    )
-                    continue
+                    # A stream that failed ends without the final mark.
+                    body = dict(verdicts.to_body(update.err_value))
+                    await _send_event(send, body, more=False)
+                    return None
                 value = update.ok_value
-                if isinstance(value, online.Finished):
+                if isinstance(value, online_requests.Finished):
                     self._count(value.answer.status)
                     if not self._stream:
                         return _finished(request, value)
@@ -201,7 +201,7 @@
 
 
 async def _start_events(
-    send: types.Send, request: online.OnlineRequest
+    send: types.Send, request: online_requests.OnlineRequest
 ) -> None:
     headers = [
         (b'content-type', b'text/event-stream'),
@@ -212,9 +212,11 @@
     )
 
 
-async def _send_event(send: types.Send, body: dict[str, typing.Any]) -> None:
+async def _send_event(
+    send: types.Send, body: dict[str, typing.Any], *, more: bool = True
+) -> None:
     data = b'data: ' + msgspec.json.encode(body) + b'\n\n'
-    await send({'type': 'http.response.body', 'body': data, 'more_body': True})
+    await send({'type': 'http.response.body', 'body': data, 'more_body': more})
 
 
 async def _end_events(send: types.Send) -> None:
@@ -222,21 +224,21 @@
 
 
 def _piece_event(
-    request: online.OnlineRequest, text: str
+    request: online_requests.OnlineRequest, text: str
 ) -> dict[str, typing.Any]:
     choice = {'index': 0, 'text': text, 'finish_reason': None}
     return {'id': request.name.key, 'choices': [choice]}
 
 
 def _whole_event(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> dict[str, typing.Any]:
     body = json.loads(finished.answer.body)
     return _piece_event(request, body['choices'][0]['text'])
 
 
 def _final_event(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> dict[str, typing.Any]:
     choice = {'index': 0, 'text': '', 'finish_reason': 'length'}
     return {
@@ -247,7 +249,7 @@
 
 
 def _finished(
-    request: online.OnlineRequest, finished: online.Finished
+    request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> responses.Response:
     answer = finished.answer
     headers = {
@@ -262,7 +264,9 @@
 
 async def _check_completion(
     ports: caller_ports.CallerPorts, request: requests.Request
-) -> result.Result[tuple[online.CompletionRequest, bool], verdicts.Failure]:
+) -> result.Result[
+    tuple[online_requests.CompletionRequest, bool], verdicts.Failure
+]:
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
         return account
@@ -285,7 +289,9 @@
     )
     return checked.map(
         lambda made: (
-            online.CompletionRequest(made, body.prompt, body.max_tokens),
+            online_requests.CompletionRequest(
+                made, body.prompt, body.max_tokens
+            ),
             body.stream,
         )
     )
@@ -294,7 +300,7 @@
 async def _check_call(
     ports: caller_ports.CallerPorts, request: requests.Request
 ) -> result.Result[
-    tuple[online.OnlineRequest, service.ServiceCall], verdicts.Failure
+    tuple[online_requests.OnlineRequest, service.ServiceCall], verdicts.Failure
 ]:
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
@@ -314,7 +320,7 @@
     call = service.ServiceCall(
         request.method, path, dict(request.headers), raw.ok_value
     )
-    once = online.is_non_idempotent(found.spec, call)
+    once = online_requests.is_non_idempotent(found.spec, call)
     if once and KEY_HEADER not in request.headers:
         return result.Err(
             verdicts.invalid(
@@ -334,7 +340,7 @@
     found: config.Service,
     content: bytes,
     new_key: str,
-) -> result.Result[online.OnlineRequest, verdicts.Failure]:
+) -> result.Result[online_requests.OnlineRequest, verdicts.Failure]:
     key = request.headers.get(KEY_HEADER, new_key)
     if not 0 < len(key) <= MAX_KEY_LENGTH:
         return result.Err(
@@ -348,13 +354,14 @@
     if isinstance(limit, result.Err):
         return result.Err(verdicts.invalid(DEADLINE_HEADER, limit.err_value))
     return result.Ok(
-        online.OnlineRequest(
+        online_requests.OnlineRequest(
             key_controller.KeyName(account.name, key),
             hashlib.sha256(content).hexdigest(),
             found.name,
             found.spec,
             min(limit.ok_value, found.spec.deadline_seconds),
             dict(request.headers),
+            account.spec.limits,
         )
     )
 
@@ -368,7 +375,11 @@
         return responses.Response(
             answer.body,
             answer.status,
-            {answers.REQUEST_HEADER: name.key},
+            {
+                answers.REQUEST_HEADER: name.key,
+                answers.RECORDED_HEADER: 'true',
+                answers.VERDICT_HEADER: verdicts.Verdict.RAN.value,
+            },
             answer.content_type or None,
         )
     if begun['state'] == keys.RELEASED:
@@ -387,4 +398,8 @@
             'verdict': verdicts.Verdict.MAY_HAVE_RUN.value,
         },
         202,
+        {
+            answers.REQUEST_HEADER: name.key,
+            answers.VERDICT_HEADER: verdicts.Verdict.MAY_HAVE_RUN.value,
+        },
     )
--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import typing
+import uuid
 
 import anyio
 import result
@@ -17,6 +18,7 @@
 METHOD_BEGIN = 'keys.begin'
 METHOD_FINISH = 'keys.finish'
 METHOD_RELEASE = 'keys.release'
+METHOD_ABANDON = 'keys.abandon'
 METHOD_LOOK_UP = 'keys.look_up'
 METHOD_HOLD = 'keys.hold'
 
@@ -70,13 +72,10 @@
         peers: peer_port.PeerPort,
         live_hosts: collections.abc.Callable[[], list[str]],
         key_shards_count: int,
-        runner: collections.abc.Callable[[], str] | None = None,
         backup_hosts: collections.abc.Callable[[], list[str]] = list,
     ) -> None:
         """Make the controller.
 
-        :param runner: name of this run of the daemon, which the ``is_gone``
-            of the shards understands
         :param backup_hosts: hosts that may keep an uncommitted answer, the
             best one first
         """
@@ -85,7 +84,7 @@
         self._peers = peers
         self._live_hosts = live_hosts
         self._key_shards = key_shards_count
-        self._runner = runner or (lambda: host)
+        self._run = uuid.uuid4().hex
         self._backup_hosts = backup_hosts
         self._seen_hosts: list[str] = []
         self._here: dict[str, _Here] = {}
@@ -99,6 +98,7 @@
             METHOD_BEGIN: self._take_begin,
             METHOD_FINISH: self._take_finish,
             METHOD_RELEASE: self._take_release,
+            METHOD_ABANDON: self._take_abandon,
             METHOD_LOOK_UP: self._take_look_up,
             METHOD_HOLD: self._take_hold,
         }
@@ -144,7 +144,8 @@
             fingerprint=fingerprint,
             attempt=attempt,
             durable=durable,
-            runner=self._runner(),
+            host=self._host,
+            run=self._run,
             limit_seconds=limit_seconds,
         )
         begun = None
@@ -219,6 +220,18 @@
             self._release_later(payload)
         return released
 
+    async def abandon(self, name: KeyName, attempt: str) -> None:
+        """Say that an attempt ended and that its outcome is unknown.
+
+        Whoever waits for the key is told at once. A new owner knows of no
+        running attempt, so that the call is made only once.
+        """
+        payload = keys.Release(
+            shard=self._shard(name), key=_full_key(name), attempt=attempt
+        )
+        self._here.pop(attempt, None)
+        await self._call(METHOD_ABANDON, payload)
+
     async def look_up(
         self, name: KeyName, wait_seconds: float = 0.0
     ) -> result.Result[keys.Begun, verdicts.Failure]:
@@ -376,6 +389,11 @@
     ) -> result.Result[typing.Any, verdicts.Failure]:
         return self._refuse(payload) or await self._owned.release(payload)
 
+    async def _take_abandon(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        return self._refuse(payload) or self._owned.abandon(payload)
+
     async def _take_look_up(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -2,7 +2,9 @@
 
 import collections.abc
 import contextlib
+import functools
 import typing
+import uuid
 
 import anyio
 import anyio.abc
@@ -21,7 +23,7 @@
 from persimmonpass.controllers import explain
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_parts
 from persimmonpass.controllers import orders
 from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
@@ -36,11 +38,13 @@
 from persimmonpass import store
 from persimmonpass.targets import engine
 from persimmonpass.targets import orders as target_orders
+from persimmonpass.targets import pools
 from persimmonpass.targets import service
 from persimmonpass import tls
 from persimmonpass import tracing
 
 MAX_CONNECTIONS = 10_000
+RUN_DIGITS = 12
 
 STOP_SECONDS = servers.STOP_SECONDS
 
@@ -127,9 +131,11 @@
         )
         async with (
             httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            pools.make_client(keep_connections=True) as target_client,
+            pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client)
+            self._build(client, target_client, fresh_client)
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
@@ -152,7 +158,12 @@
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
-    def _build(self, client: httpx.AsyncClient) -> None:
+    def _build(
+        self,
+        client: httpx.AsyncClient,
+        target_client: httpx.AsyncClient,
+        fresh_client: httpx.AsyncClient,
+    ) -> None:
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
@@ -161,14 +172,15 @@
         )
         self.counters.show_budget(self._calls)
         self._store = store.connect(client, options.store_url, self._calls)
-        self._engines = engine.connect(client)
-        self._services = service.connect(client)
+        self._engines = engine.connect(target_client)
+        self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
             listener.Identity(options.host, options.peer_secret),
             handlers,
             self._tls,
         )
+        self._show_traffic()
         me = blackboard.Member(
             options.host,
             0,
@@ -177,6 +189,7 @@
             options.peer_address or self.addresses.peer,
             state='starting',
             has_disk=bool(options.data_dir),
+            run=uuid.uuid4().hex[:RUN_DIGITS],
         )
         self._config = config.Config(
             options.host,
@@ -197,6 +210,7 @@
                 lambda: self._config.digest,
                 self._config.compare,
                 options.entry_ttl_seconds,
+                options.seed_peers,
             ),
         )
         self._targets = targets.Targets(
@@ -223,13 +237,10 @@
         )
         self._keys = key_controller.Keys(
             options.host,
-            key_shards.KeyShards(
-                self._store, options.host, self._membership_says_gone
-            ),
+            key_shards.KeyShards(self._store, options.host, self._is_dead),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
-            self._runner,
             self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
@@ -249,6 +260,31 @@
         handlers |= self._reports.handlers
         handlers |= explain.handlers(options.host)
         handlers |= self._keys.handlers
+        self._online = online_parts.make(
+            online_parts.OnlinePorts(
+                self.board,
+                self._store,
+                self._keys,
+                self._peers.port,
+                self._batch.preemption.observe(self._engines),
+                engine.connect_cache_events(target_client),
+                self._services,
+                self._sent,
+                self.counters,
+                self.spans,
+                self._targets.mark_leaving,
+            ),
+            options.availability_zone,
+        )
+        handlers |= self._online.handlers
+
+    def _show_traffic(self) -> None:
+        """Let the metrics read the traffic with peers."""
+        traffic = self._peers.traffic
+        for unit in ('frames', 'sent_bytes', 'received_bytes'):
+            self.counters.peer_traffic.labels(unit).set_function(
+                functools.partial(getattr, traffic, unit)
+            )
 
     def _jobs(
         self,
@@ -262,21 +298,15 @@
             self._reports.run,
             self._orders.run,
             self._batch.run,
+            *self._online.jobs,
             self._follow_members,
             self._keys.run,
         ]
 
-    def _runner(self) -> str:
-        """Return the name of this run of the daemon."""
-        return f'{self._options.host}#{self._membership.me.incarnation}'
-
-    def _membership_says_gone(self, runner: str) -> bool:
-        """Return whether a run of a daemon has certainly ended."""
-        host, _, incarnation = runner.partition('#')
+    def _is_dead(self, host: str) -> bool:
+        """Return whether membership took a host for dead."""
         member = self.board.members.get(host)
-        if member is None:
-            return False
-        return member.state == 'dead' or member.incarnation > int(incarnation)
+        return member is not None and member.state == 'dead'
 
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
@@ -293,16 +323,7 @@
         return caller.make_app(
             ports.CallerPorts(
                 self.board,
-                online.Online(
-                    self.board,
-                    self._keys,
-                    self._batch.preemption.observe(self._engines),
-                    self._services,
-                    self._sent,
-                    self.counters,
-                    self.spans,
-                    self._options.availability_zone,
-                ),
+                self._online.online,
                 self._keys,
                 self._batch,
                 self.counters,
