Remember each target's coordinator instead of hashing all hosts a second

Cause: each host ranked all live hosts for every target once a second; at 900 hosts and 10,000 targets that is 9 million hashes a second.

--- a/src/persimmonpass/controllers/orders.py
+++ b/src/persimmonpass/controllers/orders.py
@@ -17,7 +17,7 @@
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers import config
-from persimmonpass.controllers import reports
+from persimmonpass.controllers import coordinators
 from persimmonpass import events
 from persimmonpass import ledger
 from persimmonpass import objects
@@ -97,6 +97,7 @@
         self._port = port
         self._engines = engines
         self._live_hosts = live_hosts
+        self._coordinators = coordinators.Coordinators(live_hosts)
         self._max_loads = max_loads
         self._work: dict[str, _Work] = {}
 
@@ -107,6 +108,7 @@
             while True:
                 declared = rules(self._board)
                 sites = self._sites()
+                self._coordinators.refresh([site.name for site in sites])
                 for site in sites:
                     self._start(site, sites, declared, tasks)
                 await anyio.sleep(ROUND_SECONDS)
@@ -120,7 +122,7 @@
     ) -> None:
         """Order a target if it is ours and needs it."""
         work = self._work.get(site.name)
-        if not self._is_mine(site.name):
+        if self._coordinators.first(site.name)[:1] != [self._host]:
             if work is not None and not work.busy:
                 del self._work[site.name]
             return
@@ -147,7 +149,8 @@
         )
 
     def _is_mine(self, name: str) -> bool:
-        key = reports.coordinator_key(name)
+        """Return whether this host coordinates a target at this moment."""
+        key = coordinators.key_of(name)
         return shards.owner(key, self._live_hosts()) == self._host
 
     def _sites(self) -> list[placement.Site]:
--- a/src/persimmonpass/controllers/reports.py
+++ b/src/persimmonpass/controllers/reports.py
@@ -13,8 +13,8 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import coordinators
 from persimmonpass.peers import port as peer_port
-from persimmonpass.policy import shards
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
@@ -40,11 +40,6 @@
     age_seconds: float
 
 
-def coordinator_key(name: str) -> str:
-    """Return the key under which a target's coordinator is chosen."""
-    return f'target/{name}'
-
-
 class Reports:
     """Polls the targets of one host and exchanges reports with peers."""
 
@@ -60,7 +55,7 @@
         self._board = board
         self._engines = engines
         self._peers = peers
-        self._live_hosts = live_hosts
+        self._coordinators = coordinators.Coordinators(live_hosts)
         self._sent: dict[str, tuple[typing.Any, float]] = {}
         self._linked: set[str] = set()
 
@@ -72,11 +67,10 @@
     async def run(self) -> None:
         """Poll and send for ever."""
         while True:
-            polled = [
-                target
-                for target in self._board.targets.rows()
-                if target.kind == 'engine' and self._polls(target.name)
-            ]
+            rows = self._board.targets.rows()
+            engines = [row for row in rows if row.kind == 'engine']
+            self._coordinators.refresh([row.name for row in engines])
+            polled = [row for row in engines if self._polls(row.name)]
             async with anyio.create_task_group() as tasks:
                 for target in polled:
                     tasks.start_soon(self._poll, target)
@@ -85,8 +79,7 @@
 
     def _polls(self, name: str) -> bool:
         """Return whether this host polls a target."""
-        hosts = self._live_hosts()
-        ranked = shards.ranked(coordinator_key(name), hosts)[:2]
+        ranked = self._coordinators.first(name)
         if not ranked or ranked[0] == self._host:
             return True
         return self._host in ranked and self._age(name) > STALE_SECONDS
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,8 +8,8 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import coordinators
 from persimmonpass.controllers import orders
-from persimmonpass.controllers import reports
 from persimmonpass import ledger
 from persimmonpass import objects
 from persimmonpass.policy import placement
@@ -256,7 +256,7 @@
                 for host in HOSTS:
                     fleet.declare(host, NEW)
                 await anyio.sleep(60)
-                owner = shards.owner(reports.coordinator_key('t0'), HOSTS)
+                owner = shards.owner(coordinators.key_of('t0'), HOSTS)
                 self.assertEqual([(owner, (NEW,), 1)], engine.applied)
                 engine.models = ()
                 engine.fence = 0
@@ -290,7 +290,7 @@
         async def test():
             async with FakeFleet(checks).running() as fleet:
                 engine = fleet.engines['t0']
-                owner = shards.owner(reports.coordinator_key('t0'), HOSTS)
+                owner = shards.owner(coordinators.key_of('t0'), HOSTS)
                 other = next(host for host in HOSTS if host != owner)
                 # It sleeps with an order in its hand, and still believes
                 # that it coordinates when it wakes.
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -3,12 +3,16 @@
 import contextlib
 import itertools
 import unittest
+from unittest import mock
 
 import anyio
+import hypothesis
+from hypothesis import strategies
 import parameterized
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import coordinators
 from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
 from persimmonpass import objects
@@ -248,7 +252,7 @@
         async def test():
             async with FakeFleet().running() as fleet:
                 await anyio.sleep(30)
-                key = reports.coordinator_key(A.name)
+                key = coordinators.key_of(A.name)
                 owner = shards.owner(key, HOSTS)
                 others = [h for h in HOSTS if h != owner]
                 # Before the first report each host may poll once itself.
@@ -265,7 +269,7 @@
         async def test():
             async with FakeFleet().running() as fleet:
                 await anyio.sleep(5)
-                key = reports.coordinator_key(A.name)
+                key = coordinators.key_of(A.name)
                 first, second, third = shards.ranked(key, HOSTS)
                 for other in (second, third):
                     fleet.network.cut.add(frozenset((first, other)))
@@ -311,3 +315,58 @@
                 self.assertLessEqual(load.report_time, anyio.current_time())
 
         fakes.run(test)
+
+
+class TestCoordinators(unittest.TestCase):
+    """What is remembered is what rendezvous hashing says."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sets(strategies.integers(0, 12)),
+                strategies.sets(strategies.integers(0, 20), min_size=1),
+            ),
+            max_size=8,
+        )
+    )
+    def test_follows_hosts_and_targets(self, rounds):
+        live = []
+        made = coordinators.Coordinators(lambda: live)
+        for hosts, names in rounds:
+            live = [f'h{host}' for host in hosts]
+            made.refresh([f't{name}' for name in names])
+            for name in names:
+                key = coordinators.key_of(f't{name}')
+                self.assertEqual(
+                    shards.ranked(key, live)[:2], made.first(f't{name}')
+                )
+
+    def test_a_host_that_leaves_concerns_few_targets(self):
+        hosts = [f'h{index}' for index in range(100)]
+        names = [f't{index}' for index in range(500)]
+        scored = 0
+
+        def score(key, host):
+            nonlocal scored
+            scored += 1
+            return shards_score(key, host)
+
+        shards_score = shards.score
+        with mock.patch.object(shards, 'score', score):
+            made = coordinators.Coordinators(lambda: hosts)
+            made.refresh(names)
+            for name in names:
+                made.first(name)
+            whole, scored = scored, 0
+            hosts = hosts[1:]
+            made.refresh(names)
+            # Two of a hundred ranks are expected; ten leave room for chance.
+            self.assertLess(scored, whole / 10)
+            scored = 0
+            hosts = [*hosts, 'new']
+            made.refresh(names)
+            self.assertEqual(len(names), scored)
+            scored = 0
+            made.refresh(names)
+            self.assertEqual(0, scored)
