--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,10 +1,10 @@
 """The catalogue in the docs lists the events that the code has."""
 
+import pathlib
 import unittest
 
-from tools import events_page
-
 from persimmonpass import events
+from tools import events_page
 
 
 def all_events():
@@ -22,3 +22,11 @@
 
     def test_numbers_are_unique(self):
         self.assertEqual(len(all_events()), len(events.CATALOGUE))
+
+    def test_each_event_is_used(self):
+        root = pathlib.Path(events.__file__).parent
+        source = ''.join(path.read_text() for path in root.rglob('*.py'))
+        unused = [
+            name for name in all_events() if f'events.{name}' not in source
+        ]
+        self.assertEqual([], unused)
