--- a/bench/preemption.py
+++ b/bench/preemption.py
@@ -199,7 +199,7 @@
     parser.add_argument('--seconds', type=float, default=9.0)
     parser.add_argument('--rate', type=float, default=RATE_PER_SECOND)
     parser.add_argument('--step', type=float, default=0.01)
-    parser.add_argument('--modes', default=','.join((*MODES, 'alone')))
+    parser.add_argument('--modes', default='off,preemption,alone')
     options = parser.parse_args()
     runs: dict[str, Run] = {}
     for mode in options.modes.split(','):
