--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -2,44 +2,56 @@
 
 import collections.abc
 import contextlib
-import socket
-import time
+import functools
 import typing
+import uuid
 
 import anyio
 import anyio.abc
 import httpx
-import hypercorn.asyncio
-import hypercorn.config
 from starlette import types
 
 from persimmonpass.api import caller
 from persimmonpass.api import operator
 from persimmonpass.api import ports
+from persimmonpass.api import progress
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers import batch
 from persimmonpass.controllers import config
+from persimmonpass.controllers import drain
+from persimmonpass.controllers import explain
 from persimmonpass.controllers import keys as key_controller
 from persimmonpass.controllers import membership
-from persimmonpass.controllers import online
+from persimmonpass.controllers import online_parts
+from persimmonpass.controllers import orders
+from persimmonpass.controllers import reports
 from persimmonpass.controllers import targets
 from persimmonpass import events
-from persimmonpass import keys
+from persimmonpass import key_shards
 from persimmonpass import metrics
 from persimmonpass.peers import link
+from persimmonpass.peers import listener
 from persimmonpass import sends
+from persimmonpass import servers
 from persimmonpass import settings
 from persimmonpass import store
 from persimmonpass.targets import engine
+from persimmonpass.targets import orders as target_orders
+from persimmonpass.targets import pools
 from persimmonpass.targets import service
+from persimmonpass import tls
 from persimmonpass import tracing
 
-BACKLOG = 1024
 MAX_CONNECTIONS = 10_000
-RESTART_SECONDS = 0.5
-POLL_SECONDS = 0.05
-STOP_SECONDS = 1.0
+RUN_DIGITS = 12
+
+STOP_SECONDS = servers.STOP_SECONDS
+
+serve_http = servers.serve_http
+keep_running = servers.keep_running
+listen = servers.listen
+address_of = servers.address_of
 
 
 class Addresses(typing.NamedTuple):
@@ -58,16 +70,31 @@
 
     def __init__(self, options: settings.Settings) -> None:
         self._options = options
+        self._tls = None
+        if options.tls_cert:
+            files = tls.Files(
+                options.tls_cert, options.tls_key, options.tls_ca
+            )
+            self._tls = tls.Tls(options.host, files)
         self._in_progress = 0
-        self._draining = anyio.Event()
         self._stopped = anyio.Event()
-        self._hurry = anyio.CancelScope()
         self._sockets = [
             listen(options.listen),
             listen(options.peer_listen),
             listen(options.operator_listen),
         ]
         self.addresses = Addresses(*(map(address_of, self._sockets)))
+        self._drain = drain.Drain(
+            options.host,
+            drain.DrainPorts(
+                lambda: self._membership.leave(),
+                lambda: self._membership.other_hosts(),
+                lambda host: self._membership.confirm_leaving(host),
+                lambda: self._progress.in_progress,
+            ),
+            options.entry_ttl_seconds,
+            options.drain_seconds,
+        )
         self.board = blackboard.Blackboard()
         self.counters = metrics.Metrics()
         self.spans = tracing.Tracing(options.host, options.trace)
@@ -75,21 +102,20 @@
     @property
     def is_ready(self) -> bool:
         """Whether this host has a configuration and is not leaving."""
-        return self._config.ready.is_set() and not self._draining.is_set()
+        return self._config.ready.is_set() and not self.is_draining
 
     @property
     def is_draining(self) -> bool:
         """Whether this host is leaving."""
-        return self._draining.is_set()
+        return self._drain.started.is_set()
 
     def drain(self) -> None:
         """Leave the entry answers, finish what is in progress and stop."""
-        self._draining.set()
+        self._drain.started.set()
 
     def stop(self) -> None:
         """End a drain at once, whatever is in progress."""
-        self._draining.set()
-        self._hurry.cancel()
+        self._drain.stop()
 
     async def run(
         self,
@@ -105,13 +131,18 @@
         )
         async with (
             httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            pools.make_client(keep_connections=True) as target_client,
+            pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client)
+            self._build(client, target_client, fresh_client)
             await tasks.start(self._peers.serve, self._sockets[1])
             for job in self._jobs():
                 tasks.start_soon(keep_running, job, self._options.host)
-            tasks.start_soon(self._serve, self._caller_app(), 0)
+            self._progress = progress.Progress(
+                self._caller_app(), lambda: self.is_draining
+            )
+            tasks.start_soon(self._serve, self._progress, 0)
             tasks.start_soon(self._serve, self._operator_app(), 2)
             events.log(
                 events.DAEMON_STARTED,
@@ -120,54 +151,97 @@
             )
             task_status.started(self.addresses)
             tasks.start_soon(self._announce_ready)
-            await self._draining.wait()
-            await self._finish()
+            await self._drain.started.wait()
+            await self._drain.run()
             self._stopped.set()
-            await anyio.sleep(POLL_SECONDS)
+            await self._membership.depart()
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
-    def _build(self, client: httpx.AsyncClient) -> None:
+    def _build(
+        self,
+        client: httpx.AsyncClient,
+        target_client: httpx.AsyncClient,
+        fresh_client: httpx.AsyncClient,
+    ) -> None:
         """Make the ports and the controllers."""
         options = self._options
         handlers: dict[str, typing.Any] = {}
-        incarnation = time.time_ns()
-        self._calls = budget.Budget(options.store_rate)
+        self._calls = budget.Budget(
+            options.store_rate, options.store_write_rate
+        )
+        self.counters.show_budget(self._calls)
         self._store = store.connect(client, options.store_url, self._calls)
-        self._engines = engine.connect(client)
-        self._services = service.connect(client)
+        self._engines = engine.connect(target_client)
+        self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
         self._peers = link.Peers(
-            link.Identity(options.host, incarnation, options.peer_secret),
+            listener.Identity(options.host, options.peer_secret),
             handlers,
+            self._tls,
         )
+        self._show_traffic()
         me = blackboard.Member(
             options.host,
-            incarnation,
+            0,
             options.availability_zone,
-            self.addresses.caller,
-            self.addresses.peer,
+            options.caller_address or self.addresses.caller,
+            options.peer_address or self.addresses.peer,
+            state='starting',
             has_disk=bool(options.data_dir),
-        )
-        self._membership = membership.Membership(
-            me, self.board, self._store, self._peers, self._calls
+            run=uuid.uuid4().hex[:RUN_DIGITS],
         )
         self._config = config.Config(
-            options.host, self.board, self._store, self._peers.port
+            options.host,
+            self.board,
+            self._store,
+            self._peers.port,
+            lambda: self._membership.other_hosts(),
+        )
+        self._membership = membership.Membership(
+            me,
+            self.board,
+            membership.MembershipPorts(
+                self._store,
+                self._peers.port,
+                self._peers.follow,
+                self._calls,
+                lambda: self._in_progress,
+                lambda: self._config.digest,
+                self._config.compare,
+                options.entry_ttl_seconds,
+                options.seed_peers,
+            ),
         )
         self._targets = targets.Targets(
             options.host,
             self.board,
             targets.connect_list(client, options.store_url, self._calls),
+            self._peers.port,
+            self._membership.live_hosts,
+        )
+        self._reports = reports.Reports(
+            options.host,
+            self.board,
             self._engines,
             self._peers.port,
+            self._membership.live_hosts,
+        )
+        self._orders = orders.Orders(
+            options.host,
+            self.board,
+            self._store,
+            target_orders.connect(client),
+            self._membership.live_hosts,
+            options.model_loads,
         )
         self._keys = key_controller.Keys(
             options.host,
-            keys.KeyShards(self._store, options.host),
+            key_shards.KeyShards(self._store, options.host, self._is_dead),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
+            self._hosts_elsewhere,
         )
         self._batch = batch.Batch(
             options.host,
@@ -183,33 +257,73 @@
         handlers |= self._membership.handlers
         handlers |= self._config.handlers
         handlers |= self._targets.handlers
+        handlers |= self._reports.handlers
+        handlers |= explain.handlers(options.host)
         handlers |= self._keys.handlers
+        self._online = online_parts.make(
+            online_parts.OnlinePorts(
+                self.board,
+                self._store,
+                self._keys,
+                self._peers.port,
+                self._batch.preemption.observe(self._engines),
+                engine.connect_cache_events(target_client),
+                self._services,
+                self._sent,
+                self.counters,
+                self.spans,
+                self._targets.mark_leaving,
+            ),
+            options.availability_zone,
+        )
+        handlers |= self._online.handlers
+
+    def _show_traffic(self) -> None:
+        """Let the metrics read the traffic with peers."""
+        traffic = self._peers.traffic
+        for unit in ('frames', 'sent_bytes', 'received_bytes'):
+            self.counters.peer_traffic.labels(unit).set_function(
+                functools.partial(getattr, traffic, unit)
+            )
 
     def _jobs(
         self,
     ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
+        reloads = [self._tls.run] if self._tls else []
         return [
+            *reloads,
             self._membership.run,
             self._config.run,
             self._targets.run,
+            self._reports.run,
+            self._orders.run,
             self._batch.run,
+            *self._online.jobs,
             self._follow_members,
+            self._keys.run,
         ]
 
+    def _is_dead(self, host: str) -> bool:
+        """Return whether membership took a host for dead."""
+        member = self.board.members.get(host)
+        return member is not None and member.state == 'dead'
+
+    def _hosts_elsewhere(self) -> list[str]:
+        """Return live hosts, those of other availability zones first."""
+        zone = self._options.availability_zone
+        members = [
+            member
+            for member in self.board.members.rows()
+            if member.state == 'alive' and member.host != self._options.host
+        ]
+        members.sort(key=lambda member: member.availability_zone == zone)
+        return [member.host for member in members]
+
     def _caller_app(self) -> types.ASGIApp:
         return caller.make_app(
             ports.CallerPorts(
                 self.board,
-                online.Online(
-                    self.board,
-                    self._keys,
-                    self._batch.preemption.observe(self._engines),
-                    self._services,
-                    self._sent,
-                    self.counters,
-                    self.spans,
-                    self._options.availability_zone,
-                ),
+                self._online.online,
                 self._keys,
                 self._batch,
                 self.counters,
@@ -221,7 +335,7 @@
 
     def _operator_app(self) -> types.ASGIApp:
         return operator.make_app(
-            operator.OperatorPorts(
+            ports.OperatorPorts(
                 self.board,
                 self._config,
                 self._store,
@@ -230,6 +344,7 @@
                 self.drain,
                 lambda: self.is_ready,
                 self._options.host,
+                self._peers.port,
             )
         )
 
@@ -244,6 +359,7 @@
 
     async def _announce_ready(self) -> None:
         await self._config.ready.wait()
+        self._membership.enter()
         events.log(events.DAEMON_READY, host=self._options.host)
 
     async def _follow_members(self) -> None:
@@ -252,98 +368,8 @@
             version = await self.board.members.wait(version)
             self._keys.drop_others()
 
-    async def _finish(self) -> None:
-        """Wait until no caller comes any more and nothing is in progress."""
-        host = self._options.host
-        events.log(events.DRAIN_STARTED, host=host)
-        self._membership.leave()
-        unconfirmed: set[str] = set()
-        with self._hurry as scope:
-            scope.deadline = anyio.current_time() + self._options.drain_seconds
-            unconfirmed = await self._confirm()
-            await anyio.sleep(self._options.entry_ttl_seconds)
-            while self._in_progress:
-                await anyio.sleep(POLL_SECONDS)
-        if scope.cancelled_caught or unconfirmed:
-            events.log(
-                events.DRAIN_UNCONFIRMED,
-                host=host,
-                peers=sorted(unconfirmed),
-                in_progress=self._in_progress,
-            )
-        events.log(events.DRAIN_FINISHED, host=host)
-
-    async def _confirm(self) -> set[str]:
-        """Ask each live peer to confirm that this host is leaving."""
-        waiting = set(self._membership.live_hosts())
-        waiting.discard(self._options.host)
-        while waiting:
-            for host in sorted(waiting):
-                if await self._membership.confirm_leaving(host):
-                    waiting.discard(host)
-            waiting &= set(self._membership.live_hosts())
-            await anyio.sleep(POLL_SECONDS)
-        return waiting
-
     async def _serve(self, app: types.ASGIApp, index: int) -> None:
-        await serve_http(app, self._sockets[index], self._stopped)
-
-
-async def serve_http(
-    app: types.ASGIApp, listener: socket.socket, stopped: anyio.Event
-) -> None:
-    """Serve an application on a bound socket until an event is set.
-
-    :param listener: given up to the server, which closes it
-    """
-    options = hypercorn.config.Config()
-    options.bind = [f'fd://{listener.detach()}']
-    options.accesslog = None
-    options.errorlog = None
-    options.graceful_timeout = STOP_SECONDS
-    options.shutdown_timeout = STOP_SECONDS
-    options.backlog = BACKLOG
-    await hypercorn.asyncio.serve(
-        app, options, shutdown_trigger=stopped.wait, mode='asgi'
-    )
-
-
-async def keep_running(
-    job: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-    host: str,
-) -> None:
-    """Run a controller and start it again if it raises."""
-    while True:
-        try:
-            await job()
-        except Exception as error:
-            events.log(
-                events.TASK_FAILED,
-                host=host,
-                task=getattr(job, '__qualname__', repr(job)),
-                message=repr(error),
-            )
-        await anyio.sleep(RESTART_SECONDS)
-
-
-def listen(address: str) -> socket.socket:
-    """Bind a listening socket.
-
-    :param address: ``ip:port``; port 0 takes a free one
-    :raises OSError: if the address is taken or not this machine's
-    """
-    ip, _, port = address.rpartition(':')
-    ip = ip.strip('[]')
-    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((ip, int(port)))
-    listener.listen(BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-def address_of(listener: socket.socket) -> str:
-    """Return ``ip:port`` of a bound socket."""
-    ip, port = listener.getsockname()[:2]
-    return f'[{ip}]:{port}' if ':' in ip else f'{ip}:{port}'
+        context = self._tls.server if self._tls else None
+        await serve_http(
+            app, self._sockets[index], self._stopped, context=context
+        )
--- a/src/persimmonpass/objects.py
+++ b/src/persimmonpass/objects.py
@@ -1,12 +1,13 @@
 """Kinds of configuration objects and the checks on them."""
 
+import difflib
 import hashlib
 import typing
 
 import msgspec
 import result
 
-from persimmonpass import selectors
+from persimmonpass.policy import selectors
 from persimmonpass import verdicts
 
 MAX_NAME_LENGTH = 63
@@ -75,9 +76,14 @@
 
 
 class TargetSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Labels that operators lay over those of the platform."""
+    """What operators lay over a target of the platform's list.
+
+    :ivar leaving: the target gets no more work
+    :ivar role: role that it is ordered to; empty leaves it as it is
+    """
 
     leaving: bool = False
+    role: typing.Literal['', 'both', 'prefill', 'decode'] = ''
 
 
 class ModelSpec(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -183,12 +189,7 @@
             )
         )
     if head.kind not in KINDS:
-        allowed = ', '.join(sorted(KINDS))
-        return result.Err(
-            verdicts.invalid(
-                'kind', f'{head.kind!r} is unknown, allowed are {allowed}'
-            )
-        )
+        return result.Err(unknown_kind(head.kind))
     if len(head.labels) > MAX_LABELS:
         return result.Err(
             verdicts.invalid('labels', f'more than {MAX_LABELS} labels')
@@ -200,6 +201,16 @@
     return _check_spec(head, spec)
 
 
+def unknown_kind(kind: str) -> verdicts.Failure:
+    """Return the failure of an unknown kind; it suggests a similar one."""
+    allowed = ', '.join(sorted(KINDS))
+    message = f'{kind!r} is unknown, allowed are {allowed}'
+    similar = difflib.get_close_matches(kind, KINDS, 1)
+    if similar:
+        message = f'{message}; did you mean {similar[0]!r}?'
+    return verdicts.invalid('kind', message)
+
+
 def _check_spec(
     head: _Document, spec: Spec
 ) -> result.Result[ConfigObject, verdicts.Failure]:
