--- a/src/persimmonpass/cli/demo.py
+++ b/src/persimmonpass/cli/demo.py
@@ -18,6 +18,7 @@
 import msgspec
 import yaml
 
+from persimmonpass.cli import deployments
 from persimmonpass import client
 from persimmonpass import daemon
 from persimmonpass import exceptions
@@ -39,69 +40,6 @@
 Say = collections.abc.Callable[[str], None]
 
 
-class Deployment(typing.NamedTuple):
-    """What a demo plays.
-
-    :ivar zones: availability zones
-    :ivar model: service, and name of its model
-    :ivar engines: number of engines
-    :ivar plain: name of the plain service
-    :ivar call: path that may run only once
-    :ivar token: token of the caller's account
-    """
-
-    name: str
-    zones: tuple[str, ...]
-    model: str
-    version: str
-    engines: int
-    plain: str
-    call: str
-    token: str
-    requests: int
-    items: int
-    calls: int
-    request_word: str
-    item_word: str
-    call_word: str
-
-
-DEPLOYMENTS = {
-    'athi': Deployment(
-        'athi',
-        ('ruai', 'kasarani', 'embakasi'),
-        'pumpread',
-        '3',
-        6,
-        'crews',
-        '/dispatch',
-        'athi-desk-token',
-        60,
-        240,
-        8,
-        'alarm summaries',
-        'shift digest entries',
-        'crew dispatches',
-    ),
-    'lankaroot': Deployment(
-        'lankaroot',
-        ('col-a', 'col-b', 'neg-c'),
-        'booking-assist',
-        '7',
-        5,
-        'bookings',
-        '/confirm',
-        'lankaroot-token',
-        50,
-        300,
-        10,
-        'chat replies',
-        'evening reminders',
-        'booking confirmations',
-    ),
-}
-
-
 class Counts(typing.NamedTuple):
     """What was read back at the end.
 
@@ -125,7 +63,7 @@
 
     def __init__(
         self,
-        plan: Deployment,
+        plan: deployments.Deployment,
         tasks: anyio.abc.TaskGroup,
         http: httpx.AsyncClient,
         say: Say,
@@ -403,11 +341,11 @@
 async def play(name: str, say: Say) -> bool:
     """Play a deployment.
 
-    :param name: key of :data:`DEPLOYMENTS`
+    :param name: key of :data:`deployments.DEPLOYMENTS`
     :param say: takes each line of the report
     :returns: whether nothing was lost or doubled
     """
-    plan = DEPLOYMENTS[name]
+    plan = deployments.DEPLOYMENTS[name]
     started = anyio.current_time()
     async with (
         httpx.AsyncClient(trust_env=False, timeout=READY_SECONDS) as http,
--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -13,6 +13,7 @@
 
 from persimmonpass.cli import connection as connections
 from persimmonpass.cli import demo
+from persimmonpass.cli import deployments
 from persimmonpass.cli import jobs
 from persimmonpass import logs
 from persimmonpass import objects
@@ -338,7 +339,7 @@
 @main.command('demo')
 @click.option(
     '--deployment',
-    type=click.Choice(sorted(demo.DEPLOYMENTS)),
+    type=click.Choice(sorted(deployments.DEPLOYMENTS)),
     default='athi',
 )
 @click.option('--log-file', type=click.Path(dir_okay=False), default='')
--- a/src/persimmonpass/controllers/online.py
+++ b/src/persimmonpass/controllers/online.py
@@ -204,6 +204,12 @@
                 RECORD_SECONDS,
             )
         if isinstance(kept, result.Ok):
+            events.log(
+                events.REQUEST_FINISHED,
+                key=online.name.key,
+                service=online.service,
+                status=kept.ok_value.status,
+            )
             finished = online_requests.Finished(kept.ok_value, True)
             return result.Ok(finished)
         events.log(
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -259,12 +259,6 @@
     Level.ERROR,
     'Targets died on this body; it is not run again.',
 )
-HOST_LEAVING = Event(
-    513,
-    'host_leaving',
-    Level.INFO,
-    'This host shuts down; ask for another entry address.',
-)
 REQUEST_IN_PROGRESS = Event(
     514,
     'request_in_progress',
