--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -1,8 +1,6 @@
 """Routes for callers: requests, jobs and entry answers."""
 
-import contextlib
 import hashlib
-import json
 import random
 import typing
 import uuid
@@ -14,9 +12,9 @@
 from starlette import requests
 from starlette import responses
 from starlette import routing
-from starlette import types
 
 from persimmonpass.api import answers
+from persimmonpass.api import completions
 from persimmonpass.api import jobs
 from persimmonpass.api import ports as caller_ports
 from persimmonpass import auth
@@ -58,7 +56,7 @@
         if isinstance(checked, result.Err):
             return answers.fail(checked.err_value)
         completion, stream = checked.ok_value
-        return _CompletionResponse(ports, completion, stream)
+        return completions.CompletionResponse(ports, completion, stream)
 
     async def call_service(request: requests.Request) -> responses.Response:
         checked = await _check_call(ports, request)
@@ -69,7 +67,7 @@
             outcome = await ports.online.call(name, call)
         if isinstance(outcome, result.Err):
             return answers.fail(outcome.err_value)
-        return _finished(name, outcome.ok_value)
+        return completions.make_answer(name, outcome.ok_value)
 
     async def show_request(request: requests.Request) -> responses.Response:
         account = auth.find_account(ports.board, request.headers)
@@ -118,150 +116,6 @@
     return applications.Starlette(routes=routes)
 
 
-class _CompletionResponse(responses.Response):
-    """Runs a completion while it is answered.
-
-    A caller that hangs up cancels the completion, which frees its target.
-    """
-
-    def __init__(
-        self,
-        ports: caller_ports.CallerPorts,
-        completion: online_requests.CompletionRequest,
-        stream: bool,
-    ) -> None:
-        super().__init__()
-        self._ports = ports
-        self._completion = completion
-        self._stream = stream
-
-    async def __call__(
-        self, scope: types.Scope, receive: types.Receive, send: types.Send
-    ) -> None:
-        """Answer the request."""
-        with self._ports.enter():
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(_cancel_on_hang_up, receive, tasks)
-                answer = await self._run(send)
-                if answer is not None:
-                    await answer(scope, receive, send)
-                tasks.cancel_scope.cancel()
-
-    async def _run(self, send: types.Send) -> responses.Response | None:
-        """Return the answer, or ``None`` if it was streamed."""
-        started = anyio.current_time()
-        request = self._completion.online
-        begun = False
-        updates = self._ports.online.complete(self._completion)
-        async with contextlib.aclosing(updates):
-            async for update in updates:
-                if isinstance(update, result.Err):
-                    self._count(update.err_value.status)
-                    if not begun:
-                        return answers.fail(update.err_value)
-                    # A stream that failed ends without the final mark.
-                    body = dict(verdicts.to_body(update.err_value))
-                    await _send_event(send, body, more=False)
-                    return None
-                value = update.ok_value
-                if isinstance(value, online_requests.Finished):
-                    self._count(value.answer.status)
-                    if not self._stream:
-                        return _finished(request, value)
-                    if not begun:
-                        await _start_events(send, request)
-                        begun = True
-                        await _send_event(send, _whole_event(request, value))
-                    await _send_event(send, _final_event(request, value))
-                    continue
-                if not begun:
-                    waited = anyio.current_time() - started
-                    self._ports.counters.first_token.labels(
-                        request.service
-                    ).observe(waited)
-                    if self._stream:
-                        await _start_events(send, request)
-                    begun = self._stream
-                if self._stream:
-                    await _send_event(send, _piece_event(request, value.text))
-        await _end_events(send)
-        return None
-
-    def _count(self, status: int) -> None:
-        service_name = self._completion.online.service
-        self._ports.counters.requests.labels(service_name, status).inc()
-
-
-async def _cancel_on_hang_up(
-    receive: types.Receive, tasks: anyio.abc.TaskGroup
-) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        pass
-    tasks.cancel_scope.cancel()
-
-
-async def _start_events(
-    send: types.Send, request: online_requests.OnlineRequest
-) -> None:
-    headers = [
-        (b'content-type', b'text/event-stream'),
-        (answers.REQUEST_HEADER.lower().encode(), request.name.key.encode()),
-    ]
-    await send(
-        {'type': 'http.response.start', 'status': 200, 'headers': headers}
-    )
-
-
-async def _send_event(
-    send: types.Send, body: dict[str, typing.Any], *, more: bool = True
-) -> None:
-    data = b'data: ' + msgspec.json.encode(body) + b'\n\n'
-    await send({'type': 'http.response.body', 'body': data, 'more_body': more})
-
-
-async def _end_events(send: types.Send) -> None:
-    await send({'type': 'http.response.body', 'body': b'data: [DONE]\n\n'})
-
-
-def _piece_event(
-    request: online_requests.OnlineRequest, text: str
-) -> dict[str, typing.Any]:
-    choice = {'index': 0, 'text': text, 'finish_reason': None}
-    return {'id': request.name.key, 'choices': [choice]}
-
-
-def _whole_event(
-    request: online_requests.OnlineRequest, finished: online_requests.Finished
-) -> dict[str, typing.Any]:
-    body = json.loads(finished.answer.body)
-    return _piece_event(request, body['choices'][0]['text'])
-
-
-def _final_event(
-    request: online_requests.OnlineRequest, finished: online_requests.Finished
-) -> dict[str, typing.Any]:
-    choice = {'index': 0, 'text': '', 'finish_reason': 'length'}
-    return {
-        'id': request.name.key,
-        'choices': [choice],
-        'recorded': finished.recorded,
-    }
-
-
-def _finished(
-    request: online_requests.OnlineRequest, finished: online_requests.Finished
-) -> responses.Response:
-    answer = finished.answer
-    headers = {
-        answers.REQUEST_HEADER: request.name.key,
-        answers.RECORDED_HEADER: str(finished.recorded).lower(),
-        answers.VERDICT_HEADER: verdicts.Verdict.RAN.value,
-    }
-    return responses.Response(
-        answer.body, answer.status, headers, answer.content_type or None
-    )
-
-
 async def _check_completion(
     ports: caller_ports.CallerPorts, request: requests.Request
 ) -> result.Result[
--- a/tests/test_online_answers.py
+++ b/tests/test_online_answers.py
@@ -9,7 +9,7 @@
 import parameterized
 import result
 
-from persimmonpass.api import caller
+from persimmonpass.api import completions
 from persimmonpass.controllers import online_requests
 from persimmonpass import keys
 from persimmonpass import metrics
@@ -53,7 +53,7 @@
             'x',
             1,
         )
-        response = caller._CompletionResponse(ports, request, stream)
+        response = completions.CompletionResponse(ports, request, stream)
         await response({'type': 'http'}, receive, send)
 
     fakes.run(main)
