--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -67,7 +67,7 @@
             outcome = await ports.online.call(name, call)
         if isinstance(outcome, result.Err):
             return answers.fail(outcome.err_value)
-        return completions.finish(name, outcome.ok_value)
+        return completions.make_answer(name, outcome.ok_value)
 
     async def show_request(request: requests.Request) -> responses.Response:
         account = auth.find_account(ports.board, request.headers)
--- a/src/persimmonpass/api/completions.py
+++ b/src/persimmonpass/api/completions.py
@@ -81,7 +81,7 @@
         request = self._completion.online
         self._count(finished.answer.status)
         if not self._stream:
-            return finish(request, finished)
+            return make_answer(request, finished)
         if not self._has_head:
             body = json.loads(finished.answer.body)
             await self._send_text(send, body['choices'][0]['text'])
@@ -145,7 +145,7 @@
     return {'id': key, 'choices': [choice]}
 
 
-def finish(
+def make_answer(
     request: online_requests.OnlineRequest, finished: online_requests.Finished
 ) -> responses.Response:
     """Return the whole answer of a request that ran.
