Let a host that starts take the share of one of 32 hosts

Cause: with 4 hosts a new one had 3 writes a second for its first 2 s while it took callers already, so that a reservation waited.

--- a/src/persimmonpass/budget.py
+++ b/src/persimmonpass/budget.py
@@ -3,7 +3,7 @@
 Reads and writes have a token bucket each. A host's share is the fleet's rate
 divided by the most hosts that were live within :data:`HOLD_SECONDS`: hosts
 that a cut hides still call the store, so that their share is not taken over
-at once. A host starts at a part of its share, halves its pace while the store
+at once. A host starts as one of many hosts, halves its pace while the store
 refuses or stays silent and doubles it, in steps of random length, while the
 store answers; hosts that retry after an outage therefore come back gradually
 and not together.
@@ -22,8 +22,9 @@
 from persimmonpass import verdicts
 
 HOLD_SECONDS = 3600.0
-# A host that starts does not know yet how many others there are.
-START_PACE = 1 / 32
+# A host that starts does not know yet how many others there are. It takes
+# so many for granted, and fewer once the store has answered for a while.
+START_HOSTS = 32
 START_SECONDS = 2.0
 MIN_PACE = 1 / 8
 MIN_RATE_PER_SECOND = 0.5
@@ -164,7 +165,8 @@
         self.exhausted = dict.fromkeys(Priority, 0)
         self._draw = draw
         self._hosts: collections.deque[tuple[float, int]] = collections.deque()
-        self._pace = START_PACE
+        self._pace = 1.0
+        self._assumed_hosts = START_HOSTS
         self._next_step: float | None = None
         self._reads = _Bucket(lambda: self.rate, draw())
         self._writes = _Bucket(lambda: self.write_rate, draw())
@@ -172,12 +174,12 @@
     @property
     def rate(self) -> float:
         """Reads a second that this host may make now."""
-        return self._paced(self.fleet_rate / self.hosts)
+        return self._paced(self.fleet_rate)
 
     @property
     def write_rate(self) -> float:
         """Writes a second that this host may make now."""
-        return self._paced(self.fleet_write_rate / self.hosts)
+        return self._paced(self.fleet_write_rate)
 
     @property
     def pace(self) -> float:
@@ -193,12 +195,13 @@
             self._hosts.popleft()
         return self._hosts[0][1] if self._hosts else 1
 
-    def _paced(self, share: float) -> float:
-        """Return the part of a share that is used now.
+    def _paced(self, fleet_rate: float) -> float:
+        """Return the part of this host's share that is used now.
 
         A host keeps trying a little: a pace that let no call through would
         never be raised again.
         """
+        share = fleet_rate / max(self.hosts, self._assumed_hosts)
         return max(share * self._pace, min(share, MIN_RATE_PER_SECOND))
 
     def waiting(self, priority: Priority) -> int:
@@ -240,11 +243,12 @@
         """Take note that the store answered a call."""
         if self._step_is_due():
             self._pace = min(1.0, self._pace * 2)
+            self._assumed_hosts = max(1, self._assumed_hosts // 2)
 
     def refused(self) -> None:
         """Take note that the store refused a call or did not answer it."""
         if self._step_is_due():
-            self._pace = max(min(self._pace, MIN_PACE), self._pace / 2)
+            self._pace = max(MIN_PACE, self._pace / 2)
 
     def _step_is_due(self) -> bool:
         now = anyio.current_time()
