Write a span for each hop and carry the trace over peer links

Before, spans of a request covered its keys and its target; the call to the key's owner and the store's calls there had none. A frame between peers now carries the trace parent, and the present span follows its task. Shown by a test that reads one trace from the three daemons' file: entry, keys, peer, store and target, each with a known parent.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -63,7 +63,12 @@
         if isinstance(checked, result.Err):
             return answers.fail(checked.err_value)
         name, call = checked.ok_value
-        with ports.enter(), anyio.CancelScope(shield=True):
+        with (
+            ports.enter(),
+            anyio.CancelScope(shield=True),
+            ports.spans.span('entry.call', name.headers) as onwards,
+        ):
+            name = name._replace(headers=name.headers | onwards)
             outcome = await ports.online.call(name, call)
         if isinstance(outcome, result.Err):
             return answers.fail(outcome.err_value)
--- a/src/persimmonpass/api/completions.py
+++ b/src/persimmonpass/api/completions.py
@@ -41,7 +41,14 @@
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Answer the request."""
-        with self._ports.enter():
+        online = self._completion.online
+        with (
+            self._ports.enter(),
+            self._ports.spans.span('entry.complete', online.headers) as span,
+        ):
+            self._completion = self._completion._replace(
+                online=online._replace(headers=online.headers | span)
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_on_hang_up, receive, tasks)
                 answer = await self._run(send)
--- a/src/persimmonpass/controllers/online.py
+++ b/src/persimmonpass/controllers/online.py
@@ -168,7 +168,7 @@
         durable: bool,
     ) -> online_requests.FinishedResult | None:
         """Start a request, or return what its key led to before."""
-        with self._spans.span('store.begin', online.headers):
+        with self._spans.span('keys.begin', online.headers):
             while True:
                 begun = await self._keys.begin(
                     online.name,
@@ -195,7 +195,7 @@
         attempt: str,
         answer: keys.Answer,
     ) -> online_requests.FinishedResult:
-        with self._spans.span('store.finish', online.headers):
+        with self._spans.span('keys.finish', online.headers):
             kept = await self._keys.finish(
                 online.name,
                 online.fingerprint,
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -171,7 +171,9 @@
             options.store_rate, options.store_write_rate
         )
         self.counters.show_budget(self._calls)
-        self._store = store.connect(client, options.store_url, self._calls)
+        self._store = store.connect(
+            client, options.store_url, self._calls, self.spans
+        )
         self._engines = engine.connect(target_client)
         self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
@@ -179,6 +181,7 @@
             listener.Identity(options.host, options.peer_secret),
             handlers,
             self._tls,
+            self.spans,
         )
         self._show_traffic()
         me = blackboard.Member(
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -24,6 +24,7 @@
 from persimmonpass.peers import messages
 from persimmonpass.peers import port
 from persimmonpass import tls
+from persimmonpass import tracing
 from persimmonpass import verdicts
 
 RECONNECT_SECONDS = 0.5
@@ -78,15 +79,22 @@
         identity: listener.Identity,
         handlers: port.Handlers,
         contexts: tls.Tls | None = None,
+        spans: tracing.Tracing | None = None,
     ) -> None:
         """Make the links.
 
         :param contexts: links use TLS
+        :param spans: where the spans of peers' calls go
         """
         self._contexts = contexts
         self._identity = identity
         self.traffic = port.Traffic()
-        self._listener = listener.Listener(identity, handlers, self.traffic)
+        self._listener = listener.Listener(
+            identity,
+            handlers,
+            self.traffic,
+            spans or tracing.Tracing(identity.host),
+        )
         self._links: dict[str, _Link] = {}
         self._addresses: dict[str, str] = {}
         self._numbers = itertools.count(1)
@@ -181,7 +189,11 @@
         pending = _Pending()
         number = next(self._numbers)
         frame = messages.Frame(
-            messages.FrameKind.REQUEST, number, method, payload
+            messages.FrameKind.REQUEST,
+            number,
+            method,
+            payload,
+            tracing.current_parent(),
         )
         link = None
         with anyio.move_on_after(timeout) as scope:
--- a/src/persimmonpass/peers/listener.py
+++ b/src/persimmonpass/peers/listener.py
@@ -12,6 +12,7 @@
 from persimmonpass import events
 from persimmonpass.peers import messages
 from persimmonpass.peers import port
+from persimmonpass import tracing
 from persimmonpass import verdicts
 
 OPEN_TIMEOUT_SECONDS = 2.0
@@ -40,10 +41,12 @@
         identity: Identity,
         handlers: port.Handlers,
         traffic: port.Traffic,
+        spans: tracing.Tracing,
     ) -> None:
         self._identity = identity
         self._traffic = traffic
         self._handlers = handlers
+        self._spans = spans
 
     async def accept(
         self, connection: websockets.asyncio.server.ServerConnection
@@ -113,7 +116,8 @@
                 verdicts.invalid('method', f'{frame.method!r} is unknown')
             )
         try:
-            return await handler(peer, frame.payload)
+            with self._spans.inner_span(f'peer.{frame.method}', frame.trace):
+                return await handler(peer, frame.payload)
         except Exception as error:
             events.log(
                 events.TASK_FAILED,
--- a/src/persimmonpass/peers/messages.py
+++ b/src/persimmonpass/peers/messages.py
@@ -24,12 +24,14 @@
     :ivar number: pairs a response with its request; 0 for notices
     :ivar method: name of the handler, empty in responses
     :ivar payload: anything that CBOR can hold
+    :ivar trace: trace parent of the caller's span, or empty
     """
 
     kind: FrameKind
     number: int
     method: str
     payload: typing.Any
+    trace: str = ''
 
 
 class Hello(typing.TypedDict):
@@ -46,7 +48,13 @@
 def encode(frame: Frame) -> bytes:
     """Return the bytes of a frame."""
     return cbor2.dumps(
-        [int(frame.kind), frame.number, frame.method, frame.payload]
+        [
+            int(frame.kind),
+            frame.number,
+            frame.method,
+            frame.payload,
+            frame.trace,
+        ]
     )
 
 
@@ -56,7 +64,7 @@
     :raises ValueError: if they are no frame
     """
     try:
-        kind, number, method, payload = cbor2.loads(data)
+        kind, number, method, payload, parent = cbor2.loads(data)
     except (cbor2.CBORDecodeError, TypeError) as error:
         raise ValueError(f'not a frame: {error}') from error
-    return Frame(FrameKind(kind), number, method, payload)
+    return Frame(FrameKind(kind), number, method, payload, parent)
--- a/src/persimmonpass/store.py
+++ b/src/persimmonpass/store.py
@@ -16,6 +16,7 @@
 
 from persimmonpass import budget
 from persimmonpass import events
+from persimmonpass import tracing
 from persimmonpass import verdicts
 
 CREATE = 0
@@ -165,14 +166,19 @@
 
 
 def connect(
-    client: httpx.AsyncClient, base_url: str, calls: budget.Budget
+    client: httpx.AsyncClient,
+    base_url: str,
+    calls: budget.Budget,
+    spans: tracing.Tracing | None = None,
 ) -> StorePort:
     """Make the port of a store that is reached over HTTP.
 
     :param client: HTTP client
     :param base_url: ``http://ip:port`` of the platform
     :param calls: rate at which this host may call the store
+    :param spans: where the spans of calls for a request go
     """
+    traced = spans or tracing.Tracing('')
 
     async def call(
         method: str,
@@ -189,9 +195,10 @@
             return taken
         limits = httpx.Timeout(timeout, connect=CONNECT_TIMEOUT_SECONDS)
         try:
-            answer = await client.request(
-                method, base_url + path, timeout=limits, **options
-            )
+            with traced.inner_span(f'store.{method.lower()}', path=path):
+                answer = await client.request(
+                    method, base_url + path, timeout=limits, **options
+                )
         except httpx.HTTPError as error:
             calls.refused()
             return result.Err(_call_failed(error, write))
--- a/src/persimmonpass/tracing.py
+++ b/src/persimmonpass/tracing.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import contextvars
 import typing
 
 from opentelemetry.exporter.otlp.proto.http import trace_exporter
@@ -13,7 +14,12 @@
 
 FILE_PREFIX = 'file:'
 
+PARENT_HEADER = 'traceparent'
+
 _PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
+_PARENT: contextvars.ContextVar[str] = contextvars.ContextVar(
+    'persimmonpass_trace_parent', default=''
+)
 
 Headers = typing.Mapping[str, str]
 
@@ -62,11 +68,30 @@
         )
         onwards: dict[str, str] = {}
         _PROPAGATOR.inject(onwards, trace.set_span_in_context(span))
+        outer = _PARENT.get()
+        _PARENT.set(onwards.get(PARENT_HEADER, ''))
         try:
             yield onwards
         finally:
+            _PARENT.set(outer)
             span.end()
 
+    @contextlib.contextmanager
+    def inner_span(
+        self, name: str, parent: str | None = None, **attributes: str
+    ) -> collections.abc.Iterator[None]:
+        """Open a span inside another one, and none where there is no other.
+
+        :param parent: trace parent that a peer sent; ``None`` for the span
+            in which the present task runs
+        """
+        found = _PARENT.get() if parent is None else parent
+        if not found:
+            yield
+            return
+        with self.span(name, {PARENT_HEADER: found}, **attributes):
+            yield
+
     def shut_down(self) -> None:
         """Write out what is left."""
         self._provider.shutdown()
@@ -91,11 +116,16 @@
         )
 
 
+def current_parent() -> str:
+    """Return the trace parent of the present task's span, or empty."""
+    return _PARENT.get()
+
+
 def _format_line(span: sdk_trace.ReadableSpan) -> str:
     return span.to_json(indent=None) + '\n'
 
 
 def _pass_on(headers: Headers | None) -> dict[str, str]:
-    if headers and 'traceparent' in headers:
-        return {'traceparent': headers['traceparent']}
+    if headers and PARENT_HEADER in headers:
+        return {PARENT_HEADER: headers[PARENT_HEADER]}
     return {}
--- /dev/null
+++ b/tests/test_tracing.py
@@ -0,0 +1,64 @@
+"""One trace holds a span for each hop of a request."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from tests import processes
+
+TRACE_ID = '0af7651916cd43dd8448eb211c80319c'
+CALLER_SPAN = 'b7ad6b7169203331'
+KEYS = 4
+ZONES = ('ruai', 'kasarani', 'embakasi')
+
+
+class TestTracing(unittest.TestCase):
+    def test_span_for_each_hop(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / 'spans'
+        fleet = processes.Fleet(ZONES, '--trace', f'file:{path}')
+        self.addCleanup(fleet.close)
+        fleet.start_engine('engine-0', 'ruai', 'pumpread@3')
+        examples = processes.ROOT / 'examples' / 'athi'
+        applied = fleet.tool('apply', '-f', str(examples))
+        self.assertEqual(0, applied.returncode, applied.stderr)
+        fleet.wait_ready()
+        headers = {
+            'Authorization': 'Bearer athi-desk-token',
+            'traceparent': f'00-{TRACE_ID}-{CALLER_SPAN}-01',
+        }
+
+        def complete():
+            answers = [
+                processes.CLIENT.post(
+                    f'{host.caller}/v1/completions',
+                    json={'model': 'pumpread', 'prompt': 'x'},
+                    headers={**headers, 'Idempotency-Key': f'{name}-{key}'},
+                ).status_code
+                for name, host in zip(ZONES, fleet.hosts, strict=True)
+                for key in range(KEYS)
+            ]
+            return answers == [200] * len(answers)
+
+        processes.wait_until(complete)
+        spans = [json.loads(line) for line in path.read_text().splitlines()]
+        ours = {
+            span['context']['span_id'].removeprefix('0x'): span
+            for span in spans
+            if span['context']['trace_id'] == f'0x{TRACE_ID}'
+        }
+        hops = {span['name'] for span in ours.values()}
+        wanted = {
+            'entry.complete',
+            'keys.begin',
+            'peer.keys.begin',
+            'keys.finish',
+            'peer.keys.finish',
+            'store.put',
+            'target.complete',
+        }
+        self.assertLessEqual(wanted, hops)
+        for span in ours.values():
+            parent = span['parent_id'].removeprefix('0x')
+            self.assertTrue(parent == CALLER_SPAN or parent in ours, span)
