--- a/tests/batch_fakes.py
+++ b/tests/batch_fakes.py
@@ -220,11 +220,11 @@
         found = []
         for path, stored in self.store.objects.items():
             prefix = jobs.ledger_key(key, 0)[:-6]
-            if path.startswith(prefix) and 'segment' not in path:
+            if path.startswith(prefix) and '.segment-' not in path:
                 head = ledger.decode_head(stored.data)
                 for segment in head.segments:
-                    rows = cbor2.loads(self.store.objects[segment.key].data)
-                    found += [ledger.Record(*row) for row in rows]
+                    data = self.store.objects[segment.key].data
+                    found += [ledger.Record(*r) for r in cbor2.loads(data)]
                 found += head.records
         return [record for record in found if record.kind in kinds]
 
