--- a/tests/test_online_answers.py
+++ b/tests/test_online_answers.py
@@ -14,6 +14,7 @@
 from persimmonpass import keys
 from persimmonpass import metrics
 from persimmonpass.targets import engine
+from persimmonpass import tracing
 from persimmonpass import verdicts
 from tests import fakes
 from tests import online_fakes
@@ -47,6 +48,7 @@
             enter=contextlib.nullcontext,
             online=types.SimpleNamespace(complete=complete),
             counters=metrics.Metrics(),
+            spans=tracing.Tracing('host-0'),
         )
         request = online_requests.CompletionRequest(
             online_fakes.make_request('key', online_fakes.ENGINE_SPEC, 'x'),
