--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 SOURCES := src tests bench tools
+BENCHES := ledger store_budget gossip routing overhead recovery batch \
+    preemption drain detection spread control
 
 .PHONY: test demo lint format bench docs clean
 
@@ -27,6 +29,11 @@
 demo: $(STAMP)
 	$(VENV)/bin/persimmonpass demo
 
+bench: $(STAMP)
+	for name in $(BENCHES); do \
+	    echo "== $$name"; $(PYTHON) -m bench.$$name || exit 1; \
+	done
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
 
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -18,6 +18,7 @@
 from persimmonpass.controllers import drain
 from persimmonpass import daemon
 from persimmonpass import objects
+from persimmonpass import servers
 from persimmonpass import settings
 from persimmonpass.standins import engine
 from persimmonpass.standins import platform
@@ -151,9 +152,11 @@
                 await anyio.sleep(0.1)
 
     async def _serve(self, app: typing.Any) -> str:
-        listener = daemon.listen(LOOPBACK)
-        address = daemon.address_of(listener)
-        self._tasks.start_soon(daemon.serve_http, app, listener, anyio.Event())
+        listener = servers.listen(LOOPBACK)
+        address = servers.address_of(listener)
+        self._tasks.start_soon(
+            servers.serve_http, app, listener, anyio.Event()
+        )
         return address
 
     async def _start_daemon(self, index: int, store_url: str) -> None:
--- a/bench/fleets.py
+++ b/bench/fleets.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from persimmonpass import daemon
+from persimmonpass import servers
 from persimmonpass.standins import engine
 from tests import processes
 
@@ -153,10 +153,10 @@
         stopped = anyio.Event()
         for index in range(count):
             made = Engine(f'engine-{index}', speed)
-            listener = daemon.listen('127.0.0.1:0')
-            address = daemon.address_of(listener)
+            listener = servers.listen('127.0.0.1:0')
+            address = servers.address_of(listener)
             await tasks.start(made.run)
-            tasks.start_soon(daemon.serve_http, made.app, listener, stopped)
+            tasks.start_soon(servers.serve_http, made.app, listener, stopped)
             await anyio.to_thread.run_sync(
                 fleet.list_target,
                 *(made.name, address, 'engine', 'ruai', MODEL),
@@ -164,7 +164,7 @@
             engines.append(made)
         yield engines
         stopped.set()
-        await anyio.sleep(2 * daemon.STOP_SECONDS)
+        await anyio.sleep(2 * servers.STOP_SECONDS)
         tasks.cancel_scope.cancel()
 
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -9,7 +9,7 @@
 from starlette import responses
 from starlette import routing
 
-from persimmonpass import daemon
+from persimmonpass import servers
 
 
 def make_app(client: httpx.AsyncClient, url: str) -> applications.Starlette:
@@ -46,10 +46,10 @@
     async with httpx.AsyncClient(
         limits=limits, trust_env=False, timeout=None
     ) as client:
-        listener = daemon.listen('127.0.0.1:0')
-        print(f'listening on {daemon.address_of(listener)}', flush=True)
+        listener = servers.listen('127.0.0.1:0')
+        print(f'listening on {servers.address_of(listener)}', flush=True)
         app = make_app(client, f'http://{address}')
-        await daemon.serve_http(app, listener, anyio.Event())
+        await servers.serve_http(app, listener, anyio.Event())
 
 
 if __name__ == '__main__':
--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -64,7 +64,6 @@
             return answers.fail(checked.err_value)
         name, call = checked.ok_value
         with (
-            ports.enter(),
             anyio.CancelScope(shield=True),
             ports.spans.span('entry.call', name.headers) as onwards,
         ):
--- a/src/persimmonpass/api/completions.py
+++ b/src/persimmonpass/api/completions.py
@@ -42,10 +42,8 @@
     ) -> None:
         """Answer the request."""
         online = self._completion.online
-        with (
-            self._ports.enter(),
-            self._ports.spans.span('entry.complete', online.headers) as span,
-        ):
+        spans = self._ports.spans
+        with spans.span('entry.complete', online.headers) as span:
             self._completion = self._completion._replace(
                 online=online._replace(headers=online.headers | span)
             )
--- a/src/persimmonpass/api/jobs.py
+++ b/src/persimmonpass/api/jobs.py
@@ -48,13 +48,12 @@
         )
         if isinstance(due, result.Err):
             return answers.fail(verdicts.invalid('due_seconds', due.err_value))
-        with ports.enter():
-            accepted = await ports.batch.submit(
-                key.ok_value,
-                name,
-                due.ok_value,
-                answers.read_lines(request),
-            )
+        accepted = await ports.batch.submit(
+            key.ok_value,
+            name,
+            due.ok_value,
+            answers.read_lines(request),
+        )
         if isinstance(accepted, result.Err):
             return answers.fail(accepted.err_value)
         job = accepted.ok_value
--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -1,7 +1,6 @@
 """What the caller and the operator API work with."""
 
 import collections.abc
-import contextlib
 import typing
 
 from persimmonpass import blackboard
@@ -19,7 +18,6 @@
     """What the caller API works with.
 
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
-    :ivar enter: context that counts a request in progress
     """
 
     board: blackboard.Blackboard
@@ -29,9 +27,6 @@
     counters: metrics.Metrics
     spans: tracing.Tracing
     entry_ttl_seconds: float
-    enter: collections.abc.Callable[
-        [], contextlib.AbstractContextManager[None]
-    ]
 
 
 class OperatorPorts(typing.NamedTuple):
--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -96,7 +96,6 @@
     peer_address: str
     state: str = 'alive'
     generation: int = 0
-    has_disk: bool = False
     run: str = ''
 
 
--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -23,48 +23,48 @@
     context_settings={'auto_envvar_prefix': settings.PREFIX},
     help='Run one entry host. Each flag is also read from PERSIMMONPASS_*.',
 )
-@click.option('--host', type=settings.NameType(), required=True)
-@click.option('--availability-zone', type=settings.NameType(), required=True)
-@click.option('--store-url', type=settings.UrlType(), required=True)
+@click.option('--host', type=settings.NAME, required=True)
+@click.option('--availability-zone', type=settings.NAME, required=True)
+@click.option('--store-url', type=settings.URL, required=True)
 @click.option(
     '--listen',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     default=DEFAULTS['listen'],
     help='Address for callers.',
 )
 @click.option(
     '--peer-listen',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     default=DEFAULTS['peer_listen'],
     help='Address for the other daemons.',
 )
 @click.option(
     '--seed-peer',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     multiple=True,
     help='Peer to ask for the others while the store is down; repeatable.',
 )
 @click.option(
     '--operator-listen',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     default=DEFAULTS['operator_listen'],
     help='Address for operators and metrics.',
 )
 @click.option(
     '--caller-address',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     default=None,
     help='Address that callers are told, if not that of --listen.',
 )
 @click.option(
     '--peer-address',
-    type=settings.AddressType(),
+    type=settings.ADDRESS,
     default=None,
     help='Address that peers are told, if not that of --peer-listen.',
 )
 @click.option(
     '--admin-token-sha256',
-    type=settings.DigestType(),
+    type=settings.DIGEST,
     default='',
     help='Digest of a token that is always an admin.',
 )
@@ -110,18 +110,17 @@
 )
 @click.option(
     '--entry-ttl',
-    type=settings.DurationType(),
+    type=settings.DURATION,
     default=DEFAULTS['entry_ttl_seconds'],
     help='How long callers may keep an entry answer.',
 )
 @click.option(
     '--drain-limit',
-    type=settings.DurationType(),
+    type=settings.DURATION,
     default=DEFAULTS['drain_seconds'],
     help='Longest time that a shutdown waits.',
 )
-@click.option('--data-dir', type=click.Path(file_okay=False), default='')
-@click.option('--trace', type=settings.TraceType(), default='')
+@click.option('--trace', type=settings.TRACE, default='')
 @click.option('--log-file', type=click.Path(dir_okay=False), default='')
 def command(**values: typing.Any) -> None:
     """Check the settings and run the daemon."""
--- a/src/persimmonpass/cli/demo.py
+++ b/src/persimmonpass/cli/demo.py
@@ -23,6 +23,7 @@
 from persimmonpass import daemon
 from persimmonpass import exceptions
 from persimmonpass import objects
+from persimmonpass import servers
 from persimmonpass import settings
 from persimmonpass.standins import engine
 from persimmonpass.standins import platform
@@ -97,9 +98,9 @@
         )
 
     async def _serve(self, app: typing.Any) -> str:
-        listener = daemon.listen(LOOPBACK)
-        address = daemon.address_of(listener)
-        self.tasks.start_soon(daemon.serve_http, app, listener, anyio.Event())
+        listener = servers.listen(LOOPBACK)
+        address = servers.address_of(listener)
+        self.tasks.start_soon(servers.serve_http, app, listener, anyio.Event())
         return address
 
     def _list(self, name: str, address: str, kind: str, index: int) -> None:
@@ -119,13 +120,13 @@
     async def _start_engine(self, index: int) -> None:
         model = engine.model_key(self.plan.model, self.plan.version, '')
         made = engine.Engine(f'engine-{index}', [model], seed=index)
-        listener = daemon.listen(LOOPBACK)
-        self._list(made.name, daemon.address_of(listener), 'engine', index)
+        listener = servers.listen(LOOPBACK)
+        self._list(made.name, servers.address_of(listener), 'engine', index)
         killed = anyio.Event()
         self.engine_kills.append(killed)
         self.tasks.start_soon(made.run)
         self.tasks.start_soon(
-            daemon.serve_http, made.app, listener, killed, 0.0
+            servers.serve_http, made.app, listener, killed, 0.0
         )
 
     async def _start_daemon(self, index: int, store_url: str) -> None:
--- a/src/persimmonpass/cli/jobs.py
+++ b/src/persimmonpass/cli/jobs.py
@@ -16,7 +16,7 @@
 @job.command('submit')
 @click.argument('name')
 @click.option('--service', required=True)
-@click.option('--due', type=settings.DurationType(), default='24h')
+@click.option('--due', type=settings.DURATION, default='24h')
 @click.option('-f', 'path', type=click.File('rb'), required=True)
 @click.pass_obj
 def submit_job(
--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -31,8 +31,8 @@
     help='Operate a fleet, run requests and batch jobs.',
     epilog=COMPLETION_HELP,
 )
-@click.option('--operator-url', type=settings.UrlType(), default=None)
-@click.option('--caller-url', type=settings.UrlType(), default=None)
+@click.option('--operator-url', type=settings.URL, default=None)
+@click.option('--caller-url', type=settings.URL, default=None)
 @click.option('--token', default='', help='Token of a person or account.')
 @click.option(
     '--output', type=click.Choice(['table', 'json']), default='table'
@@ -64,7 +64,7 @@
 )
 @click.option(
     '--wait',
-    type=settings.DurationType(),
+    type=settings.DURATION,
     default=None,
     help='Wait that long until all live hosts have the versions in force.',
 )
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -1,7 +1,6 @@
 """Puts one daemon together and runs it."""
 
 import collections.abc
-import contextlib
 import functools
 import typing
 import uuid
@@ -46,13 +45,6 @@
 MAX_CONNECTIONS = 10_000
 RUN_DIGITS = 12
 
-STOP_SECONDS = servers.STOP_SECONDS
-
-serve_http = servers.serve_http
-keep_running = servers.keep_running
-listen = servers.listen
-address_of = servers.address_of
-
 
 class Addresses(typing.NamedTuple):
     """Where a running daemon listens, each as ``ip:port``."""
@@ -76,14 +68,13 @@
                 options.tls_cert, options.tls_key, options.tls_ca
             )
             self._tls = tls.Tls(options.host, files)
-        self._in_progress = 0
         self._stopped = anyio.Event()
         self._sockets = [
-            listen(options.listen),
-            listen(options.peer_listen),
-            listen(options.operator_listen),
+            servers.listen(options.listen),
+            servers.listen(options.peer_listen),
+            servers.listen(options.operator_listen),
         ]
-        self.addresses = Addresses(*(map(address_of, self._sockets)))
+        self.addresses = Addresses(*(map(servers.address_of, self._sockets)))
         self._drain = drain.Drain(
             options.host,
             drain.DrainPorts(
@@ -135,13 +126,15 @@
             pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
         ):
-            self._build(client, target_client, fresh_client)
-            await tasks.start(self._peers.serve, self._sockets[1])
-            for job in self._jobs():
-                tasks.start_soon(keep_running, job, self._options.host)
+            self._build_ports(client, target_client, fresh_client)
+            self._build_fleet(client)
+            self._build_work(target_client)
             self._progress = progress.Progress(
                 self._caller_app(), lambda: self.is_draining
             )
+            await tasks.start(self._peers.serve, self._sockets[1])
+            for job in self._jobs():
+                tasks.start_soon(servers.keep_running, job, self._options.host)
             tasks.start_soon(self._serve, self._progress, 0)
             tasks.start_soon(self._serve, self._operator_app(), 2)
             events.log(
@@ -158,15 +151,14 @@
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
-    def _build(
+    def _build_ports(
         self,
         client: httpx.AsyncClient,
         target_client: httpx.AsyncClient,
         fresh_client: httpx.AsyncClient,
     ) -> None:
-        """Make the ports and the controllers."""
+        """Make the ports to the store, the targets and the peers."""
         options = self._options
-        handlers: dict[str, typing.Any] = {}
         self._calls = budget.Budget(
             options.store_rate, options.store_write_rate
         )
@@ -177,23 +169,18 @@
         self._engines = engine.connect(target_client)
         self._services = service.connect(target_client, fresh_client)
         self._sent = sends.Sends()
+        self._handlers: dict[str, typing.Any] = {}
         self._peers = link.Peers(
             listener.Identity(options.host, options.peer_secret),
-            handlers,
+            self._handlers,
             self._tls,
             self.spans,
         )
         self._show_traffic()
-        me = blackboard.Member(
-            options.host,
-            0,
-            options.availability_zone,
-            options.caller_address or self.addresses.caller,
-            options.peer_address or self.addresses.peer,
-            state='starting',
-            has_disk=bool(options.data_dir),
-            run=uuid.uuid4().hex[:RUN_DIGITS],
-        )
+
+    def _build_fleet(self, client: httpx.AsyncClient) -> None:
+        """Make the controllers of hosts, configuration and targets."""
+        options = self._options
         self._config = config.Config(
             options.host,
             self.board,
@@ -202,14 +189,14 @@
             lambda: self._membership.other_hosts(),
         )
         self._membership = membership.Membership(
-            me,
+            self._describe_host(),
             self.board,
             membership.MembershipPorts(
                 self._store,
                 self._peers.port,
                 self._peers.follow,
                 self._calls,
-                lambda: self._in_progress,
+                lambda: self._progress.in_progress,
                 lambda: self._config.digest,
                 self._config.compare,
                 options.entry_ttl_seconds,
@@ -238,6 +225,15 @@
             self._membership.live_hosts,
             options.model_loads,
         )
+        self._handlers |= self._membership.handlers
+        self._handlers |= self._config.handlers
+        self._handlers |= self._targets.handlers
+        self._handlers |= self._reports.handlers
+        self._handlers |= explain.handlers(options.host)
+
+    def _build_work(self, target_client: httpx.AsyncClient) -> None:
+        """Make the controllers of requests and jobs."""
+        options = self._options
         self._keys = key_controller.Keys(
             options.host,
             key_shards.KeyShards(self._store, options.host, self._is_dead),
@@ -256,13 +252,6 @@
             self._membership.live_hosts,
             self._peers.port,
         )
-        handlers |= self._batch.handlers
-        handlers |= self._membership.handlers
-        handlers |= self._config.handlers
-        handlers |= self._targets.handlers
-        handlers |= self._reports.handlers
-        handlers |= explain.handlers(options.host)
-        handlers |= self._keys.handlers
         self._online = online_parts.make(
             online_parts.OnlinePorts(
                 self.board,
@@ -279,7 +268,22 @@
             ),
             options.availability_zone,
         )
-        handlers |= self._online.handlers
+        self._handlers |= self._keys.handlers
+        self._handlers |= self._batch.handlers
+        self._handlers |= self._online.handlers
+
+    def _describe_host(self) -> blackboard.Member:
+        """Return this host's row as it starts."""
+        options = self._options
+        return blackboard.Member(
+            options.host,
+            0,
+            options.availability_zone,
+            options.caller_address or self.addresses.caller,
+            options.peer_address or self.addresses.peer,
+            state='starting',
+            run=uuid.uuid4().hex[:RUN_DIGITS],
+        )
 
     def _show_traffic(self) -> None:
         """Let the metrics read the traffic with peers."""
@@ -332,7 +336,6 @@
                 self.counters,
                 self.spans,
                 self._options.entry_ttl_seconds,
-                self._enter,
             )
         )
 
@@ -351,15 +354,6 @@
             )
         )
 
-    @contextlib.contextmanager
-    def _enter(self) -> collections.abc.Iterator[None]:
-        """Count a request in progress."""
-        self._in_progress += 1
-        try:
-            yield
-        finally:
-            self._in_progress -= 1
-
     async def _announce_ready(self) -> None:
         await self._config.ready.wait()
         self._membership.enter()
@@ -373,6 +367,6 @@
 
     async def _serve(self, app: types.ASGIApp, index: int) -> None:
         context = self._tls.server if self._tls else None
-        await serve_http(
+        await servers.serve_http(
             app, self._sockets[index], self._stopped, context=context
         )
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -1,10 +1,12 @@
 """Checked settings of the daemon."""
 
+import collections.abc
 import ipaddress
 import re
 import typing
 
 import click
+import result
 
 PREFIX = 'PERSIMMONPASS'
 MAX_PORT = 65535
@@ -18,6 +20,8 @@
 
 _NAME = re.compile(r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$')
 _DURATION = re.compile(r'^(\d+(?:\.\d+)?)(ms|s|m|h)$')
+Check = collections.abc.Callable[[str], result.Result[typing.Any, str]]
+
 _UNIT_SECONDS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
 
 
@@ -46,7 +50,6 @@
     :ivar key_shards: ledgers over which idempotency keys are spread
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar drain_seconds: longest time that a shutdown waits
-    :ivar data_dir: folder on a disk for bulk data, or empty
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     :ivar log_file: file for the log; empty for standard error
     """
@@ -70,126 +73,98 @@
     key_shards: int = 8
     entry_ttl_seconds: float = 5.0
     drain_seconds: float = 60.0
-    data_dir: str = ''
     trace: str = ''
     log_file: str = ''
     seed_peers: tuple[str, ...] = ()
 
 
-class AddressType(click.ParamType):
-    """``ip:port`` with an IP number, not a host name."""
-
-    name = 'ip:port'
-
-    def convert(
-        self,
-        value: typing.Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> str:
-        """Check an address."""
-        ip, _, port = str(value).rpartition(':')
-        try:
-            ipaddress.ip_address(ip.strip('[]'))
-        except ValueError:
-            self.fail(f'{value!r} is not ip:port with an IP number')
-        if not port.isdigit() or int(port) > MAX_PORT:
-            self.fail(f'{value!r} needs a port from 0 to {MAX_PORT}')
-        return str(value)
-
-
-class NameType(click.ParamType):
-    """Lower-case name of a host or an availability zone."""
+class CheckedType(click.ParamType):
+    """Type of a flag whose text a function checks.
 
-    name = 'name'
-
-    def convert(
-        self,
-        value: typing.Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> str:
-        """Check a name."""
-        if not _NAME.match(str(value)):
-            self.fail(
-                f'{value!r} is not a name of lower-case letters, digits and '
-                'inner hyphens'
-            )
-        return str(value)
-
-
-class DurationType(click.ParamType):
-    """Duration such as ``250ms``, ``5s``, ``2m`` or ``1h``, in seconds."""
+    :ivar name: what ``--help`` calls the value
+    """
 
-    name = 'duration'
+    def __init__(self, name: str, check: Check) -> None:
+        self.name = name
+        self._check = check
 
     def convert(
         self,
         value: typing.Any,
         param: click.Parameter | None,
         ctx: click.Context | None,
-    ) -> float:
-        """Check a duration and return its seconds."""
-        if isinstance(value, float):
+    ) -> typing.Any:
+        """Return the checked value; one that is no text was checked before."""
+        if not isinstance(value, str):
             return value
-        match = _DURATION.match(str(value))
-        if match is None:
-            self.fail(f'{value!r} is not a duration such as 250ms, 5s or 2m')
-        return float(match[1]) * _UNIT_SECONDS[match[2]]
-
+        checked = self._check(value)
+        if isinstance(checked, result.Err):
+            self.fail(checked.err_value, param, ctx)
+        return checked.ok_value
+
+
+def check_address(text: str) -> result.Result[str, str]:
+    """Check ``ip:port``, which has an IP number and not a host name."""
+    ip, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(ip.strip('[]'))
+    except ValueError:
+        return result.Err(f'{text!r} is not ip:port with an IP number')
+    if not port.isdecimal() or int(port) > MAX_PORT:
+        return result.Err(f'{text!r} needs a port from 0 to {MAX_PORT}')
+    return result.Ok(text)
+
+
+def check_name(text: str) -> result.Result[str, str]:
+    """Check the name of a host or an availability zone."""
+    if _NAME.match(text):
+        return result.Ok(text)
+    return result.Err(
+        f'{text!r} is not a name of lower-case letters, digits and inner '
+        'hyphens'
+    )
+
+
+def check_duration(text: str) -> result.Result[float, str]:
+    """Read a duration such as ``250ms``, ``5s``, ``2m`` or ``1h``.
+
+    :returns: seconds
+    """
+    match = _DURATION.match(text)
+    if match is None:
+        return result.Err(f'{text!r} is not a duration such as 250ms or 5s')
+    return result.Ok(float(match[1]) * _UNIT_SECONDS[match[2]])
 
-class UrlType(click.ParamType):
-    """``http://ip:port`` with an IP number."""
 
-    name = 'url'
+def check_url(text: str) -> result.Result[str, str]:
+    """Check ``http://ip:port``, which has an IP number."""
+    scheme, separator, address = text.partition('://')
+    if scheme not in ('http', 'https') or not separator:
+        return result.Err(f'{text!r} is not http://ip:port')
+    checked = check_address(address.rstrip('/'))
+    return checked.map(lambda _: text.rstrip('/'))
 
-    def convert(
-        self,
-        value: typing.Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> str:
-        """Check a URL."""
-        scheme, separator, address = str(value).partition('://')
-        if scheme not in ('http', 'https') or not separator:
-            self.fail(f'{value!r} is not http://ip:port')
-        AddressType().convert(address.rstrip('/'), param, ctx)
-        return str(value).rstrip('/')
 
+def check_digest(text: str) -> result.Result[str, str]:
+    """Check a SHA-256 in hexadecimal digits; empty for none."""
+    if not text or re.fullmatch('[0-9a-f]{64}', text):
+        return result.Ok(text)
+    return result.Err('is not a SHA-256 in 64 hexadecimal digits')
 
-class DigestType(click.ParamType):
-    """SHA-256 in hexadecimal digits."""
 
-    name = 'sha256'
+def check_trace(text: str) -> result.Result[str, str]:
+    """Check where spans go: ``file:PATH`` or an http URL."""
+    if not text or text.startswith(('file:', 'http://', 'https://')):
+        return result.Ok(text)
+    return result.Err(f'{text!r} is neither file:PATH nor an http URL')
 
-    def convert(
-        self,
-        value: typing.Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> str:
-        """Check a digest."""
-        if value and not re.fullmatch('[0-9a-f]{64}', str(value)):
-            self.fail('is not a SHA-256 in 64 hexadecimal digits')
-        return str(value)
-
-
-class TraceType(click.ParamType):
-    """Where spans go: ``file:PATH`` or an http URL."""
 
-    name = 'trace'
-
-    def convert(
-        self,
-        value: typing.Any,
-        param: click.Parameter | None,
-        ctx: click.Context | None,
-    ) -> str:
-        """Check a destination of spans."""
-        text = str(value)
-        if text and not text.startswith(('file:', 'http://', 'https://')):
-            self.fail(f'{value!r} is neither file:PATH nor an http URL')
-        return text
+ADDRESS = CheckedType('ip:port', check_address)
+NAME = CheckedType('name', check_name)
+DURATION = CheckedType('duration', check_duration)
+URL = CheckedType('url', check_url)
+DIGEST = CheckedType('sha256', check_digest)
+TRACE = CheckedType('trace', check_trace)
 
 
 def unknown_variables(
--- a/src/persimmonpass/standins/cli.py
+++ b/src/persimmonpass/standins/cli.py
@@ -7,7 +7,7 @@
 import click
 from starlette import types
 
-from persimmonpass import daemon
+from persimmonpass import servers
 from persimmonpass import settings
 from persimmonpass.standins import engine
 from persimmonpass.standins import platform
@@ -16,7 +16,7 @@
 EXIT_CRASHED = 1
 
 listen_option = click.option(
-    '--listen', type=settings.AddressType(), default='127.0.0.1:0'
+    '--listen', type=settings.ADDRESS, default='127.0.0.1:0'
 )
 
 
@@ -38,7 +38,7 @@
 @click.option('--model', 'models', multiple=True, help='model@version')
 @click.option('--ignore-fencing', is_flag=True)
 @click.option('--seed', type=int, default=0)
-@click.option('--step', type=settings.DurationType(), default='10ms')
+@click.option('--step', type=settings.DURATION, default='10ms')
 def run_engine(
     listen: str,
     name: str,
@@ -67,9 +67,9 @@
 
 
 async def _serve(app: types.ASGIApp, listen: str) -> None:
-    listener = daemon.listen(listen)
-    click.echo(f'listening on {daemon.address_of(listener)}')
-    await daemon.serve_http(app, listener, anyio.Event())
+    listener = servers.listen(listen)
+    click.echo(f'listening on {servers.address_of(listener)}')
+    await servers.serve_http(app, listener, anyio.Event())
 
 
 async def _serve_engine(made: engine.Engine, listen: str) -> None:
@@ -87,9 +87,9 @@
 
     :returns: ``ip:port`` where it listens
     """
-    listener = daemon.listen(listen)
-    address = daemon.address_of(listener)
+    listener = servers.listen(listen)
+    address = servers.address_of(listener)
     await tasks.start(made.run)
-    tasks.start_soon(daemon.serve_http, made.app, listener, anyio.Event())
+    tasks.start_soon(servers.serve_http, made.app, listener, anyio.Event())
     click.echo(f'listening on {address}')
     return address
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,9 +3,8 @@
 import pathlib
 import unittest
 
-from tools import events_page
-
 from persimmonpass import events
+from tools import events_page
 
 
 def all_events():
--- a/tests/test_online_answers.py
+++ b/tests/test_online_answers.py
@@ -1,6 +1,5 @@
 """What a caller reads of a completion that ends well or badly."""
 
-import contextlib
 import json
 import types
 import unittest
@@ -45,7 +44,6 @@
 
     async def main():
         ports = types.SimpleNamespace(
-            enter=contextlib.nullcontext,
             online=types.SimpleNamespace(complete=complete),
             counters=metrics.Metrics(),
             spans=tracing.Tracing('host-0'),
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -11,11 +11,11 @@
 import websockets
 import websockets.asyncio.client
 
-from persimmonpass import daemon
 from persimmonpass import events
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
 from persimmonpass.peers import messages
+from persimmonpass import servers
 from persimmonpass import verdicts
 
 SECRET = 'fleet-secret'  # noqa: S105
@@ -35,8 +35,8 @@
             'raise': self._raise,
         }
         self.links = link.Peers(listener.Identity(name, secret), handlers)
-        self.bound = daemon.listen('127.0.0.1:0')
-        self.address = daemon.address_of(self.bound)
+        self.bound = servers.listen('127.0.0.1:0')
+        self.address = servers.address_of(self.bound)
 
     async def _echo(self, peer, payload):
         self.calls.append((peer, payload))
@@ -219,8 +219,8 @@
 
     @on_links()
     async def test_connection_refused_is_not_run(self, a, b):
-        free = daemon.listen('127.0.0.1:0')
-        address = daemon.address_of(free)
+        free = servers.listen('127.0.0.1:0')
+        address = servers.address_of(free)
         free.close()
         a.links.follow({'b': address}, {'b'})
         failed = await a.call('echo', 1)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -51,5 +51,5 @@
         [('250ms', 0.25), ('5s', 5.0), ('2m', 120.0), ('1.5h', 5400.0)]
     )
     def test_duration(self, text, seconds):
-        converted = settings.DurationType().convert(text, None, None)
+        converted = settings.DURATION.convert(text, None, None)
         self.assertEqual(seconds, converted)
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -9,8 +9,8 @@
 import parameterized
 
 from persimmonpass import budget
-from persimmonpass import daemon
 from persimmonpass import events
+from persimmonpass import servers
 from persimmonpass.standins import platform
 from persimmonpass import store
 from tests import fakes
@@ -35,11 +35,11 @@
 @contextlib.asynccontextmanager
 async def serving(app):
     """Serve an application on a free port."""
-    listener = daemon.listen('127.0.0.1:0')
-    address = daemon.address_of(listener)
+    listener = servers.listen('127.0.0.1:0')
+    address = servers.address_of(listener)
     stopped = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(daemon.serve_http, app, listener, stopped)
+        tasks.start_soon(servers.serve_http, app, listener, stopped)
         try:
             yield address
         finally:
@@ -229,8 +229,8 @@
 
     def test_refused_connection(self):
         async def test():
-            listener = daemon.listen('127.0.0.1:0')
-            address = daemon.address_of(listener)
+            listener = servers.listen('127.0.0.1:0')
+            address = servers.address_of(listener)
             listener.close()
             async with connected(address) as port:
                 self.assert_failed(
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -14,10 +14,10 @@
 import result
 from starlette import applications
 
-from persimmonpass import daemon
 from persimmonpass import exceptions
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
+from persimmonpass import servers
 from persimmonpass import tls
 from tests import processes
 
@@ -79,13 +79,13 @@
             with contextlib.ExitStack() as stack:
                 folder = Folder(stack)
                 contexts = tls.Tls('h1', folder.files)
-                bound = daemon.listen('127.0.0.1:0')
-                address = daemon.address_of(bound)
+                bound = servers.listen('127.0.0.1:0')
+                address = servers.address_of(bound)
                 stopped = anyio.Event()
                 async with anyio.create_task_group() as tasks:
 
                     async def serve():
-                        await daemon.serve_http(
+                        await servers.serve_http(
                             applications.Starlette(),
                             bound,
                             stopped,
@@ -158,8 +158,8 @@
             return result.Ok([peer, payload])
 
         async def main():
-            bound = [daemon.listen('127.0.0.1:0') for _ in range(2)]
-            address = daemon.address_of(bound[0])
+            bound = [servers.listen('127.0.0.1:0') for _ in range(2)]
+            address = servers.address_of(bound[0])
             one = link.Peers(
                 listener.Identity('one', SECRET),
                 {METHOD: echo},
