End the attempts of a daemon that restarted by what membership knows

A repeatable key stayed in progress after a restart until its limit or the new run's next begin at the key's owner. Membership knows which runs have ended, and nothing used it.

--- a/src/persimmonpass/controllers/keys.py
+++ b/src/persimmonpass/controllers/keys.py
@@ -58,18 +58,20 @@
         live_hosts: collections.abc.Callable[[], list[str]],
         key_shards_count: int,
         backup_hosts: collections.abc.Callable[[], list[str]] = list,
+        run: str = '',
     ) -> None:
         """Make the controller.
 
         :param backup_hosts: hosts that may keep an uncommitted answer, the
             best one first
+        :param run: name of this run of the daemon, as membership tells it
         """
         self._host = host
         self._owned = owned
         self._peers = peers
         self._live_hosts = live_hosts
         self._key_shards = key_shards_count
-        self._run = uuid.uuid4().hex
+        self._run = run or uuid.uuid4().hex
         self._backup_hosts = backup_hosts
         self._seen_hosts: list[str] = []
         self._attempts = key_attempts.Attempts(
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -236,11 +236,14 @@
         options = self._options
         self._keys = key_controller.Keys(
             options.host,
-            key_shards.KeyShards(self._store, options.host, self._is_dead),
+            key_shards.KeyShards(
+                self._store, options.host, self._membership.is_ended
+            ),
             self._peers.port,
             self._membership.live_hosts,
             options.key_shards,
             self._hosts_elsewhere,
+            self._membership.me.run,
         )
         self._batch = batch.Batch(
             options.host,
@@ -310,11 +313,6 @@
             self._keys.run,
         ]
 
-    def _is_dead(self, host: str) -> bool:
-        """Return whether membership took a host for dead."""
-        member = self.board.members.get(host)
-        return member is not None and member.state == 'dead'
-
     def _hosts_elsewhere(self) -> list[str]:
         """Return live hosts, those of other availability zones first."""
         zone = self._options.availability_zone
--- a/src/persimmonpass/key_shards.py
+++ b/src/persimmonpass/key_shards.py
@@ -55,13 +55,14 @@
         self,
         port: store.StorePort,
         host: str,
-        is_dead: collections.abc.Callable[[str], bool],
+        is_ended: collections.abc.Callable[[str, str], bool],
     ) -> None:
         """Make the shards of a host.
 
-        :param is_dead: whether a host that ran attempts is gone
+        :param is_ended: whether a host's run of the daemon has certainly
+            ended
         """
-        self._is_dead = is_dead
+        self._is_ended = is_ended
         self._runs: dict[str, str] = {}
         self._books = open_ledgers.OpenLedgers(
             lambda shard: ledger.Ledger(
@@ -367,9 +368,11 @@
         if running is None:
             return None
         ended = anyio.current_time() >= running.ends_at
-        restarted = self._runs.get(running.host) != running.run
+        run_ended = self._runs.get(
+            running.host
+        ) != running.run or self._is_ended(running.host, running.run)
         held = running.answer is not None
-        if ended or not held and (restarted or self._is_dead(running.host)):
+        if ended or not held and run_ended:
             self._stop(place)
             return None
         return running
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -147,7 +147,9 @@
         names = ['h1']
         self.keys = key_controller.Keys(
             host,
-            key_shards.KeyShards(fleet.store.port, host, lambda runner: False),
+            key_shards.KeyShards(
+                fleet.store.port, host, lambda other, run: False
+            ),
             port,
             lambda: names,
             1,
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -47,7 +47,7 @@
 
     def start_host(self, host):
         shards = key_shards.KeyShards(
-            self.memory.port, host, lambda other: other in self.gone
+            self.memory.port, host, lambda other, run: other in self.gone
         )
         one = key_controller.Keys(
             host,
@@ -503,7 +503,7 @@
         shard = fleet.shard(fleet.name('host-2'))
         memory = fleet.memory
         rivals = [
-            key_shards.KeyShards(memory.port, f'rival-{n}', lambda _: False)
+            key_shards.KeyShards(memory.port, f'rival-{n}', lambda *_: False)
             for n in range(2)
         ]
 
@@ -554,7 +554,7 @@
         """Both sides of a cut own a shard; the old owner hears of nothing."""
         memory = fakes.MemoryStore()
         sides = [
-            key_shards.KeyShards(memory.port, host, lambda other: False)
+            key_shards.KeyShards(memory.port, host, lambda other, run: False)
             for host in HOSTS[:2]
         ]
         begin = keys.Begin(
