--- a/src/persimmonpass/cli/jobs.py
+++ b/src/persimmonpass/cli/jobs.py
@@ -70,3 +70,16 @@
     click.echo(
         connections.call(connection, 'GET', path, caller=True).text, nl=False
     )
+
+
+@job.command('item')
+@click.argument('name')
+@click.argument('item')
+@click.pass_obj
+def read_item(
+    connection: connections.Connection, name: str, item: str
+) -> None:
+    """Show the result of one item of a job."""
+    path = f'/v1/jobs/{name}/items/{item}'
+    answer = connections.call(connection, 'GET', path, caller=True)
+    connections.show(connection, [answer.json()])
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -120,6 +120,12 @@
             expected = engine.full_text(f'digest {number}', 64)
             self.assertEqual(('done', expected), (row['status'], row['text']))
 
+        one = self.fleet.tool(
+            *('--output', 'json', 'job', 'item', 'shift-1', 'item-7'),
+            token='athi-desk-token',
+        )
+        self.assertEqual(results[7]['text'], json.loads(one.stdout)[0]['text'])
+
     def _job_finished(self):
         url = f'{self.fleet.hosts[2].caller}/v1/jobs/shift-1'
         return (
