--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -1,10 +1,13 @@
 """One trace holds a span for each hop of a request."""
 
+import http.server
 import json
 import pathlib
 import tempfile
+import threading
 import unittest
 
+from persimmonpass import tracing
 from tests import processes
 
 TRACE_ID = '0af7651916cd43dd8448eb211c80319c'
@@ -62,3 +65,37 @@
         for span in ours.values():
             parent = span['parent_id'].removeprefix('0x')
             self.assertTrue(parent == CALLER_SPAN or parent in ours, span)
+
+
+class _Collector(http.server.BaseHTTPRequestHandler):
+    """Takes what an OTLP exporter posts."""
+
+    def do_POST(self):
+        length = int(self.headers['content-length'])
+        body = self.rfile.read(length)
+        self.server.posts.append((self.path, body))
+        self.send_response(200)
+        self.end_headers()
+
+    def log_message(self, *arguments):
+        """Print nothing."""
+
+
+class TestExport(unittest.TestCase):
+    def test_spans_reach_a_collector(self):
+        server = http.server.HTTPServer(('127.0.0.1', 0), _Collector)
+        server.posts = []
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        url = f'http://127.0.0.1:{server.server_port}/v1/traces'
+        spans = tracing.Tracing('host-0', url)
+        with spans.span('entry.complete', {}):
+            pass
+        spans.shut_down()
+        [(path, body)] = server.posts
+        self.assertEqual('/v1/traces', path)
+        for text in (b'entry.complete', b'host-0'):
+            self.assertIn(text, body)
