Decode JSON bodies in one place and name the body where no field is

The check of a body stood in three places: that of completions named no field for JSON that is no object (new row of test_whole_path, seen failing: 'body' != ''), that of objects did, and the one in answers was called by nobody. The stand-ins' command line and the demo each started a server in two ways. Seen: 97 tests of whole path, operator API, demo, jobs and answers pass; the other messages and fields are unchanged.

--- a/src/persimmonpass/api/answers.py
+++ b/src/persimmonpass/api/answers.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import math
+import typing
 
 import msgspec
 import result
 from starlette import requests
 from starlette import responses
 
+from persimmonpass import objects
 from persimmonpass import verdicts
 
 VERDICT_HEADER = 'Persimmonpass-Verdict'
@@ -16,6 +18,8 @@
 REQUEST_HEADER = 'Persimmonpass-Request-Id'
 MAX_BODY_BYTES = 4_000_000
 
+Shape = typing.TypeVar('Shape')
+
 
 def fail(failure: verdicts.Failure) -> responses.Response:
     """Return the answer of a failure: JSON body and headers agree."""
@@ -44,11 +48,19 @@
     return result.Ok(bytes(body))
 
 
-def read_json(body: bytes) -> result.Result[object, verdicts.Failure]:
-    """Decode JSON."""
+def read_json(
+    body: bytes, shape: type[Shape]
+) -> result.Result[Shape, verdicts.Failure]:
+    """Decode JSON of a shape.
+
+    :returns: the value, or a failure that names the field at fault
+    """
     try:
-        return result.Ok(msgspec.json.decode(body))
-    except msgspec.DecodeError as error:
+        return result.Ok(msgspec.json.decode(body, type=shape))
+    except msgspec.ValidationError as error:
+        failure = objects.invalid_field('', error)
+        return result.Err(failure._replace(field=failure.field or 'body'))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return result.Err(verdicts.invalid('body', f'broken JSON: {error}'))
 
 
--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -23,7 +23,6 @@
 from persimmonpass.controllers import online_requests
 from persimmonpass import events
 from persimmonpass import keys
-from persimmonpass import objects
 from persimmonpass.policy import entry
 from persimmonpass.targets import service
 from persimmonpass import verdicts
@@ -131,12 +130,10 @@
     raw = await answers.read_body(request)
     if isinstance(raw, result.Err):
         return raw
-    try:
-        body = msgspec.json.decode(raw.ok_value, type=CompletionBody)
-    except msgspec.ValidationError as error:
-        return result.Err(objects.invalid_field('', error))
-    except msgspec.DecodeError as error:
-        return result.Err(verdicts.invalid('body', f'broken JSON: {error}'))
+    decoded = answers.read_json(raw.ok_value, CompletionBody)
+    if isinstance(decoded, result.Err):
+        return decoded
+    body = decoded.ok_value
     found = config.find_service(ports.board, body.model)
     if found is None or found.spec.type != 'engine':
         return result.Err(
--- a/src/persimmonpass/api/objects.py
+++ b/src/persimmonpass/api/objects.py
@@ -172,13 +172,7 @@
     raw = await answers.read_body(request)
     if isinstance(raw, result.Err):
         return raw
-    try:
-        return result.Ok(msgspec.json.decode(raw.ok_value, type=shape))
-    except msgspec.ValidationError as error:
-        failure = objects.invalid_field('', error)
-        return result.Err(failure._replace(field=failure.field or 'body'))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(verdicts.invalid('body', f'broken JSON: {error}'))
+    return answers.read_json(raw.ok_value, shape)
 
 
 def _parse(
--- a/src/persimmonpass/cli/demo.py
+++ b/src/persimmonpass/cli/demo.py
@@ -83,11 +83,11 @@
 
     async def start(self) -> None:
         """Start stand-ins and daemons."""
-        store = await self._serve(self.platform.app)
-        plain = await self._serve(self.service.app)
+        store = self._serve(self.platform.app, anyio.Event())
+        plain = self._serve(self.service.app, anyio.Event())
         self._list(self.plan.plain, plain, 'service', 0)
         for index in range(self.plan.engines):
-            await self._start_engine(index)
+            self._start_engine(index)
         for index in range(HOSTS):
             await self._start_daemon(index, f'http://{store}')
         zones = ', '.join(self.plan.zones)
@@ -97,10 +97,17 @@
             f'{HOSTS} entry hosts'
         )
 
-    async def _serve(self, app: typing.Any) -> str:
+    def _serve(
+        self,
+        app: typing.Any,
+        stopped: anyio.Event,
+        grace_seconds: float = servers.STOP_SECONDS,
+    ) -> str:
         listener = servers.listen(LOOPBACK)
         address = servers.address_of(listener)
-        self.tasks.start_soon(servers.serve_http, app, listener, anyio.Event())
+        self.tasks.start_soon(
+            servers.serve_http, app, listener, stopped, grace_seconds
+        )
         return address
 
     def _list(self, name: str, address: str, kind: str, index: int) -> None:
@@ -117,17 +124,14 @@
             )
         )
 
-    async def _start_engine(self, index: int) -> None:
+    def _start_engine(self, index: int) -> None:
         model = engine.model_key(self.plan.model, self.plan.version, '')
         made = engine.Engine(f'engine-{index}', [model], seed=index)
-        listener = servers.listen(LOOPBACK)
-        self._list(made.name, servers.address_of(listener), 'engine', index)
         killed = anyio.Event()
         self.engine_kills.append(killed)
         self.tasks.start_soon(made.run)
-        self.tasks.start_soon(
-            servers.serve_http, made.app, listener, killed, 0.0
-        )
+        address = self._serve(made.app, killed, 0.0)
+        self._list(made.name, address, 'engine', index)
 
     async def _start_daemon(self, index: int, store_url: str) -> None:
         made = daemon.Daemon(
--- a/src/persimmonpass/standins/cli.py
+++ b/src/persimmonpass/standins/cli.py
@@ -74,22 +74,8 @@
 
 async def _serve_engine(made: engine.Engine, listen: str) -> None:
     async with anyio.create_task_group() as tasks:
-        await start_engine(tasks, made, listen)
+        await tasks.start(made.run)
+        tasks.start_soon(_serve, made.app, listen)
         await made.wait_crashed()
         # A crashed engine closes nothing in order.
         os._exit(EXIT_CRASHED)
-
-
-async def start_engine(
-    tasks: anyio.abc.TaskGroup, made: engine.Engine, listen: str
-) -> str:
-    """Start an engine in a task group.
-
-    :returns: ``ip:port`` where it listens
-    """
-    listener = servers.listen(listen)
-    address = servers.address_of(listener)
-    await tasks.start(made.run)
-    tasks.start_soon(servers.serve_http, made.app, listener, anyio.Event())
-    click.echo(f'listening on {address}')
-    return address
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -150,6 +150,23 @@
         self.assertEqual(field, answer.json()['field'])
         self.assertEqual('not_run', answer.json()['verdict'])
 
+    @parameterized.parameterized.expand(
+        [
+            ('cut', b'{"model": '),
+            ('not_utf8', b'{"model": "\xff", "prompt": "x"}'),
+            ('list', b'[]'),
+        ]
+    )
+    def test_broken_body(self, name, content):
+        answer = processes.CLIENT.post(
+            f'{self.fleet.hosts[0].caller}/v1/completions',
+            content=content,
+            headers=ACCOUNT,
+        )
+        self.assertEqual(400, answer.status_code, answer.text)
+        self.assertEqual('body', answer.json()['field'])
+        self.assertEqual('not_run', answer.json()['verdict'])
+
     def test_token_is_needed(self):
         answer = processes.CLIENT.post(
             f'{self.fleet.hosts[0].caller}/v1/completions',
