--- /dev/null
+++ b/tests/platform_fakes.py
@@ -0,0 +1,497 @@
+"""Stand-ins of the users' platform: its store and its servers, over HTTP."""
+
+import asyncio
+import contextlib
+import json
+
+import anyio
+import httpx
+import result
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from persimmonpass import events
+from persimmonpass import gateway
+from persimmonpass import gateway_settings
+from persimmonpass.platform import ports
+from persimmonpass import servers
+from tests import record_fakes
+from tests import test_store_client
+
+HOST = 'notes.example'
+TOKENS = 4
+
+
+class StoreApp:
+    """The platform's store over HTTP, on a store in memory.
+
+    :ivar refuse: status of every answer, or ``None``
+    :ivar silent: calls are taken and never answered
+    """
+
+    def __init__(self, memory=None):
+        self.memory = memory or record_fakes.MemoryRecords()
+        self.refuse = None
+        self.silent = False
+        path = '/persimmonpass/objects/{kind}'
+        self.app = applications.Starlette(
+            routes=[
+                routing.Route(path, self._list, methods=['GET']),
+                routing.Route(path, self._create, methods=['POST']),
+                routing.Route(path + '/{name}', self._get, methods=['GET']),
+                routing.Route(
+                    path + '/{name}', self._replace, methods=['PUT']
+                ),
+                routing.Route(
+                    path + '/{name}', self._delete, methods=['DELETE']
+                ),
+                routing.Route(
+                    path + '/{name}/status', self._status, methods=['PUT']
+                ),
+            ]
+        )
+
+    async def _enter(self):
+        if self.silent:
+            await anyio.sleep_forever()
+        if self.refuse is not None:
+            return responses.Response(status_code=self.refuse)
+        return None
+
+    @staticmethod
+    def _encode(row):
+        return {
+            'metadata': {'name': row.name, 'revision': row.version},
+            'spec': row.data,
+            'status': row.status,
+        }
+
+    async def _answer(self, request, outcome):
+        if isinstance(outcome, result.Ok):
+            key = (
+                request.path_params['kind'],
+                request.path_params.get('name', self._name),
+            )
+            row = self.memory.rows.get(key)
+            body = {} if row is None else self._encode(row)
+            return responses.JSONResponse(body)
+        event = outcome.err_value.event
+        if event == events.STORE_OUTCOME_UNKNOWN:
+            await anyio.sleep_forever()
+        status = {
+            events.STORE_CONFLICT: 409,
+            events.STORE_NOT_FOUND: 404,
+        }.get(event, 503)
+        return responses.Response(status_code=status)
+
+    async def _list(self, request: requests.Request):
+        refused = await self._enter()
+        if refused is not None:
+            return refused
+        kind = request.path_params['kind']
+        if 'watch' in request.query_params:
+            found = await self.memory.port.watch(
+                kind,
+                int(request.query_params['watch']),
+                int(request.query_params['waitMs']) / 1000,
+            )
+            if isinstance(found, result.Err):
+                lost = found.err_value.event == events.STORE_HISTORY_LOST
+                return responses.Response(status_code=410 if lost else 503)
+            return responses.JSONResponse(
+                {
+                    'storeRevision': found.ok_value.version,
+                    'events': [
+                        {'object': self._encode(row), 'deleted': row.deleted}
+                        for row in found.ok_value.records
+                    ],
+                }
+            )
+        found = await self.memory.port.list(kind)
+        if isinstance(found, result.Err):
+            return responses.Response(status_code=503)
+        after = request.query_params.get('after', '')
+        rows = [row for row in found.ok_value.records if row.name > after]
+        return responses.JSONResponse(
+            {
+                'items': [self._encode(row) for row in rows[:2]],
+                'hasMore': len(rows) > 2,
+                'storeRevision': found.ok_value.version,
+            }
+        )
+
+    async def _get(self, request):
+        refused = await self._enter()
+        if refused is not None:
+            return refused
+        found = await self.memory.port.get(**request.path_params)
+        return await self._answer(request, found)
+
+    async def _write(self, request, call, *args):
+        refused = await self._enter()
+        if refused is not None:
+            return refused
+        return await self._answer(request, await call(*args))
+
+    async def _create(self, request):
+        body = await request.json()
+        self._name = body['metadata']['name']
+        return await self._write(
+            request,
+            self.memory.port.create,
+            request.path_params['kind'],
+            self._name,
+            body['spec'],
+        )
+
+    async def _replace(self, request):
+        body = await request.json()
+        return await self._write(
+            request,
+            self.memory.port.replace,
+            *request.path_params.values(),
+            body['spec'],
+            body['metadata']['revision'],
+        )
+
+    async def _status(self, request):
+        body = await request.json()
+        return await self._write(
+            request,
+            self.memory.port.set_status,
+            *request.path_params.values(),
+            body['status'],
+            body['metadata']['revision'],
+        )
+
+    async def _delete(self, request):
+        version = request.query_params.get('revision')
+        return await self._write(
+            request,
+            self.memory.port.delete,
+            *request.path_params.values(),
+            None if version is None else int(version),
+        )
+
+
+class Server:
+    """A model server of the platform.
+
+    :ivar ran: requests that it ran, as id and resumed event
+    :ivar headers: of the last request
+    :ivar pace_seconds: time between events
+    :ivar cut_after: events after which the next answers break; ``None``
+        for never
+    :ivar full: every request is refused as not executed
+    :ivar status: of the next answers
+    :ivar foreign: answers carry another request's id
+    """
+
+    def __init__(self, name='i-1', slots=8):
+        self.name = name
+        self.slots = slots
+        self.address = ''
+        self.ran = []
+        self.done = []
+        self.headers = {}
+        self.pace_seconds = 0.002
+        self.cut_after = None
+        self.full = False
+        self.status = 200
+        self.foreign = False
+        self.busy = 0
+
+    def entry(self, state='ready', service='notes'):
+        """Return the entry that the server writes to the store."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': 'a',
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'seq': 1,
+        }
+
+    async def app(self, scope, receive, send):
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        request = requests.Request(scope, receive)
+        self.headers = request.headers
+        body = await request.body()
+        request_id = request.headers.get('request-id', '')
+        echo = 'someone-else' if self.foreign else request_id
+        headers = {'request-id': echo, 'response-signature': 's'}
+        if request.headers.get('expect-instance') != self.name:
+            answer = responses.Response(status_code=421)
+            return await answer(scope, receive, send)
+        if self.full:
+            answer = responses.Response(
+                status_code=503, headers={'not-executed': '1'}
+            )
+            return await answer(scope, receive, send)
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        self.ran.append((request_id, first))
+        if self.status != 200:
+            answer = responses.Response(
+                status_code=self.status, headers=headers
+            )
+            return await answer(scope, receive, send)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [
+                    (b'content-type', b'text/event-stream'),
+                    *(
+                        (name.encode(), value.encode())
+                        for name, value in headers.items()
+                    ),
+                ],
+            }
+        )
+        self.busy += 1
+        try:
+            if await self._stream(first, body, send, receive):
+                self.done.append(request_id)
+        finally:
+            self.busy -= 1
+
+    async def _stream(self, first, body, send, receive):
+        whole = False
+
+        async def leave():
+            while (await receive())['type'] != 'http.disconnect':
+                pass
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(leave)
+            for number in range(first, TOKENS + 1):
+                if self.cut_after is not None and number > self.cut_after:
+                    tasks.cancel_scope.cancel()
+                    return False
+                text = f'id: {number}\ndata: {body.decode()}-{number}\n\n'
+                await send(
+                    {
+                        'type': 'http.response.body',
+                        'body': text.encode(),
+                        'more_body': True,
+                    }
+                )
+                await anyio.sleep(self.pace_seconds)
+            await send({'type': 'http.response.body', 'body': b''})
+            whole = True
+            tasks.cancel_scope.cancel()
+        return whole
+
+
+def route(prefix, kind='streaming', **terms):
+    """Return a route as the operator writes it."""
+    return {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'pathPrefix': prefix,
+        'type': kind,
+        'timeoutMs': 3000,
+        'sloMs': 300,
+        'priority': 0,
+        'service': 'notes',
+        'maxAttempts': 2,
+        'resumable': True,
+        'gapTargetMs': 1000,
+        'runTargetMs': 18000,
+        'retentionS': 60,
+        'maxCount': 100_000,
+        **terms,
+    }
+
+
+def configuration(version=1, routes=None):
+    """Return a configuration as the operator writes it."""
+    return {
+        'version': version,
+        'routes': routes
+        or [
+            route('/notes/'),
+            route('/once/', resumable=False, maxAttempts=1),
+            route('/jobs/', 'batch', maxAttempts=3),
+        ],
+        'services': [{'name': 'notes', 'engine': {'slots': 8}}],
+        'limits': {'maxBodyBytes': 100_000, 'idleTimeoutMs': 15000},
+    }
+
+
+def submission(count=3, body='eA==', **item):
+    """Return the body of a job with some items."""
+    return json.dumps(
+        {
+            'items': [
+                {
+                    'id': f'item-{number}',
+                    'path': f'/jobs/{number}',
+                    'headers': {'Model': 'm'},
+                    'body': body,
+                    'tokens': 10,
+                    **item,
+                }
+                for number in range(count)
+            ]
+        }
+    )
+
+
+class Fleet:
+    """Hosts, servers and the store of a small deployment.
+
+    :ivar hosts: gateways by name
+    :ivar addresses: callers' addresses by host
+    """
+
+    def __init__(self, tasks, store, servers_, client):
+        self.store = store
+        self.servers = servers_
+        self.client = client
+        self.hosts = {}
+        self.entries = {}
+        self.addresses = {}
+        self.stopped = {}
+        self._tasks = tasks
+
+    async def start_host(self, name, store_address):
+        """Start a gateway and wait until it is ready."""
+        options = gateway_settings.Settings(
+            name,
+            'a',
+            store_address,
+            100_000.0,
+            100_000.0,
+            **dict.fromkeys(
+                (
+                    'caller_listen',
+                    'ready_listen',
+                    'entry_listen',
+                    'peer_listen',
+                    'metrics_listen',
+                ),
+                '127.0.0.1:0',
+            ),
+            grace_seconds=8.0,
+        )
+        options = _with_ports(options)
+        made = gateway.Gateway(options, ports.PORTS)
+        self.hosts[name] = made
+        self.addresses[name] = options.caller_listen
+        self.entries[name] = options.entry_listen
+        self.stopped[name] = anyio.Event()
+
+        async def run():
+            await made.run()
+            self.stopped[name].set()
+
+        self._tasks.start_soon(run)
+        with anyio.fail_after(10):
+            while True:
+                await anyio.sleep(0.02)
+                if not hasattr(made, '_runner'):
+                    continue
+                if made.is_ready:
+                    return made
+
+    async def post(self, path, content='x', host='one', **headers):
+        """Send a request to a host."""
+        return await self.client.post(
+            f'http://{self.addresses[host]}{path}',
+            content=content,
+            headers={'Host': HOST, **headers},
+        )
+
+    async def get(self, path, host='one', **headers):
+        """Read from a host."""
+        return await self.client.get(
+            f'http://{self.addresses[host]}{path}',
+            headers={'Host': HOST, **headers},
+        )
+
+    async def results(self, job_id, total, host='one'):
+        """Read a job until it has all its results."""
+        with anyio.fail_after(15):
+            while True:
+                answer = await self.get(
+                    f'/persimmonpass/lots/{job_id}?after=0', host
+                )
+                if answer.status_code == 200:
+                    page = answer.json()
+                    if page['next'] == total:
+                        return page
+                await anyio.sleep(0.05)
+
+
+def _with_ports(options):
+    """Give each listening address a free port."""
+    fields = {}
+    held = []
+    for name, value in options._asdict().items():
+        if value == '127.0.0.1:0':
+            bound = servers.listen(value)
+            held.append(bound)
+            fields[name] = servers.address_of(bound)
+    for bound in held:
+        bound.close()
+    return options._replace(**fields)
+
+
+@contextlib.asynccontextmanager
+async def fleet(hosts=('one',), count=2, config=None):
+    """Run a small deployment."""
+    store = StoreApp()
+    made = [Server(f'i-{number}') for number in range(count)]
+    async with contextlib.AsyncExitStack() as stack:
+        address = await stack.enter_async_context(
+            test_store_client.serving(store.app)
+        )
+        for server in made:
+            server.address = await stack.enter_async_context(
+                test_store_client.serving(server.app)
+            )
+            store.memory.put('servers', server.name, server.entry())
+        store.memory.put('config', 'main', config or configuration())
+        client = await stack.enter_async_context(
+            httpx.AsyncClient(trust_env=False, timeout=10.0)
+        )
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        built = Fleet(tasks, store, made, client)
+        built.store_address = address
+        for host in hosts:
+            await built.start_host(host, address)
+        if len(hosts) > 1:
+            await connected(built)
+        yield built
+        for host in built.hosts.values():
+            host.drain()
+            host.stop()
+
+
+async def connected(built):
+    """Wait until all hosts have links to each other."""
+    with anyio.fail_after(10):
+        while any(
+            len(host._peers.port.connected()) < len(built.hosts) - 1
+            for host in built.hosts.values()
+        ):
+            await anyio.sleep(0.02)
+
+
+def run(test):
+    """Run a test on the loop that serves in production."""
+    asyncio.run(test())
+
+
+def dead_port():
+    """Return the calls of a store that does not answer this host."""
+    memory = record_fakes.MemoryRecords()
+    memory.outage = True
+    return memory.port
--- /dev/null
+++ b/tests/record_fakes.py
@@ -0,0 +1,179 @@
+"""A store of records in memory, with fault switches."""
+
+import collections
+
+import anyio
+import result
+
+from persimmonpass import records
+from persimmonpass import store
+from tests import fakes
+
+
+class MemoryRecords:
+    """Records in memory.
+
+    :ivar port: the store's calls
+    :ivar outage: every call fails before it has an effect
+    :ivar silent_watches: watches hear nothing
+    :ivar faults: faults of the next writes, first one first; ``None`` for a
+        write without one
+    :ivar delayed: writes whose answer was lost and which :meth:`land` lets
+        take effect
+    :ivar calls: number of calls by name
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 1
+        self.outage = False
+        self.silent_watches = False
+        self.faults = collections.deque()
+        self.delayed = []
+        self.calls = collections.Counter()
+        self.port = records.RecordPort(
+            self._list,
+            self._get,
+            self._create,
+            self._replace,
+            self._set_status,
+            self._delete,
+            self._watch,
+        )
+        self._log = []
+        self._forgotten = 0
+        self._changed = anyio.Event()
+
+    def put(self, kind, name, data):
+        """Write as somebody else, unconditionally."""
+        self._record(kind, name, data, {})
+
+    def remove(self, kind, name):
+        """Remove as somebody else."""
+        row = self.rows.pop((kind, name))
+        self.version += 1
+        self._log.append(
+            (kind, row._replace(version=self.version, deleted=True))
+        )
+        self._wake()
+
+    def forget_history(self):
+        """Drop what watches from older versions need."""
+        self._forgotten = self.version
+        self._log.clear()
+        self._wake()
+
+    def land(self):
+        """Let delayed writes take effect where their condition holds."""
+        for write in self.delayed:
+            write()
+        self.delayed.clear()
+
+    def _record(self, kind, name, data, status):
+        self.version += 1
+        row = records.Record(name, self.version, data, status)
+        self.rows[kind, name] = row
+        self._log.append((kind, row))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _write(self, name, key, condition, apply):
+        self.calls[name] += 1
+        await anyio.sleep(0)
+        if self.outage:
+            return result.Err(store.unavailable('outage'))
+        fault = self.faults.popleft() if self.faults else None
+        if fault == fakes.LOST_REQUEST:
+            return result.Err(store.outcome_unknown('lost'))
+        if fault == fakes.DELAYED:
+            self.delayed.append(lambda: condition() and apply())
+            return result.Err(store.outcome_unknown('delayed'))
+        if not condition():
+            return result.Err(store.conflict(str(key)))
+        apply()
+        if fault == fakes.LOST_ANSWER:
+            return result.Err(store.outcome_unknown('lost'))
+        return result.Ok(self.version)
+
+    async def _create(self, kind, name, data):
+        return await self._write(
+            'create',
+            (kind, name),
+            lambda: (kind, name) not in self.rows,
+            lambda: self._record(kind, name, data, {}),
+        )
+
+    def _holds(self, kind, name, version):
+        row = self.rows.get((kind, name))
+        return row is not None and row.version == version
+
+    async def _replace(self, kind, name, data, version):
+        return await self._write(
+            'replace',
+            (kind, name),
+            lambda: self._holds(kind, name, version),
+            lambda: self._record(
+                kind, name, data, self.rows[kind, name].status
+            ),
+        )
+
+    async def _set_status(self, kind, name, status, version):
+        return await self._write(
+            'set_status',
+            (kind, name),
+            lambda: self._holds(kind, name, version),
+            lambda: self._record(
+                kind, name, self.rows[kind, name].data, status
+            ),
+        )
+
+    async def _delete(self, kind, name, version=None):
+        return await self._write(
+            'delete',
+            (kind, name),
+            lambda: version is None or self._holds(kind, name, version),
+            lambda: (kind, name) in self.rows and self.remove(kind, name),
+        )
+
+    async def _list(self, kind):
+        self.calls['list'] += 1
+        await anyio.sleep(0)
+        if self.outage:
+            return result.Err(store.unavailable('outage'))
+        rows = [
+            row
+            for (its_kind, _), row in sorted(self.rows.items())
+            if its_kind == kind
+        ]
+        return result.Ok(records.Snapshot(self.version, rows))
+
+    async def _get(self, kind, name):
+        self.calls['get'] += 1
+        await anyio.sleep(0)
+        if self.outage:
+            return result.Err(store.unavailable('outage'))
+        if (kind, name) not in self.rows:
+            return result.Err(store.not_found(name))
+        return result.Ok(self.rows[kind, name])
+
+    async def _watch(self, kind, version, seconds):
+        self.calls['watch'] += 1
+        await anyio.sleep(0)
+        if self.outage:
+            return result.Err(store.unavailable('outage'))
+        with anyio.move_on_after(seconds):
+            while True:
+                if version < self._forgotten:
+                    return result.Err(records.history_lost(kind))
+                found = [
+                    row
+                    for its_kind, row in self._log
+                    if its_kind == kind and row.version > version
+                ]
+                if found and not self.silent_watches:
+                    return result.Ok(records.Snapshot(self.version, found))
+                await self._changed.wait()
+        return result.Ok(records.Snapshot(version, []))
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,376 @@
+"""The whole path on the platform's stand-ins, over loopback TCP."""
+
+import json
+import unittest
+
+import anyio
+import parameterized
+
+from tests import platform_fakes
+
+expand = parameterized.parameterized.expand
+WHOLE = ''.join(
+    f'id: {number}\ndata: x-{number}\n\n'
+    for number in range(1, platform_fakes.TOKENS + 1)
+)
+OUTPUT = '\n'.join(f'x-{n}' for n in range(1, platform_fakes.TOKENS + 1))
+
+
+class TestRequests(unittest.TestCase):
+    def test_stream(self):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                answer = await fleet.post(
+                    '/notes/a?b=%41', **{'Request-Id': 'r1', 'X-Kept': 'y'}
+                )
+                self.assertEqual(200, answer.status_code)
+                self.assertEqual(WHOLE, answer.text)
+                self.assertEqual('s', answer.headers['response-signature'])
+                sent = fleet.servers[0].headers
+                self.assertEqual('y', sent['x-kept'])
+                self.assertEqual('i-0', sent['expect-instance'])
+                self.assertLessEqual(int(sent['deadline-ms']), 3000)
+
+        platform_fakes.run(test)
+
+    @expand(
+        [
+            ('no route', '/other/a', {}, 404),
+            ('bad deadline', '/notes/a', {'Deadline-Ms': 'soon'}, 400),
+        ]
+    )
+    def test_refused(self, _, path, headers, status):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                answer = await fleet.post(
+                    path, **{'Request-Id': 'r1', **headers}
+                )
+                self.assertEqual(status, answer.status_code)
+                self.assertEqual([], fleet.servers[0].ran)
+
+        platform_fakes.run(test)
+
+    def test_full_targets_refuse_with_a_time(self):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                fleet.servers[0].full = True
+                answer = await fleet.post(
+                    '/once/a', **{'Request-Id': 'r1', 'Deadline-Ms': '900'}
+                )
+                self.assertEqual(503, answer.status_code)
+                self.assertGreater(float(answer.headers['retry-after']), 0)
+                self.assertEqual([], fleet.servers[0].ran)
+
+        platform_fakes.run(test)
+
+    def test_no_target_is_refused_at_once(self):
+        async def test():
+            async with platform_fakes.fleet(count=0) as fleet:
+                began = anyio.current_time()
+                answer = await fleet.post('/notes/a', **{'Request-Id': 'r'})
+                self.assertEqual(503, answer.status_code)
+                self.assertLess(anyio.current_time() - began, 0.5)
+
+        platform_fakes.run(test)
+
+    def test_broken_stream_goes_on_elsewhere(self):
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                for server in fleet.servers:
+                    server.cut_after = 2
+                answer = None
+                # The second run resumes after what the first one sent.
+                task = fleet.post('/notes/a', **{'Request-Id': 'r1'})
+
+                async def mend():
+                    while not any(server.ran for server in fleet.servers):
+                        await anyio.sleep(0.0005)
+                    for server in fleet.servers:
+                        if not server.ran:
+                            server.cut_after = None
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(mend)
+                    answer = await task
+                self.assertEqual(WHOLE, answer.text)
+                runs = [run for server in fleet.servers for run in server.ran]
+                self.assertEqual({('r1', 1), ('r1', 3)}, set(runs))
+
+        platform_fakes.run(test)
+
+    @expand([('broken', {'cut_after': 0}), ('foreign', {'foreign': True})])
+    def test_once_is_never_sent_again(self, _, fault):
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                for server in fleet.servers:
+                    for name, value in fault.items():
+                        setattr(server, name, value)
+                answer = await fleet.post('/once/a', **{'Request-Id': 'r1'})
+                self.assertIn(answer.status_code, (502, 504))
+                runs = [run for server in fleet.servers for run in server.ran]
+                self.assertEqual(1, len(runs))
+
+        platform_fakes.run(test)
+
+    def test_caller_that_leaves_stops_the_run(self):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                server = fleet.servers[0]
+                server.pace_seconds = 2.0
+                with anyio.move_on_after(0.4):
+                    await fleet.post('/notes/a', **{'Request-Id': 'r1'})
+                with anyio.fail_after(0.5):
+                    while server.busy:
+                        await anyio.sleep(0.01)
+                self.assertEqual([], server.done)
+
+        platform_fakes.run(test)
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_newer_is_in_force_and_older_is_not(self):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                memory = fleet.store.memory
+                newer = platform_fakes.configuration(
+                    5, [platform_fakes.route('/new/')]
+                )
+                memory.put('config', 'main', newer)
+                with anyio.fail_after(1):
+                    while True:
+                        answer = await fleet.post(
+                            '/new/a', **{'Request-Id': 'r'}
+                        )
+                        if answer.status_code == 200:
+                            break
+                memory.put('config', 'main', platform_fakes.configuration(4))
+                await anyio.sleep(0.2)
+                answer = await fleet.post('/notes/a', **{'Request-Id': 'r'})
+                self.assertEqual(404, answer.status_code)
+
+        platform_fakes.run(test)
+
+    @expand(
+        [
+            ('draining', lambda memory, server: memory.put(
+                'servers', server.name, server.entry('draining')
+            )),
+            ('gone', lambda memory, server: memory.remove(
+                'servers', server.name
+            )),
+            ('with history dropped', lambda memory, server: (
+                memory.remove('servers', server.name),
+                memory.forget_history(),
+            )),
+        ]
+    )  # fmt: skip
+    def test_leaving_target_gets_nothing(self, _, leave):
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                leave(fleet.store.memory, fleet.servers[0])
+                await anyio.sleep(0.4)
+                for number in range(6):
+                    answer = await fleet.post(
+                        '/notes/a', **{'Request-Id': f'r{number}'}
+                    )
+                    self.assertEqual(200, answer.status_code)
+                self.assertEqual([], fleet.servers[0].ran)
+
+        platform_fakes.run(test)
+
+
+class TestJobs(unittest.TestCase):
+    def test_job_from_submit_to_last_read(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two')) as fleet:
+                path = '/jobs/j1'
+                body = platform_fakes.submission()
+                for host in ('one', 'two', 'one'):
+                    answer = await fleet.post(
+                        path, body, host, **{'Request-Id': 'j1'}
+                    )
+                    self.assertEqual(202, answer.status_code)
+                pages = [
+                    await fleet.results('j1', 3, host)
+                    for host in ('one', 'two')
+                ]
+                self.assertEqual(pages[0], pages[1])
+                self.assertEqual(3, pages[0]['total'])
+                self.assertEqual(
+                    {('completed', OUTPUT)},
+                    {
+                        (one['state'], one['output'])
+                        for one in pages[0]['results']
+                    },
+                )
+                self.assertEqual(
+                    {'item-0', 'item-1', 'item-2'},
+                    {one['id'] for one in pages[0]['results']},
+                )
+                answer = await fleet.get(
+                    '/persimmonpass/items/j1?id=item-1', 'two'
+                )
+                self.assertEqual(b'x', answer.content)
+
+        platform_fakes.run(test)
+
+    @expand(
+        [
+            ('can not be done', 422, 1),
+            ('fails each time', 500, 3),
+        ]
+    )
+    def test_item_that_fails(self, _, status, runs):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                fleet.servers[0].status = status
+                body = platform_fakes.submission(1)
+                await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+                page = await fleet.results('j', 1)
+                self.assertEqual('dead_letter', page['results'][0]['state'])
+                self.assertEqual(runs, len(fleet.servers[0].ran))
+
+        platform_fakes.run(test)
+
+    def test_end_stops_the_runs(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
+                server = fleet.servers[0]
+                server.pace_seconds = 5.0
+                body = platform_fakes.submission()
+                await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+                with anyio.fail_after(5):
+                    while server.busy < 3:
+                        await anyio.sleep(0.01)
+                for host in ('two', 'one'):
+                    address = fleet.addresses[host]
+                    answer = await fleet.client.delete(
+                        f'http://{address}/persimmonpass/lots/j'
+                    )
+                    self.assertEqual(200, answer.status_code)
+                with anyio.fail_after(1):
+                    while server.busy:
+                        await anyio.sleep(0.01)
+                runs = len(server.ran)
+                await anyio.sleep(0.5)
+                self.assertEqual(runs, len(server.ran))
+
+        platform_fakes.run(test)
+
+    @expand(
+        [
+            ('no such job', '/persimmonpass/lots/none?after=0', 404),
+            ('no such body', '/persimmonpass/items/none?id=i', 404),
+            ('bad position', '/persimmonpass/lots/none?after=x', 400),
+        ]
+    )
+    def test_bad_reads(self, _, path, status):
+        async def test():
+            async with platform_fakes.fleet(count=0) as fleet:
+                answer = await fleet.get(path)
+                self.assertEqual(status, answer.status_code)
+
+        platform_fakes.run(test)
+
+    def test_unknown_job_is_uncertain_in_an_outage(self):
+        async def test():
+            async with platform_fakes.fleet(count=0) as fleet:
+                fleet.store.refuse = 503
+                answer = await fleet.get('/persimmonpass/lots/none?after=0')
+                self.assertEqual(503, answer.status_code)
+
+        platform_fakes.run(test)
+
+    @expand([('too many', 2, 429), ('fits', 1, 202)])
+    def test_quota(self, _, count, status):
+        async def test():
+            config = platform_fakes.configuration(
+                1, [platform_fakes.route('/jobs/', 'batch', maxCount=10)]
+            )
+            async with platform_fakes.fleet(count=0, config=config) as fleet:
+                answer = await fleet.post(
+                    '/jobs/j',
+                    platform_fakes.submission(count),
+                    **{'Request-Id': 'j'},
+                )
+                self.assertEqual(status, answer.status_code)
+
+        platform_fakes.run(test)
+
+    @expand([('not json', 'x'), ('no items', json.dumps({'item': []}))])
+    def test_broken_job(self, _, body):
+        async def test():
+            async with platform_fakes.fleet(count=0) as fleet:
+                answer = await fleet.post(
+                    '/jobs/j', body, **{'Request-Id': 'j'}
+                )
+                self.assertEqual(400, answer.status_code)
+
+        platform_fakes.run(test)
+
+
+class TestHosts(unittest.TestCase):
+    def test_host_without_the_store_serves_through_a_peer(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
+                memory = fleet.store.memory
+                refusing = platform_fakes.StoreApp(memory)
+                refusing.refuse = 503
+                fleet.hosts['two']._relay._direct = platform_fakes.dead_port()
+                body = platform_fakes.submission()
+                answer = await fleet.post(
+                    '/jobs/j', body, 'two', **{'Request-Id': 'j'}
+                )
+                self.assertEqual(202, answer.status_code)
+                page = await fleet.results('j', 3, 'two')
+                self.assertEqual(3, page['total'])
+                memory.put(
+                    'config',
+                    'main',
+                    platform_fakes.configuration(
+                        9, [platform_fakes.route('/new/')]
+                    ),
+                )
+                with anyio.fail_after(3):
+                    while True:
+                        answer = await fleet.post(
+                            '/new/a', 'x', 'two', **{'Request-Id': 'r'}
+                        )
+                        if answer.status_code == 200:
+                            break
+                        await anyio.sleep(0.05)
+
+        platform_fakes.run(test)
+
+    def test_entry_answers_leave_out_a_leaving_host(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
+
+                async def given():
+                    answer = await fleet.client.get(
+                        f'http://{fleet.entries["one"]}/persimmonpass/'
+                        f'resolve?name={platform_fakes.HOST}&zone=a'
+                    )
+                    return set(answer.json()['addresses'])
+
+                with anyio.fail_after(5):
+                    while len(await given()) < 2:
+                        await anyio.sleep(0.05)
+                fleet.hosts['two'].drain()
+                with anyio.fail_after(1):
+                    while await given() != {fleet.addresses['one']}:
+                        await anyio.sleep(0.02)
+                # Callers keep an answer for a while and are still served.
+                answer = await fleet.post(
+                    '/notes/a', 'x', 'two', **{'Request-Id': 'r'}
+                )
+                self.assertEqual(200, answer.status_code)
+                self.assertEqual('close', answer.headers['connection'])
+                with anyio.fail_after(8):
+                    await fleet.stopped['two'].wait()
+
+        platform_fakes.run(test)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_gateway_policy.py
@@ -0,0 +1,151 @@
+"""Decisions of placing, waiting and batch beside online requests."""
+
+import unittest
+
+import parameterized
+
+from persimmonpass.policy import placing
+from persimmonpass.policy import waiting
+from persimmonpass.policy import work
+
+expand = parameterized.parameterized.expand
+
+
+def spot(name, online=0, batch=0, zone='a', pace=1.0, slots=8):
+    return placing.Spot(name, zone, slots, online, batch, pace)
+
+
+def place(name='t', online=0, batch=0, slots=8, pace=1.0):
+    return work.Place(name, slots, online, batch, pace)
+
+
+class TestPlacing(unittest.TestCase):
+    @expand(
+        [
+            ('no target', [], None),
+            ('the empty one', [spot('x', 5), spot('y', 1)], 'y'),
+            ('the near one', [spot('x', 1), spot('y', 1, zone='b')], 'x'),
+            ('far and free', [spot('x', 8), spot('y', 1, zone='b')], 'y'),
+            ('not the slow one', [spot('x', 0, pace=4), spot('y', 6)], 'y'),
+            (
+                'slow and free before a queue',
+                [spot('x', 0, pace=2), spot('y', 8)],
+                'x',
+            ),
+            (
+                'a free slot before one that batch has to leave',
+                [spot('x', 2, 6), spot('y', 5, 1)],
+                'y',
+            ),
+            (
+                'behind batch before behind online',
+                [spot('x', 0, 8), spot('y', 8, 0)],
+                'x',
+            ),
+            ('all full', [spot('x', 9), spot('y', 9)], None),
+        ]
+    )
+    def test_choose(self, _, spots, expected):
+        chosen = placing.choose(spots, 'a', lambda: 0.5)
+        self.assertEqual(expected, chosen)
+
+    def test_load_spreads_over_equal_targets(self):
+        """A step from idle to all slots leaves no target above another."""
+        online = {name: 0 for name in 'uvwxyz'}
+        for _ in range(48):
+            spots = [spot(name, count) for name, count in online.items()]
+            online[placing.choose(spots, 'a', lambda: 0.5)] += 1
+        self.assertEqual({8}, set(online.values()))
+
+
+class TestWaiting(unittest.TestCase):
+    @expand(
+        [
+            ('the first', (0, 1.0, 9.0), (0, 2.0, 9.0)),
+            ('the urgent', (0, 2.0, 9.0), (1, 1.0, 9.0)),
+            ('on time before late', (1, 4.0, 9.0), (0, 1.0, 2.0)),
+        ]
+    )
+    def test_rank(self, _, first, second):
+        ranks = [
+            waiting.rank(waiting.Waiter(*row), 5.0) for row in (first, second)
+        ]
+        self.assertLess(*ranks)
+
+    @expand(
+        [
+            ('free', 0, 8, 0.8, 0.1),
+            ('behind a round', 8, 8, 0.8, 0.9),
+            ('no target', 0, 0, 0.8, float('inf')),
+        ]
+    )
+    def test_expected_wait(self, _, ahead, slots, seconds, expected):
+        wait = waiting.expected_wait(ahead, slots, seconds)
+        self.assertAlmostEqual(expected, wait)
+
+    @expand(
+        [
+            ('short', 0.01, 0.5, 0.2),
+            ('spread low', 1.0, 0.0, 0.5),
+            ('spread high', 1.0, 1.0, 1.5),
+            ('long', 60.0, 0.5, 3.0),
+        ]
+    )
+    def test_retry_after(self, _, wait, drawn, expected):
+        self.assertEqual(expected, waiting.retry_after(wait, drawn))
+
+
+class TestWork(unittest.TestCase):
+    @expand(
+        [
+            ('empty', place(), 7),
+            ('beside online', place(online=3), 4),
+            ('full of batch', place(batch=7), 0),
+            ('full of online', place(online=8), -1),
+            ('slow', place(pace=4.0), 0),
+        ]
+    )
+    def test_free(self, _, at, expected):
+        self.assertEqual(expected, work.free(at))
+
+    @expand(
+        [
+            ('room', place(online=1, batch=7), 0),
+            ('one too many', place(online=2, batch=7), 1),
+            ('a step', place(online=6, batch=7), 5),
+            ('all', place(online=10, batch=3), 3),
+        ]
+    )
+    def test_surplus(self, _, at, expected):
+        self.assertEqual(expected, work.surplus(at))
+
+    def test_pick(self):
+        places = [place('x', 4, 2), place('y', 1, 1), place('z', 0, 7)]
+        self.assertEqual('y', work.pick(places))
+        self.assertIsNone(work.pick([place('z', 8)]))
+        self.assertIsNone(work.pick([]))
+
+    def test_rank_puts_late_items_last(self):
+        rows = [
+            work.Pending('late', 0, 10.0, 8.0, 0),
+            work.Pending('later', 0, 30.0, 5.0, 2),
+            work.Pending('soon', 1, 16.0, 5.0, 1),
+            work.Pending('soon', 0, 16.0, 5.0, 1),
+        ]
+        rows.sort(key=lambda row: work.rank(row, 5.0))
+        self.assertEqual(
+            [('soon', 0), ('soon', 1), ('later', 0), ('late', 0)],
+            [(row.job, row.item) for row in rows],
+        )
+
+    def test_victims_lose_least(self):
+        running = [
+            work.Running(('early', 0), 10.0, 3),
+            work.Running(('late', 0), 20.0, 90),
+            work.Running(('late', 1), 20.0, 2),
+        ]
+        self.assertEqual([('late', 1), ('late', 0)], work.victims(running, 2))
+
+
+if __name__ == '__main__':
+    unittest.main()
