Keep the batch runner while it is heard, and tell successors what items have

Change: the runner claims its role with a term and keeps it while it is heard; hosts settle before they claim; two successors keep the events of items; stopped items pause before their next start.

--- /dev/null
+++ b/src/persimmonpass/controllers/work_role.py
@@ -0,0 +1,155 @@
+"""Decides which host runs batch items.
+
+The host that runs them says so several times a second and stays the one as
+long as it is heard: each move costs what was in progress. Of two that claim
+it, as after a cut, the one with the higher term goes on.
+"""
+
+import collections.abc
+import typing
+
+import anyio
+import result
+
+from persimmonpass import blackboard
+from persimmonpass import events
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import shards
+from persimmonpass import verdicts
+
+METHOD_CLAIM = 'batch.claim'
+RUNNER_KEY = 'batch'
+CLAIM_SECONDS = 0.2
+# A claim that was not repeated for so long is void.
+EXPIRY_SECONDS = 0.9
+# A host that has just become ready hears the others' claims first.
+SETTLE_SECONDS = 0.8
+CANDIDATE_STATES = ('alive', 'suspect')
+
+
+class Claim(typing.NamedTuple):
+    """A host's word that it runs batch; the higher one holds.
+
+    :ivar term: one more than the highest that the host had heard of
+    """
+
+    term: int
+    host: str
+
+
+class WorkRole:
+    """One host's view of who runs batch.
+
+    :ivar is_runner: whether it is this host
+    """
+
+    def __init__(
+        self,
+        host: str,
+        board: blackboard.Blackboard,
+        peers: peer_port.PeerPort,
+        may_run: collections.abc.Callable[[], bool],
+    ) -> None:
+        self.is_runner = False
+        self._host = host
+        self._board = board
+        self._peers = peers
+        self._may_run = may_run
+        self._claim = Claim(0, '')
+        self._heard_at = -EXPIRY_SECONDS
+        self._told_at = -CLAIM_SECONDS
+        self._settled_at: float | None = None
+
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of peers' notices."""
+        return {METHOD_CLAIM: self._take}
+
+    @property
+    def holder(self) -> str | None:
+        """The host that runs batch, ``None`` if none is heard."""
+        if self.is_runner:
+            return self._host
+        age = anyio.current_time() - self._heard_at
+        connected = self._claim.host in self._peers.connected()
+        return self._claim.host if age < EXPIRY_SECONDS and connected else None
+
+    def successors(self) -> list[str]:
+        """Return the peers that would take over, the first one first."""
+        ranked = shards.ranked(RUNNER_KEY, self._reached())
+        return list(ranked)
+
+    def judge(self) -> bool:
+        """Begin or cease to be the runner.
+
+        :returns: whether that changed
+        """
+        before = self.is_runner
+        now = anyio.current_time()
+        if not self._may_run():
+            if before:
+                self._resign()
+            self._settled_at = None
+        elif self._settled_at is None:
+            self._settled_at = now + SETTLE_SECONDS
+        elif not before and now >= self._settled_at:
+            if self.holder is None and self._is_first():
+                self._claim = Claim(self._claim.term + 1, self._host)
+                self.is_runner = True
+        elif before and not self._reaches_enough():
+            self.is_runner = False
+        if self.is_runner and now - self._told_at >= CLAIM_SECONDS:
+            self._tell(now, True)
+        if before != self.is_runner:
+            events.log(
+                events.BATCH_RUNNER_CHANGED,
+                host=self._host,
+                runs=self.is_runner,
+                term=self._claim.term,
+                holder=self._claim.host,
+                reached=len(self._reached()),
+            )
+        return before != self.is_runner
+
+    def _resign(self) -> None:
+        self.is_runner = False
+        self._tell(anyio.current_time(), False)
+
+    def _tell(self, now: float, holds: bool) -> None:
+        self._told_at = now
+        payload = [self._claim.term, self._host, holds]
+        peer_port.broadcast(self._peers, METHOD_CLAIM, payload)
+
+    def _others(self) -> list[str]:
+        return [
+            row.host
+            for row in self._board.members.rows()
+            if row.state in CANDIDATE_STATES and row.host != self._host
+        ]
+
+    def _reached(self) -> list[str]:
+        connected = set(self._peers.connected())
+        return [host for host in self._others() if host in connected]
+
+    def _reaches_enough(self) -> bool:
+        """Return whether most other hosts are reached.
+
+        A host that a cut has left alone leaves batch to the others.
+        """
+        return 2 * len(self._reached()) >= len(self._others())
+
+    def _is_first(self) -> bool:
+        ranked = shards.ranked(RUNNER_KEY, [*self._reached(), self._host])
+        return self._reaches_enough() and ranked[0] == self._host
+
+    async def _take(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        term, host, holds = payload
+        heard = Claim(term, host)
+        if heard >= self._claim:
+            self._claim = heard
+            self._heard_at = anyio.current_time() if holds else -EXPIRY_SECONDS
+            if host != self._host:
+                self.is_runner = False
+        return result.Ok(None)
--- a/src/persimmonpass/controllers/work_runner.py
+++ b/src/persimmonpass/controllers/work_runner.py
@@ -5,7 +5,6 @@
 item; a second runner costs work, never correctness.
 """
 
-import collections.abc
 import typing
 
 import anyio
@@ -19,20 +18,25 @@
 from persimmonpass.controllers import conduct
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import work_log
+from persimmonpass.controllers import work_role
 from persimmonpass import events
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass.peers import port as peer_port
-from persimmonpass.policy import shards
 from persimmonpass.policy import work as policy
 from persimmonpass import routes
 from persimmonpass.targets import opaque
 from persimmonpass import verdicts
 from persimmonpass import work
 
-RUNNER_KEY = 'batch'
+METHOD_PROGRESS = 'batch.progress'
 TICK_SECONDS = 0.1
-COMMIT_TICK_SECONDS = 0.1
+# Hosts that would take over are told what items have, so that a kill costs
+# little of it.
+PROGRESS_SECONDS = 0.25
+BACKUP_HOSTS = 2
+# An item that made way is not put into the next gap at once.
+PREEMPTED_SECONDS = 0.15
 # Results of a job travel together; callers read twice a second.
 LINGER_SECONDS = 0.8
 # Near the end of its time a job's results are written at once.
@@ -63,7 +67,7 @@
     targets: opaque.TargetClient
     peers: peer_port.PeerPort
     metrics: gateway_metrics.GatewayMetrics
-    may_run: collections.abc.Callable[[], bool]
+    role: work_role.WorkRole
 
 
 class _Item:
@@ -94,13 +98,20 @@
         self._ports = ports
         self._items: dict[tuple[str, int], _Item] = {}
         self._committing: set[str] = set()
-        self._is_runner = False
+        self._role = ports.role
+        self._told: dict[str, dict[tuple[str, int], int]] = {}
+        self._told_at = 0.0
         self._wake = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._item_seconds = 5.0
         ports.occupied.changed.append(self._poke)
         ports.log.changed.append(self._poke)
 
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of peers' notices."""
+        return {METHOD_PROGRESS: self._take_progress}
+
     @property
     def running(self) -> int:
         """Items that this host runs."""
@@ -122,65 +133,74 @@
             self._items.clear()
 
     def _step(self) -> None:
-        self._judge_role()
+        ceased = self._role.judge() and not self._role.is_runner
         self._drop_done()
-        if self._is_runner:
+        if self._role.is_runner:
             self._yield_places()
             self._start_items()
-        else:
+        elif ceased or self.running:
             self._stop_all()
         self._commit_due()
+        self._tell_progress(anyio.current_time(), ceased)
         self._ports.metrics.batch_running.set(self.running)
 
-    def _judge_role(self) -> None:
-        is_runner = self._ports.may_run() and self._is_first()
-        if is_runner != self._is_runner:
-            self._is_runner = is_runner
-            events.log(
-                events.BATCH_RUNNER_CHANGED,
-                host=self._host,
-                runs=is_runner,
-                connected=len(self._ports.peers.connected()),
-                unfinished=len(self._items),
-            )
-
-    def _is_first(self) -> bool:
-        """Return whether this host comes first of those it can reach.
-
-        A host that reaches few of the others leaves batch to them.
-        """
-        others = [
-            row.host
-            for row in self._ports.board.members.rows()
-            if row.state in ('alive', 'suspect') and row.host != self._host
-        ]
-        connected = set(self._ports.peers.connected())
-        reached = [host for host in others if host in connected]
-        if 2 * len(reached) < len(others):
-            return False
-        ranked = shards.ranked(RUNNER_KEY, [*reached, self._host])
-        return ranked[0] == self._host
-
     def _stop_all(self) -> None:
         for item in self._items.values():
             if item.scope is not None:
                 item.scope.cancel()
-        self._items = {
-            key: item
-            for key, item in self._items.items()
-            if item.scope is not None or item.outcome is not None
-        }
+
+    def _tell_progress(self, now: float, ceased: bool) -> None:
+        """Tell the hosts that would take over what items have.
+
+        :param ceased: another host runs them now and is told everything
+        """
+        if ceased:
+            self._told.clear()
+        elif not self._role.is_runner:
+            return
+        elif now - self._told_at < PROGRESS_SECONDS:
+            return
+        self._told_at = now
+        backups = self._role.successors()[:BACKUP_HOSTS]
+        holder = self._role.holder
+        if ceased and holder is not None and holder not in backups:
+            backups.append(holder)
+        self._told = {peer: self._told.get(peer, {}) for peer in backups}
+        for peer, told in self._told.items():
+            rows = []
+            for key, item in self._items.items():
+                count = told.get(key, 0)
+                if item.outcome is None and len(item.texts) > count:
+                    rows.append(
+                        [*key, count, item.last_id, item.texts[count:]]
+                    )
+                    told[key] = len(item.texts)
+            for key in set(told) - set(self._items):
+                del told[key]
+            if rows:
+                self._ports.peers.notify(peer, METHOD_PROGRESS, rows)
+
+    async def _take_progress(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        """Keep what another host's items have, in case it ends."""
+        for job_id, number, count, last_id, texts in payload:
+            item = self._items.setdefault((job_id, number), _Item())
+            have = len(item.texts)
+            is_newer = count <= have < count + len(texts)
+            if is_newer and item.scope is None and item.outcome is None:
+                item.texts[count:] = texts
+                item.last_id = last_id
+        return result.Ok(None)
 
     def _drop_done(self) -> None:
         """Forget what has its result, stop what was ended."""
         for key, item in list(self._items.items()):
             state = self._ports.log.jobs.get(key[0])
-            is_over = (
-                state is None
-                or state.ended
-                or state.job is None
-                or state.job.items[key[1]].id in state.done
-            )
+            if state is None or state.job is None:
+                # Another host tells of a job before the store does.
+                continue
+            is_over = state.ended or state.job.items[key[1]].id in state.done
             if is_over:
                 if item.scope is not None:
                     item.scope.cancel()
@@ -229,6 +249,7 @@
                         events=len(item.texts),
                     )
                     item.scope.cancel()
+                    item.not_before = anyio.current_time() + PREEMPTED_SECONDS
                     # Its place is free from now on.
                     self._leave(item)
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -23,6 +23,7 @@
 from persimmonpass.controllers import passing
 from persimmonpass.controllers import store_relay
 from persimmonpass.controllers import work_log
+from persimmonpass.controllers import work_role
 from persimmonpass.controllers import work_runner
 from persimmonpass import events
 from persimmonpass import exchange
@@ -196,8 +197,10 @@
         """Make the controllers of hosts, configuration and targets."""
         options, platform = self._options, self._platform
         calls = budget.Budget(options.store_rate, options.store_write_rate)
-        handlers: dict[str, typing.Any] = {}
-        self._peers = link.Peers(listener.Identity(options.host, ''), handlers)
+        self._handlers: dict[str, typing.Any] = {}
+        self._peers = link.Peers(
+            listener.Identity(options.host, ''), self._handlers
+        )
         port = self._peers.port
         self._relay = store_relay.StoreRelay(
             options.host,
@@ -254,6 +257,9 @@
                 options.seed_peers,
             ),
         )
+        self._role = work_role.WorkRole(
+            options.host, self.board, port, lambda: self.is_ready
+        )
         self._occupied = occupancy.Occupancy(port)
         self._conduct = conduct.Conduct(options.host, self.board)
         self._line = admission_line.AdmissionLine(
@@ -263,10 +269,11 @@
             self._occupied,
             self._conduct,
         )
-        handlers |= self._relay.handlers
-        handlers |= mirror.handlers(self._mirrors)
-        handlers |= self._membership.handlers
-        handlers |= self._occupied.handlers
+        self._handlers |= self._relay.handlers
+        self._handlers |= mirror.handlers(self._mirrors)
+        self._handlers |= self._membership.handlers
+        self._handlers |= self._occupied.handlers
+        self._handlers |= self._role.handlers
 
     def _build_work(self) -> None:
         """Make the controllers of requests and jobs."""
@@ -292,9 +299,10 @@
                 self._targets,
                 self._peers.port,
                 self.metrics,
-                lambda: self.is_ready,
+                self._role,
             ),
         )
+        self._handlers |= self._runner.handlers
 
     def _jobs(
         self,
