Let two hosts watch each kind and tell the others what changed

Cause: six to eight hosts watched three kinds each, and each call has a price. Change: two watchers a kind; the first sends the records, both say how fresh they are; a host that hears none or misses something asks the store.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -1,8 +1,9 @@
 """Follows all records of a kind.
 
 The copy is filled by a list and kept by watches. A watch whose history is
-gone is followed by a list, which is never a stale one. Peers tell which
-version they have seen, so that a copy that lags asks at once.
+gone is followed by a list, which is never a stale one. A few hosts watch and
+tell the others what changed, since each call of the store has a price; a host
+that hears none of them, or misses a change, asks the store itself.
 """
 
 import collections.abc
@@ -13,21 +14,43 @@
 
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import shards
 from persimmonpass import records
 from persimmonpass import verdicts
 
-METHOD_SEEN = 'mirror.seen'
+METHOD_NEWS = 'mirror.news'
+METHOD_FRESH = 'mirror.fresh'
+# Hosts that watch a kind: one may be cut off from the store unseen.
+WATCHERS = 2
+FRESH_SECONDS = 0.25
+# A host follows the watchers' news as long as one of them is so fresh.
+FOLLOW_SECONDS = 2.0
+# A watcher that was not heard for so long is none.
+SILENCE_SECONDS = 0.8
+FOLLOW_TICK_SECONDS = 0.1
 # A silent connection is found out after this time, which has to leave room
 # for a list within the seconds in which a change must be in force.
 WATCH_SECONDS = 1.5
 RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.6
-# A peer's news may overtake this host's own watch by so much.
-NEWS_SLACK_SECONDS = 0.1
+# A watcher may have seen more than its news, which are on their way.
+NEWS_SLACK_SECONDS = 0.15
 
 OnChange = collections.abc.Callable[[list[records.Record]], None]
 
 
+class _Heard(typing.NamedTuple):
+    """What a watcher said of its copy.
+
+    :ivar at: when it said so, in seconds
+    :ivar fresh_at: when its copy was known to be complete
+    """
+
+    version: int
+    at: float
+    fresh_at: float
+
+
 class Mirror:
     """This host's copy of the records of a kind.
 
@@ -54,8 +77,8 @@
         self._on_change = on_change
         self._fresh_at: float | None = None
         self._listed = False
-        self._wanted = 0
-        self._scope: anyio.CancelScope | None = None
+        self._heard: dict[str, _Heard] = {}
+        self._behind_since: float | None = None
 
     @property
     def age_seconds(self) -> float:
@@ -68,6 +91,9 @@
         """Follow the kind for ever."""
         pause = RETRY_SECONDS
         while True:
+            if self._listed and self._follows():
+                await anyio.sleep(FOLLOW_TICK_SECONDS)
+                continue
             # The answer shows the store as it was when it was given, which
             # is no earlier than the call.
             began = anyio.current_time()
@@ -75,6 +101,7 @@
             if isinstance(found, result.Ok):
                 self._take(found.ok_value, whole=not self._listed)
                 self._listed = True
+                self._behind_since = None
                 self._fresh_at = max(began, self._fresh_at or began)
                 pause = RETRY_SECONDS
                 continue
@@ -90,17 +117,68 @@
             await anyio.sleep(pause)
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
+    async def tell(self) -> None:
+        """Tell peers how fresh this copy is while it watches, for ever."""
+        while True:
+            await anyio.sleep(FRESH_SECONDS)
+            if self._listed and self._is_watcher():
+                peer_port.broadcast(
+                    self._peers,
+                    METHOD_FRESH,
+                    [self._kind, self.version, self.age_seconds],
+                )
+
     async def _read(
         self,
     ) -> result.Result[records.Snapshot, verdicts.Failure]:
         if not self._listed:
             return await self._port.list(self._kind)
-        with anyio.CancelScope() as self._scope:
-            return await self._port.watch(
-                self._kind, self.version, WATCH_SECONDS
+        return await self._port.watch(self._kind, self.version, WATCH_SECONDS)
+
+    def _is_watcher(self, count: int = WATCHERS) -> bool:
+        """Return whether this host is one of those that watch.
+
+        :param count: number of hosts that count as such
+        """
+        hosts = [self._host, *self._peers.connected()]
+        ranked = shards.ranked(f'watch {self._kind}', hosts)
+        return self._host in ranked[:count]
+
+    def _follows(self) -> bool:
+        """Return whether peers keep this copy complete."""
+        if self._is_watcher():
+            return False
+        now = anyio.current_time()
+        heard = [
+            one
+            for one in self._heard.values()
+            if now - one.at < SILENCE_SECONDS
+            and now - one.fresh_at < FOLLOW_SECONDS
+        ]
+        if not heard:
+            return False
+        newest = max(one.version for one in heard)
+        if newest <= self.version:
+            self._behind_since = None
+            self._fresh_at = max(
+                self._fresh_at or 0.0, max(one.fresh_at for one in heard)
             )
-        # A peer has seen more than this copy: its watch may be dead.
-        return await self._port.watch(self._kind, self.version, 0.0)
+            return True
+        if self._behind_since is None:
+            self._behind_since = now
+        return now - self._behind_since < NEWS_SLACK_SECONDS
+
+    def hear(self, peer: str, version: int, age: float) -> None:
+        """Take how fresh a watcher's copy is."""
+        now = anyio.current_time()
+        self._heard[peer] = _Heard(version, now, now - age)
+
+    def take_news(
+        self, before: int, version: int, changed: list[records.Record]
+    ) -> None:
+        """Take changes between two versions from a watcher."""
+        if self._listed and before <= self.version < version:
+            self._take(records.Snapshot(version, changed), whole=False)
 
     def learn(self, found: records.Record) -> None:
         """Take a record that this host wrote or read itself."""
@@ -109,21 +187,6 @@
             self.records[found.name] = found
             self._on_change([found])
 
-    def note(self, version: int) -> None:
-        """Take a version that a peer has seen."""
-        self._wanted = max(self._wanted, version)
-
-    async def catch_up(self) -> None:
-        """Read at once if peers have seen more, for ever."""
-        while True:
-            await anyio.sleep(NEWS_SLACK_SECONDS)
-            if self._wanted > self.version and self._scope is not None:
-                wanted = self._wanted
-                await anyio.sleep(NEWS_SLACK_SECONDS)
-                if wanted > self.version:
-                    self._wanted = 0
-                    self._scope.cancel()
-
     def _take(self, found: records.Snapshot, *, whole: bool) -> None:
         """Take changes, or all records; older ones change nothing."""
         if found.version < self.version:
@@ -146,11 +209,17 @@
                     changed.append(
                         known._replace(version=found.version, deleted=True)
                     )
-        self.version = found.version
+        before, self.version = self.version, found.version
         if changed:
             self._on_change(changed)
+        # One host sends the records, which may be large; the other watchers
+        # tell their version, which shows what was missed.
+        if found.records and not whole and self._is_watcher(1):
+            rows = [list(record) for record in found.records]
             peer_port.broadcast(
-                self._peers, METHOD_SEEN, [self._kind, self.version]
+                self._peers,
+                METHOD_NEWS,
+                [self._kind, before, self.version, rows],
             )
         self.ready.set()
 
@@ -163,12 +232,21 @@
     :param mirrors: by kind
     """
 
-    async def take_seen(
+    async def take_news(
+        peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        kind, before, version, rows = payload
+        if kind in mirrors:
+            changed = [records.Record(*row) for row in rows]
+            mirrors[kind].take_news(before, version, changed)
+        return result.Ok(None)
+
+    async def take_fresh(
         peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        kind, version = payload
+        kind, version, age = payload
         if kind in mirrors:
-            mirrors[kind].note(version)
+            mirrors[kind].hear(peer, version, age)
         return result.Ok(None)
 
-    return {METHOD_SEEN: take_seen}
+    return {METHOD_NEWS: take_news, METHOD_FRESH: take_fresh}
--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -4,6 +4,7 @@
 a peer that the store serves, with the same conditions and verdicts.
 """
 
+import collections
 import collections.abc
 import random
 import typing
@@ -24,6 +25,7 @@
 AVOID_SECONDS = 0.7
 MAX_PEERS = 2
 CALL_TIMEOUT_SECONDS = 2.0
+REPORT_SECONDS = 10.0
 
 Answer = result.Result[typing.Any, verdicts.Failure]
 _WRITES = frozenset(('create', 'replace', 'set_status', 'delete'))
@@ -43,6 +45,7 @@
         self._peers = peers
         self._failed_at: float | None = None
         self._troubled_at: float | None = None
+        self._calls: collections.Counter[str] = collections.Counter()
         self.port = records.RecordPort(
             *(self._make(name) for name in records.RecordPort._fields)
         )
@@ -64,6 +67,16 @@
             return float('inf')
         return anyio.current_time() - self._troubled_at
 
+    async def run(self) -> None:
+        """Log how often the store was called, for ever."""
+        while True:
+            await anyio.sleep(REPORT_SECONDS)
+            if self._calls:
+                calls, self._calls = self._calls, collections.Counter()
+                events.log(
+                    events.STORE_CALLED, host=self._host, calls=dict(calls)
+                )
+
     def _make(
         self, name: str
     ) -> collections.abc.Callable[..., collections.abc.Awaitable[Answer]]:
@@ -103,6 +116,7 @@
         began = anyio.current_time()
         outcome: Answer = await getattr(self._direct, name)(*args)
         now = anyio.current_time()
+        self._calls[f'{name} {args[0]} {_outcome(outcome)}'] += 1
         if self._is_outage(outcome):
             self._troubled_at = now
             if self._failed_at is None:
@@ -163,6 +177,15 @@
         )
 
 
+def _outcome(outcome: Answer) -> str:
+    """Return a word for how a call ended."""
+    if isinstance(outcome, result.Ok):
+        found = outcome.ok_value
+        is_quiet = isinstance(found, records.Snapshot) and not found.records
+        return 'empty' if is_quiet else 'ok'
+    return outcome.err_value.event.name
+
+
 def _decode(name: str, payload: typing.Any) -> Answer:
     """Rebuild an answer that came as lists."""
     if name in ('list', 'watch'):
--- a/src/persimmonpass/controllers/work_runner.py
+++ b/src/persimmonpass/controllers/work_runner.py
@@ -51,6 +51,8 @@
 # longer than the others: it may be what breaks them.
 MAX_BREAKS = 3
 BREAK_RETRY_SECONDS = 15.0
+# A new sample's part of the mean of items.
+MEAN_WEIGHT = 0.1
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 SUCCESS = 200
@@ -104,6 +106,7 @@
         self._wake = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         self._item_seconds = 5.0
+        self._item_events = 0.0
         ports.occupied.changed.append(self._poke)
         ports.log.changed.append(self._poke)
 
@@ -283,6 +286,9 @@
                 item = self._items.get((job_id, number))
                 left = self._item_seconds
                 if item is not None:
+                    left = policy.left_seconds(
+                        left, self._item_events, len(item.texts)
+                    )
                     if item.scope is not None or item.outcome is not None:
                         continue
                     if now < item.not_before:
@@ -379,8 +385,13 @@
                 events=len(item.texts),
                 ms=round(1000 * (now - began)),
             )
-        elif not had:
-            self._item_seconds += 0.1 * (now - began - self._item_seconds)
+        elif not had and item.texts:
+            self._item_seconds += MEAN_WEIGHT * (
+                now - began - self._item_seconds
+            )
+            count = len(item.texts)
+            self._item_events = self._item_events or count
+            self._item_events += MEAN_WEIGHT * (count - self._item_events)
         self._poke()
 
     async def _attempt(
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -142,6 +142,12 @@
     Level.INFO,
     'The store dropped the history that a watch needs; the kind is listed.',
 )
+STORE_CALLED = Event(
+    210,
+    'store_called',
+    Level.INFO,
+    'Calls of this host to the store since the last such line.',
+)
 STORE_LOST = Event(
     208,
     'store_lost',
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -310,10 +310,11 @@
         follow = [
             job
             for copy in self._mirrors.values()
-            for job in (copy.run, copy.catch_up)
+            for job in (copy.run, copy.tell)
         ]
         return [
             *follow,
+            self._relay.run,
             self._membership.run,
             self._catalog.run,
             self._occupied.run,
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -161,7 +161,12 @@
             del self._links[link.host]
 
     def _connected(self) -> list[str]:
-        return [link.host for link in self._links.values() if link.up]
+        # A seed that is known by its address only has another link by name.
+        return [
+            link.host
+            for link in self._links.values()
+            if link.up and link.host != link.address
+        ]
 
     def _notify(self, host: str, method: str, payload: typing.Any) -> bool:
         link = self._links.get(host)
--- a/src/persimmonpass/policy/work.py
+++ b/src/persimmonpass/policy/work.py
@@ -65,6 +65,21 @@
     return is_late, pending.due_at, pending.job_order, pending.item
 
 
+def left_seconds(
+    run_seconds: float, typical_events: float, have: int
+) -> float:
+    """Return how long the rest of an item probably runs.
+
+    :param run_seconds: how long a whole one runs
+    :param typical_events: events of a whole one
+    :param have: events that it has
+    """
+    if typical_events <= 0:
+        return run_seconds
+    # One that is longer than the others is probably near its end.
+    return run_seconds * max(0.1, 1 - have / typical_events)
+
+
 def free(place: Place) -> int:
     """Return how many more items a target should get."""
     if place.pace > MAX_PACE:
--- a/src/persimmonpass/tracing.py
+++ b/src/persimmonpass/tracing.py
@@ -5,7 +5,6 @@
 import contextvars
 import typing
 
-from opentelemetry.exporter.otlp.proto.http import trace_exporter
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as sdk_trace
 from opentelemetry.sdk.trace import export
@@ -111,6 +110,9 @@
                     out=self._file, formatter=_format_line
                 )
             )
+        # Its import takes a fifth of a daemon's start.
+        from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
         return export.BatchSpanProcessor(
             trace_exporter.OTLPSpanExporter(endpoint=destination)
         )
