Date a copy by when its watch was answered; group changes

Change: dated by the answer; a pause after changes; a watch that another host has overtaken is given up.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -28,6 +28,8 @@
 # A watcher that was not heard for so long is none.
 SILENCE_SECONDS = 0.8
 FOLLOW_TICK_SECONDS = 0.1
+# Changes come in groups; a pause after one lets a single call bring them.
+GATHER_SECONDS = 0.08
 # A silent connection is found out after this time, which has to leave room
 # for a list within the seconds in which a change must be in force.
 WATCH_SECONDS = 1.5
@@ -79,6 +81,8 @@
         self._listed = False
         self._heard: dict[str, _Heard] = {}
         self._behind_since: float | None = None
+        self._overtaken_since: float | None = None
+        self._scope: anyio.CancelScope | None = None
 
     @property
     def age_seconds(self) -> float:
@@ -94,16 +98,16 @@
             if self._listed and self._follows():
                 await anyio.sleep(FOLLOW_TICK_SECONDS)
                 continue
-            # The answer shows the store as it was when it was given, which
-            # is no earlier than the call.
             began = anyio.current_time()
             found = await self._read()
             if isinstance(found, result.Ok):
                 self._take(found.ok_value, whole=not self._listed)
+                self._note_fresh(began, found.ok_value)
                 self._listed = True
                 self._behind_since = None
-                self._fresh_at = max(began, self._fresh_at or began)
                 pause = RETRY_SECONDS
+                if found.ok_value.records:
+                    await anyio.sleep(GATHER_SECONDS)
                 continue
             if found.err_value.event == events.STORE_HISTORY_LOST:
                 events.log(
@@ -118,10 +122,16 @@
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
     async def tell(self) -> None:
-        """Tell peers how fresh this copy is while it watches, for ever."""
+        """Tell peers how fresh this copy is while it watches, for ever.
+
+        A watch that another watcher has overtaken is given up: its
+        connection may be dead.
+        """
         while True:
             await anyio.sleep(FRESH_SECONDS)
             if self._listed and self._is_watcher():
+                if self._is_overtaken() and self._scope is not None:
+                    self._scope.cancel()
                 peer_port.broadcast(
                     self._peers,
                     METHOD_FRESH,
@@ -133,7 +143,23 @@
     ) -> result.Result[records.Snapshot, verdicts.Failure]:
         if not self._listed:
             return await self._port.list(self._kind)
-        return await self._port.watch(self._kind, self.version, WATCH_SECONDS)
+        with anyio.CancelScope() as self._scope:
+            return await self._port.watch(
+                self._kind, self.version, WATCH_SECONDS
+            )
+        return await self._port.watch(self._kind, self.version, 0.0)
+
+    def _note_fresh(self, began: float, found: records.Snapshot) -> None:
+        """Note until when the copy is complete.
+
+        A watch without changes was answered when its time was up. Any other
+        answer shows the store at some time since the call began.
+        """
+        elapsed = anyio.current_time() - began
+        fresh_at = began
+        if self._listed and not found.records and elapsed >= WATCH_SECONDS:
+            fresh_at += WATCH_SECONDS
+        self._fresh_at = max(fresh_at, self._fresh_at or fresh_at)
 
     def _is_watcher(self, count: int = WATCHERS) -> bool:
         """Return whether this host is one of those that watch.
@@ -168,6 +194,21 @@
             self._behind_since = now
         return now - self._behind_since < NEWS_SLACK_SECONDS
 
+    def _is_overtaken(self) -> bool:
+        """Return whether peers have long seen more than this copy has."""
+        now = anyio.current_time()
+        recent = [
+            one.version
+            for one in self._heard.values()
+            if now - one.at < SILENCE_SECONDS
+        ]
+        if max(recent, default=0) <= self.version:
+            self._overtaken_since = None
+            return False
+        if self._overtaken_since is None:
+            self._overtaken_since = now
+        return now - self._overtaken_since >= 2 * FRESH_SECONDS
+
     def hear(self, peer: str, version: int, age: float) -> None:
         """Take how fresh a watcher's copy is."""
         now = anyio.current_time()
