Test what hosts know, jobs and formats of the platform on a paused clock

Found by these tests, each seen failing first: a runner that had resigned but was still listed kept the others from taking over; one whose cut had healed took batch back at once; an end whose answer was lost left the job open until the copy caught up. All three mended.

--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -148,6 +148,9 @@
                 state = JobState(self._orders)
                 self.jobs[change.job_id] = state
             state.take(change)
+        self._tell()
+
+    def _tell(self) -> None:
         for callback in self.changed:
             callback()
 
@@ -311,6 +314,8 @@
                 break
             failure = written.err_value
             if failure.event == events.STORE_CONFLICT:
+                found.ok_value.take(work.Change(job_id, ended=True))
+                self._tell()
                 break
             if anyio.current_time() + pause >= deadline:
                 return result.Err(failure)
--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -59,6 +59,7 @@
         self._heard_at = -EXPIRY_SECONDS
         self._told_at = -CLAIM_SECONDS
         self._settled_at: float | None = None
+        self._resigned: str | None = None
 
     @property
     def handlers(self) -> peer_port.Handlers:
@@ -90,14 +91,15 @@
             if before:
                 self._resign()
             self._settled_at = None
+        elif not self._reaches_enough():
+            self.is_runner = False
+            self._settled_at = None
         elif self._settled_at is None:
             self._settled_at = now + SETTLE_SECONDS
         elif not before and now >= self._settled_at:
             if self.holder is None and self._is_first():
                 self._claim = Claim(self._claim.term + 1, self._host)
                 self.is_runner = True
-        elif before and not self._reaches_enough():
-            self.is_runner = False
         if self.is_runner and now - self._told_at >= CLAIM_SECONDS:
             self._tell(now, True)
         if before != self.is_runner:
@@ -139,14 +141,19 @@
         return 2 * len(self._reached()) >= len(self._others())
 
     def _is_first(self) -> bool:
-        ranked = shards.ranked(RUNNER_KEY, [*self._reached(), self._host])
-        return self._reaches_enough() and ranked[0] == self._host
+        reached = [host for host in self._reached() if host != self._resigned]
+        ranked = shards.ranked(RUNNER_KEY, [*reached, self._host])
+        return ranked[0] == self._host
 
     async def _take(
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
         term, host, holds = payload
         heard = Claim(term, host)
+        if not holds:
+            self._resigned = host
+        elif self._resigned == host:
+            self._resigned = None
         if heard >= self._claim:
             self._claim = heard
             self._heard_at = anyio.current_time() if holds else -EXPIRY_SECONDS
--- /dev/null
+++ b/tests/test_fleet_knowledge.py
@@ -0,0 +1,377 @@
+"""What hosts know of the platform: mirrors, relays, targets, occupancy."""
+
+import unittest
+
+import anyio
+import parameterized
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import catalog
+from persimmonpass.controllers import conduct
+from persimmonpass.controllers import mirror
+from persimmonpass.controllers import occupancy
+from persimmonpass.controllers import store_relay
+from persimmonpass import events
+from persimmonpass.platform import objects
+from persimmonpass import records
+from persimmonpass import verdicts
+from tests import fakes
+from tests import platform_fakes
+from tests import record_fakes
+
+expand = parameterized.parameterized.expand
+KIND = 'servers'
+
+
+class Hosts:
+    """Mirrors of one kind on some hosts that tell each other."""
+
+    def __init__(self, names):
+        self.memory = record_fakes.MemoryRecords()
+        self.network = fakes.Network()
+        self.seen = {name: [] for name in names}
+        self.mirrors = {}
+        self.relays = {}
+
+    def start(self, tasks):
+        for name, seen in self.seen.items():
+            port = self.network.port(name, tasks)
+            relay = store_relay.StoreRelay(name, self.memory.port, port)
+            copy = mirror.Mirror(name, KIND, relay.port, port, seen.extend)
+            self.network.handlers[name] = relay.handlers | mirror.handlers(
+                {KIND: copy}
+            )
+            self.relays[name] = relay
+            self.mirrors[name] = copy
+        for copy in self.mirrors.values():
+            tasks.start_soon(copy.run)
+            tasks.start_soon(copy.tell)
+
+    def names(self, host):
+        return set(self.mirrors[host].records)
+
+
+class TestMirror(unittest.TestCase):
+    def follow(self, hosts, test):
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                hosts.start(tasks)
+                for copy in hosts.mirrors.values():
+                    await copy.ready.wait()
+                await test()
+                tasks.cancel_scope.cancel()
+
+        fakes.run(run)
+
+    @expand(
+        [
+            ('put', lambda memory: memory.put(KIND, 'b', {}), {'a', 'b'}),
+            ('removed', lambda memory: memory.remove(KIND, 'a'), set()),
+            (
+                'history dropped in the gap',
+                lambda memory: (
+                    memory.remove(KIND, 'a'),
+                    memory.put(KIND, 'c', {}),
+                    memory.forget_history(),
+                ),
+                {'c'},
+            ),
+        ]
+    )
+    def test_change_is_known_on_all_hosts(self, _, change, expected):
+        hosts = Hosts(['one', 'two', 'three', 'four'])
+        hosts.memory.put(KIND, 'a', {})
+
+        async def test():
+            await anyio.sleep(5)
+            change(hosts.memory)
+            await anyio.sleep(1)
+            for name in hosts.mirrors:
+                self.assertEqual(expected, hosts.names(name))
+
+        self.follow(hosts, test)
+
+    def test_few_hosts_call_the_store(self):
+        hosts = Hosts([f'host-{number}' for number in range(8)])
+
+        async def test():
+            await anyio.sleep(5)
+            hosts.memory.calls.clear()
+            await anyio.sleep(30)
+            most = mirror.WATCHERS * 30 / mirror.WATCH_SECONDS
+            self.assertLessEqual(hosts.memory.calls['watch'], 1.1 * most)
+            ages = [copy.age_seconds for copy in hosts.mirrors.values()]
+            self.assertLess(max(ages), 2 * mirror.WATCH_SECONDS)
+
+        self.follow(hosts, test)
+
+    def test_silent_watch_is_found_out(self):
+        """A list brings what dead watches do not, within their time."""
+        hosts = Hosts(['one'])
+
+        async def test():
+            await anyio.sleep(1)
+            hosts.memory.silent_watches = True
+            hosts.memory.put(KIND, 'a', {})
+            hosts.memory.forget_history()
+            await anyio.sleep(mirror.WATCH_SECONDS + 0.1)
+            self.assertEqual({'a'}, hosts.names('one'))
+
+        self.follow(hosts, test)
+
+    def test_older_snapshot_changes_nothing(self):
+        hosts = Hosts(['one'])
+        hosts.memory.put(KIND, 'a', {'n': 1})
+
+        async def test():
+            old = await hosts.memory.port.list(KIND)
+            hosts.memory.put(KIND, 'a', {'n': 2})
+            await anyio.sleep(1)
+            copy = hosts.mirrors['one']
+            copy._take(old.ok_value, whole=True)
+            self.assertEqual({'n': 2}, copy.records['a'].data)
+
+        self.follow(hosts, test)
+
+    def test_outage_ends(self):
+        hosts = Hosts(['one', 'two'])
+
+        async def test():
+            hosts.memory.outage = True
+            await anyio.sleep(10)
+            hosts.memory.put(KIND, 'a', {})
+            hosts.memory.outage = False
+            await anyio.sleep(1.5)
+            for name in hosts.mirrors:
+                self.assertEqual({'a'}, hosts.names(name))
+
+        self.follow(hosts, test)
+
+
+class TestStoreRelay(unittest.TestCase):
+    def connect(self):
+        memory = record_fakes.MemoryRecords()
+        network = fakes.Network()
+        relays = {}
+        for name, port in (
+            ('cut', platform_fakes.dead_port()),
+            ('well', memory.port),
+        ):
+            peers = network.port(name)
+            relays[name] = store_relay.StoreRelay(name, port, peers)
+            network.handlers[name] = relays[name].handlers
+        return memory, relays['cut']
+
+    def test_each_call_goes_through_a_peer(self):
+        memory, relay = self.connect()
+
+        async def test():
+            port = relay.port
+            created = await port.create(KIND, 'a', {'n': 1})
+            self.assertIsInstance(created, result.Ok)
+            again = await port.create(KIND, 'a', {'n': 2})
+            self.assertEqual(events.STORE_CONFLICT, again.err_value.event)
+            found = await port.get(KIND, 'a')
+            self.assertEqual({'n': 1}, found.ok_value.data)
+            missing = await port.get(KIND, 'b')
+            self.assertEqual(events.STORE_NOT_FOUND, missing.err_value.event)
+            listed = await port.list(KIND)
+            self.assertEqual(['a'], [r.name for r in listed.ok_value.records])
+            version = listed.ok_value.version
+            watched = await port.watch(KIND, version, 0.5)
+            self.assertEqual([], watched.ok_value.records)
+            memory.forget_history()
+            lost = await port.watch(KIND, version - 1, 0.5)
+            self.assertEqual(events.STORE_HISTORY_LOST, lost.err_value.event)
+            self.assertFalse(relay.reaches_store)
+
+        fakes.run(test)
+
+    @expand([(fakes.LOST_ANSWER,), (fakes.LOST_REQUEST,)])
+    def test_lost_answer_through_a_peer_is_unknown(self, fault):
+        memory, relay = self.connect()
+
+        async def test():
+            memory.faults.append(fault)
+            written = await relay.port.create(KIND, 'a', {})
+            self.assertIs(
+                verdicts.Verdict.MAY_HAVE_RUN, written.err_value.verdict
+            )
+
+        fakes.run(test)
+
+    def test_outage_of_all_is_not_run(self):
+        memory, relay = self.connect()
+
+        async def test():
+            memory.outage = True
+            written = await relay.port.create(KIND, 'a', {})
+            self.assertIs(verdicts.Verdict.NOT_RUN, written.err_value.verdict)
+
+        fakes.run(test)
+
+
+def entry(name='i-1', state='ready', version=5, **data):
+    row = platform_fakes.Server(name)
+    row.address = '10.0.0.1:80'
+    return records.Record(name, version, {**row.entry(state), **data}, {})
+
+
+class TestCatalog(unittest.TestCase):
+    def make(self, trouble=float('inf')):
+        board = blackboard.Blackboard()
+        made = catalog.Catalog(
+            'host',
+            board,
+            catalog.CatalogPorts(
+                objects.read_configuration,
+                objects.read_target,
+                objects.CONFIG_NAME,
+                lambda: trouble,
+            ),
+        )
+        return board, made
+
+    def configure(self, made, version, revision):
+        data = platform_fakes.configuration(version)
+        made.take_configuration([records.Record('main', revision, data, {})])
+
+    def test_version_never_falls(self):
+        async def test():
+            board, made = self.make()
+            self.configure(made, 7, 10)
+            self.configure(made, 5, 11)
+            known = board.routes.get(catalog.ROUTES_KEY)
+            self.assertEqual(7, known.version)
+
+        fakes.run(test)
+
+    @expand(
+        [
+            ('other fields', {'version': 'x'}),
+            ('bad type', {'version': 9, 'routes': [{'name': 3}]}),
+        ]
+    )
+    def test_unreadable_configuration_changes_nothing(self, _, data):
+        async def test():
+            board, made = self.make()
+            self.configure(made, 7, 10)
+            made.take_configuration([records.Record('main', 12, data, {})])
+            known = board.routes.get(catalog.ROUTES_KEY)
+            self.assertEqual(7, known.version)
+
+        fakes.run(test)
+
+    def test_leaving_is_never_undone(self):
+        async def test():
+            board, made = self.make()
+            made.take_targets([entry(state='draining')])
+            made.take_targets([entry(state='ready', version=6)])
+            self.assertTrue(board.targets.get('i-1').leaving)
+
+        fakes.run(test)
+
+    def test_unreadable_entry_keeps_the_last_one(self):
+        async def test():
+            board, made = self.make()
+            made.take_targets([entry()])
+            made.take_targets([entry(version=6, address=5)])
+            self.assertEqual('10.0.0.1:80', board.targets.get('i-1').address)
+
+        fakes.run(test)
+
+    @expand(
+        [
+            ('calm store', float('inf'), 'ready', 0.2, False),
+            ('trouble', 1.0, 'ready', 0.2, True),
+            ('trouble, late', 1.0, 'ready', 2.0, False),
+            ('trouble, was leaving', 1.0, 'draining', 0.2, False),
+        ]
+    )
+    def test_removed_entry(self, _, trouble, state, after, known):
+        async def test():
+            board, made = self.make(trouble)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(made.run)
+                made.take_targets([entry(state=state)])
+                gone = entry(version=9)._replace(deleted=True)
+                made.take_targets([gone])
+                await anyio.sleep(after)
+                self.assertEqual(known, 'i-1' in board.targets)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
+
+class TestOccupancy(unittest.TestCase):
+    def test_peers_count_what_others_run(self):
+        async def test():
+            network = fakes.Network()
+            made = {}
+            async with anyio.create_task_group() as tasks:
+                for name in ('one', 'two'):
+                    port = network.port(name, tasks)
+                    made[name] = occupancy.Occupancy(port)
+                    network.handlers[name] = made[name].handlers
+                    tasks.start_soon(made[name].run)
+                made['one'].add_online('t', 1)
+                made['one'].add_batch('t', 2)
+                made['one'].set_waiting(3)
+                await anyio.sleep(0.1)
+                self.assertEqual((1, 2), made['two'].at('t'))
+                self.assertEqual(3, made['two'].waiting)
+                made['one'].add_batch('t', -2)
+                await anyio.sleep(0.1)
+                self.assertEqual((1, 0), made['two'].at('t'))
+                made['two'].forget('one')
+                self.assertEqual((0, 0), made['two'].at('t'))
+                await anyio.sleep(1.5)
+                self.assertEqual((1, 0), made['two'].at('t'))
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
+
+class TestConduct(unittest.TestCase):
+    @expand(
+        [
+            ('one break', 1, False, True),
+            ('two breaks', 2, False, False),
+            ('unreachable', 1, True, False),
+        ]
+    )
+    def test_failures(self, _, count, unreachable, usable):
+        async def test():
+            made = conduct.Conduct('host', blackboard.Blackboard())
+            for _ in range(count):
+                made.note_failure('t', 'x', unreachable=unreachable)
+            self.assertEqual(usable, made.is_usable('t'))
+
+        fakes.run(test)
+
+    def test_block_ends(self):
+        async def test():
+            made = conduct.Conduct('host', blackboard.Blackboard())
+            for _ in range(9):
+                made.note_failure('t', 'x')
+            await anyio.sleep(conduct.MAX_BLOCK_SECONDS)
+            self.assertTrue(made.is_usable('t'))
+
+        fakes.run(test)
+
+    def test_slow_target_is_tried_again(self):
+        async def test():
+            made = conduct.Conduct('host', blackboard.Blackboard())
+            for name, seconds in (('a', 0.08), ('b', 0.08), ('slow', 0.4)):
+                made.note_first(name, seconds)
+            self.assertEqual(1.0, made.pace('a'))
+            self.assertGreater(made.pace('slow'), 4)
+            await anyio.sleep(conduct.DECAY_SECONDS)
+            self.assertEqual(1.0, made.pace('slow'))
+
+        fakes.run(test)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,315 @@
+"""The platform's formats: settings, requests, jobs and their names."""
+
+import os
+import pathlib
+import re
+import tempfile
+import unittest
+
+import parameterized
+
+from persimmonpass import blackboard
+from persimmonpass.cli import gateway as command
+from persimmonpass import exceptions
+from persimmonpass import exchange
+from persimmonpass import log_sink
+from persimmonpass.platform import app
+from persimmonpass.platform import jobs
+from persimmonpass.platform import objects
+from persimmonpass.platform import settings
+from persimmonpass.platform import wire
+from persimmonpass import records
+from persimmonpass import routes
+from persimmonpass import work
+from tests import platform_fakes
+from tests import processes
+
+expand = parameterized.parameterized.expand
+SOURCE = processes.ROOT / 'src' / 'persimmonpass'
+FOLDER = SOURCE / 'platform'
+TARGET = blackboard.Target('i-1', '10.0.0.1:80', 'engine', 'a', {})
+SETTINGS = """
+nodeName: "edge-a-1"
+zone: "a"
+ip: "10.1.0.10"
+newField: 3
+listen:
+  front: "10.1.0.10:8161"
+  ready: "10.1.0.10:8167"
+portRange: [7720, 7735]
+seeds: ["10.1.0.10:8166", "10.2.0.40:8166"]
+bounds: {graceS: 8, drainMs: 2000}
+platform: {address: "10.200.1.7:8169", writesPerS: 400}
+"""
+# Names that only the platform uses; each stands in its folder alone.
+WIRE_NAMES = re.compile(
+    r'/persimmonpass/|nodeName|portRange|pathPrefix|runTargetMs|maxAttempts'
+    r'|sloMs|storeRevision|waitMs|hasMore|Expect-Instance'
+    r'|Not-Executed|Deadline-Ms|dead_letter|Response-Signature|Token-Usage'
+    r'|not-executed|expect-instance|request-id|deadline-ms|wait-ms'
+)
+
+
+def call(headers=(), body=b'x', path=b'/a?b=%41', method='POST'):
+    return wire.read_call(
+        method,
+        path,
+        [(b'host', b'h'), (b'request-id', b'r1'), *headers],
+        body,
+    )
+
+
+class TestSettings(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'boot.yaml'
+            path.write_text(text)
+            return settings.read(str(path))
+
+    def test_fields(self):
+        found = self.read(SETTINGS)
+        self.assertEqual('edge-a-1', found.host)
+        self.assertEqual('10.1.0.10:7720', found.peer_listen)
+        self.assertEqual(('10.2.0.40:7720',), found.seed_peers)
+        self.assertEqual('', found.entry_listen)
+        self.assertEqual(2.0, found.target_drain_seconds)
+
+    @expand(
+        [
+            ('no yaml', '{', 'boot.yaml'),
+            ('missing', 'zone: a', 'nodeName'),
+            ('wrong type', SETTINGS.replace('"a"', '[]'), 'zone'),
+            ('one port', SETTINGS.replace('[7720, 7735]', '[1]'), 'portRange'),
+            ('few ports', SETTINGS.replace('7735', '7720'), 'portRange'),
+        ]
+    )
+    def test_wrong(self, _, text, named):
+        with self.assertRaises(exceptions.SettingsError) as caught:
+            self.read(text)
+        self.assertIn(named, str(caught.exception))
+        self.assertNotIn('\n', str(caught.exception))
+
+    def test_missing_file(self):
+        with self.assertRaises(exceptions.SettingsError):
+            settings.read('/nonexistent/boot.yaml')
+
+    def test_reload_of_a_wrong_file_changes_nothing(self):
+        options = self.read(SETTINGS)
+        command.reload('/nonexistent/boot.yaml', options)
+
+
+class TestWire(unittest.TestCase):
+    def test_call(self):
+        found = call([(b'Deadline-Ms', b'1500'), (b'Last-Event-Id', b'7')])
+        self.assertEqual('r1', found.id)
+        self.assertEqual('/a', found.route_path)
+        self.assertEqual(1.5, found.deadline_seconds)
+        self.assertEqual(7, found.resume_after)
+
+    def test_golden_request(self):
+        found = call(
+            [
+                (b'Connection', b'keep-alive'),
+                (b'Deadline-Ms', b'1500'),
+                (b'Model', b'm'),
+                (b'content-length', b'1'),
+            ]
+        )
+        self.assertEqual(
+            [
+                (b'Host', b'h'),
+                (b'Request-Id', b'r1'),
+                (b'Model', b'm'),
+                (b'Deadline-Ms', b'1200'),
+                (b'Expect-Instance', b'i-1'),
+                (b'Last-Event-Id', b'3'),
+                (b'Content-Length', b'1'),
+            ],
+            wire.encode(found, TARGET, 1.2, 3),
+        )
+
+    @expand(
+        [
+            ('own', 200, [(b'Request-Id', b'r1')], True, False, False),
+            ('foreign', 200, [(b'Request-Id', b'r2')], False, False, False),
+            ('nameless', 200, [], False, False, False),
+            ('full', 503, [(b'Not-Executed', b'1')], True, True, False),
+            ('a 503 that ran', 503, [(b'Request-Id', b'r1')], True, False,
+             False),
+            ('elsewhere', 421, [], True, True, True),
+            ('foreign refusal', 503,
+             [(b'Not-Executed', b'1'), (b'Request-Id', b'r2')], False, True,
+             False),
+        ]
+    )  # fmt: skip
+    def test_head(self, _, status, headers, own, not_run, other):
+        head = wire.decode(call(), status, headers)
+        self.assertEqual(
+            (own, not_run, other),
+            (head.is_own, head.not_run, head.other_target),
+        )
+
+    @expand(
+        [
+            ('events', 200, b'text/event-stream', True),
+            ('with charset', 200, b'text/event-stream; charset=utf-8', True),
+            ('json', 200, b'application/json', False),
+            ('failed', 500, b'text/event-stream', False),
+        ]
+    )
+    def test_stream(self, _, status, kind, expected):
+        headers = [(b'Request-Id', b'r1'), (b'Content-Type', kind)]
+        head = wire.decode(call(), status, headers)
+        self.assertEqual(expected, head.is_stream)
+
+
+class TestEvents(unittest.TestCase):
+    @expand(
+        [
+            ('whole', [b'id: 1\ndata: a\n\n'], [(1, b'a')], False),
+            ('cut', [b'id: 1\ndata: a\n'], [], True),
+            ('split', [b'id: 1\nda', b'ta: a\n', b'\n'], [(1, b'a')], False),
+            ('two', [b'id:1\ndata:a\n\nid:2\ndata:b\n\n'],
+             [(1, b'a'), (2, b'b')], False),
+            ('lines', [b'id: 1\ndata: a\ndata: b\n\n'], [(1, b'a\nb')], False),
+            ('no id', [b'data: a\n\n'], [(None, b'a')], False),
+            ('other lines', [b'weight-versions: 3\nid: 4\ndata: x\n\n'],
+             [(4, b'x')], False),
+        ]
+    )  # fmt: skip
+    def test_reader(self, _, chunks, expected, rest):
+        reader = exchange.EventReader()
+        found = [event for chunk in chunks for event in reader.feed(chunk)]
+        self.assertEqual(expected, [(one.id, one.data) for one in found])
+        self.assertEqual(rest, reader.has_rest)
+
+    def test_endless_event(self):
+        reader = exchange.EventReader()
+        with self.assertRaises(ValueError):
+            reader.feed(b'x' * (exchange.MAX_EVENT_BYTES + 1))
+
+
+class TestConfiguration(unittest.TestCase):
+    def test_routes(self):
+        data = platform_fakes.configuration(
+            3,
+            [
+                platform_fakes.route(
+                    '/a/',
+                    split=[
+                        {'service': 'x', 'weight': 90},
+                        {'service': 'y', 'weight': 10},
+                    ],
+                ),
+                platform_fakes.route('/a/b/', 'non_idempotent'),
+                platform_fakes.route('/c/', 'of a later release'),
+            ],
+        )
+        found = objects.read_configuration(records.Record('main', 1, data, {}))
+        self.assertEqual(2, len(found.routes))
+        first = routes.find(found.routes, platform_fakes.HOST, '/a/x')
+        self.assertEqual(routes.Kind.STREAM, first.kind)
+        self.assertEqual(0.3, first.objective_seconds)
+        second = routes.find(found.routes, platform_fakes.HOST, '/a/b/c')
+        self.assertEqual('/a/b/', second.path_prefix)
+        self.assertIsNone(routes.find(found.routes, 'other', '/a/x'))
+        self.assertIsNone(
+            routes.find(found.routes, platform_fakes.HOST, '/ab/')
+        )
+        picked = [
+            routes.pick_service(first, f'r{number}') for number in range(1000)
+        ]
+        self.assertTrue(0.85 < picked.count('x') / 1000 < 0.95)
+
+
+class TestJobs(unittest.TestCase):
+    def test_golden_session(self):
+        body = platform_fakes.submission(1).encode()
+        route = routes.Route(
+            'jobs', 'h', '/jobs/', routes.Kind.JOB, (), 1.0, 1.0
+        )
+        job = jobs.read_job(call(body=body), route)
+        self.assertEqual('r1', job.id)
+        self.assertEqual(
+            [work.Item('item-0', '/jobs/0', [('Model', 'm')], 'eA==', 10)],
+            job.items,
+        )
+        page = jobs.encode_page(
+            2,
+            1,
+            [
+                work.ItemResult('a', work.State.COMPLETED, 'x\ny'),
+                work.ItemResult('b', work.State.FAILED),
+            ],
+        )
+        self.assertEqual(
+            b'{"total":2,"next":1,"results":['
+            b'{"id":"a","state":"completed","output":"x\\ny"},'
+            b'{"id":"b","state":"dead_letter","output":""}]}',
+            page,
+        )
+
+
+class TestNames(unittest.TestCase):
+    def test_names_stand_in_the_folder_alone(self):
+        found = [
+            f'{path.relative_to(SOURCE)}: {name}'
+            for path in SOURCE.rglob('*.py')
+            if FOLDER not in path.parents
+            for name in WIRE_NAMES.findall(path.read_text())
+        ]
+        self.assertEqual([], found)
+
+    def test_folder_decides_nothing(self):
+        """It imports no decision and neither waits nor counts nor draws."""
+        pattern = re.compile(
+            r'persimmonpass\.(policy|controllers)|\bsleep\(|random|retry\('
+        )
+        found = [
+            f'{path.name}: {match}'
+            for path in FOLDER.glob('*.py')
+            for match in pattern.findall(path.read_text())
+        ]
+        self.assertEqual([], found)
+
+    def test_folder_is_small(self):
+        def lines(paths):
+            return sum(len(path.read_text().splitlines()) for path in paths)
+
+        whole = lines(SOURCE.rglob('*.py'))
+        self.assertLess(lines(FOLDER.glob('*.py')), whole / 10)
+
+    def test_paths(self):
+        self.assertTrue(app.READY_PATH.startswith('/'))
+
+
+class TestLogSink(unittest.TestCase):
+    def test_reader_that_stops_costs_lines_only(self):
+        reading, writing = os.pipe()
+        try:
+            sink = log_sink.LogSink(writing)
+            for number in range(30_000):
+                sink({'message_type': f'kind {number % 100}', 'x': 'y' * 90})
+            self.assertGreater(sink.dropped, 0)
+        finally:
+            os.close(reading)
+            os.close(writing)
+
+    def test_kind_that_says_too_much_is_counted(self):
+        reading, writing = os.pipe()
+        try:
+            sink = log_sink.LogSink(writing)
+            for _ in range(log_sink.MAX_LINES_PER_SECOND * 3):
+                sink({'message_type': 'a'})
+            self.assertGreater(sink.dropped, 0)
+            lines = os.read(reading, 1_000_000).splitlines()
+            self.assertLessEqual(
+                len(lines), 2 * log_sink.MAX_LINES_PER_SECOND + 1
+            )
+        finally:
+            os.close(reading)
+            os.close(writing)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,407 @@
+"""Jobs: accepted once, each position one result, one runner."""
+
+import unittest
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import parameterized
+import result
+
+from persimmonpass import blackboard
+from persimmonpass.controllers import mirror
+from persimmonpass.controllers import work_log
+from persimmonpass.controllers import work_role
+from persimmonpass import records
+from persimmonpass import routes
+from persimmonpass import work
+from tests import fakes
+from tests import record_fakes
+
+expand = parameterized.parameterized.expand
+ROUTE = routes.Route(
+    'jobs',
+    'h',
+    '/jobs/',
+    routes.Kind.JOB,
+    (routes.Share('s', 1.0),),
+    15.0,
+    0.4,
+    max_waiting_tokens=100,
+)
+
+
+def make_job(job_id='j', count=3, tokens=10):
+    items = [
+        work.Item(f'{job_id}-{number}', '/jobs/x', [], 'eA==', tokens)
+        for number in range(count)
+    ]
+    return work.Job(job_id, 'jobs', 'h', 0.0, items)
+
+
+def done(item, output='x'):
+    return work.ItemResult(item, work.State.COMPLETED, output)
+
+
+class Host:
+    """A log with its copy of the records."""
+
+    def __init__(self, memory, name='host'):
+        self.memory = memory
+        self.log = work_log.WorkLog(name, memory.port, lambda: self.copy, 0.1)
+        network = fakes.Network()
+        self.copy = mirror.Mirror(
+            name, work.KIND, memory.port, network.port(name), self.log.take
+        )
+
+
+class TestAccept(unittest.TestCase):
+    @expand(
+        [
+            ('calm', [], 202),
+            ('answer lost', [fakes.LOST_ANSWER], 202),
+            ('request lost', [fakes.LOST_REQUEST], 202),
+            ('both', [fakes.LOST_REQUEST, fakes.LOST_ANSWER], 202),
+            ('lands later', [fakes.DELAYED], 202),
+            ('never known', [fakes.LOST_REQUEST] * 99, 504),
+        ]
+    )
+    def test_faults(self, _, faults, expected):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            memory.faults.extend(faults)
+            host = Host(memory)
+            deadline = anyio.current_time() + 4
+            outcome = await host.log.accept(make_job(), ROUTE, deadline)
+            status = 202 if outcome.is_ok() else outcome.err_value.status
+            self.assertEqual(expected, status)
+            memory.land()
+            stored = [name for _, name in memory.rows]
+            self.assertEqual(['j.j'] if status == 202 else [], stored)
+
+        fakes.run(test)
+
+    def test_outage_is_refused_and_stays_refused(self):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            memory.outage = True
+            host = Host(memory)
+            began = anyio.current_time()
+            outcome = await host.log.accept(make_job(), ROUTE, began + 4)
+            self.assertEqual(503, outcome.err_value.status)
+            self.assertLess(anyio.current_time() - began, 2)
+            self.assertEqual({}, memory.rows)
+
+        fakes.run(test)
+
+    def test_same_job_at_two_hosts_at_once(self):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            hosts = [Host(memory), Host(memory)]
+            outcomes = []
+
+            async def accept(host):
+                outcomes.append(
+                    await host.log.accept(
+                        make_job(), ROUTE, anyio.current_time() + 4
+                    )
+                )
+
+            async with anyio.create_task_group() as tasks:
+                for host in hosts:
+                    tasks.start_soon(accept, host)
+            self.assertEqual([True, True], [one.is_ok() for one in outcomes])
+            self.assertEqual(1, len(memory.rows))
+
+        fakes.run(test)
+
+    @expand([('fits', 10, 202), ('too many', 11, 429)])
+    def test_quota_counts_what_waits(self, _, count, expected):
+        async def test():
+            host = Host(record_fakes.MemoryRecords())
+            deadline = anyio.current_time() + 4
+            first = make_job('a', 2)
+            await host.log.accept(first, ROUTE, deadline)
+            await host.log.commit('a', [done('a-0'), done('a-1')])
+            job = make_job('b', count)
+            outcome = await host.log.accept(job, ROUTE, deadline)
+            status = 202 if outcome.is_ok() else outcome.err_value.status
+            self.assertEqual(expected, status)
+
+        fakes.run(test)
+
+
+class TestResults(unittest.TestCase):
+    def test_stale_writer_adds_nothing_twice(self):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            hosts = [Host(memory), Host(memory)]
+            deadline = anyio.current_time() + 4
+            for host in hosts:
+                await host.log.accept(make_job(), ROUTE, deadline)
+            # The second host was told of the job, of no result.
+            hosts[1].log.take([memory.rows[work.KIND, 'j.j']])
+            await hosts[0].log.commit('j', [done('j-0', 'first')])
+            late = [done('j-0', 'second'), done('j-1', 'other')]
+            self.assertFalse(await hosts[1].log.commit('j', late))
+            self.assertTrue(await hosts[1].log.commit('j', late))
+            state = hosts[1].log.jobs['j']
+            self.assertEqual(
+                [done('j-0', 'first'), done('j-1', 'other')], state.results
+            )
+
+        fakes.run(test)
+
+    def test_read_waits_for_a_result(self):
+        async def test():
+            host = Host(record_fakes.MemoryRecords())
+            deadline = anyio.current_time() + 4
+            await host.log.accept(make_job(), ROUTE, deadline)
+            pages = []
+
+            async def read():
+                pages.append(await host.log.read('j', 0, 1.0))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(host.copy.run)
+                tasks.start_soon(read)
+                await anyio.sleep(0.3)
+                await host.log.commit('j', [done('j-2')])
+                await anyio.sleep(0.1)
+                self.assertEqual((3, 1), pages[0].ok_value[:2])
+                rest = await host.log.read('j', 1, 0.2)
+                self.assertEqual((3, 1, []), rest.ok_value)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
+    def test_old_copy_does_not_say_that_there_is_no_more(self):
+        async def test():
+            host = Host(record_fakes.MemoryRecords())
+            deadline = anyio.current_time() + 4
+            await host.log.accept(make_job(), ROUTE, deadline)
+            outcome = await host.log.read('j', 0, 0.2)
+            self.assertEqual(503, outcome.err_value.status)
+
+        fakes.run(test)
+
+    def test_results_of_an_unknown_order(self):
+        state_ = None
+
+        async def test():
+            nonlocal state_
+            state_ = work_log.JobState(1)
+            state_.take(work.Change('j', job=make_job()))
+            state_.take(work.Change('j', number=1, results=[done('j-1')]))
+            self.assertEqual([], state_.results)
+            state_.take(work.Change('j', number=0, results=[done('j-0')]))
+            state_.take(work.Change('j', number=1, results=[done('j-9')]))
+            self.assertEqual([done('j-0'), done('j-1')], state_.results)
+
+        fakes.run(test)
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=60, database=None
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 1),
+                strategies.sets(strategies.integers(0, 5), max_size=4),
+                strategies.sampled_from(
+                    [
+                        None,
+                        fakes.LOST_ANSWER,
+                        fakes.LOST_REQUEST,
+                        fakes.DELAYED,
+                        'land',
+                        'restart',
+                    ]
+                ),
+            ),
+            max_size=12,
+        )
+    )
+    def test_each_item_has_one_result_for_ever(self, steps):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            hosts = [Host(memory), Host(memory)]
+            deadline = anyio.current_time() + 4
+            job = make_job('j', 6)
+            for host in hosts:
+                await host.log.accept(job, ROUTE, deadline)
+                host.log.take([memory.rows[work.KIND, 'j.j']])
+            shown = []
+            for turn, (index, numbers, fault) in enumerate(steps):
+                if fault == 'land':
+                    memory.land()
+                elif fault == 'restart':
+                    hosts[index] = Host(memory)
+                    listed = await memory.port.list(work.KIND)
+                    hosts[index].log.take(listed.ok_value.records)
+                else:
+                    memory.faults.append(fault)
+                results = [
+                    done(f'j-{number}', f'{turn}') for number in numbers
+                ]
+                await hosts[index].log.commit('j', results)
+                memory.faults.clear()
+                for host in hosts:
+                    found = host.log.jobs['j'].results
+                    common = min(len(found), len(shown))
+                    self.assertEqual(shown[:common], found[:common])
+                    if len(found) > len(shown):
+                        shown = list(found)
+            memory.land()
+            fresh = Host(memory)
+            listed = await memory.port.list(work.KIND)
+            fresh.log.take(listed.ok_value.records)
+            final = fresh.log.jobs['j'].results
+            self.assertEqual(shown, final[: len(shown)])
+            items = [one.item for one in final]
+            self.assertEqual(len(items), len(set(items)))
+
+        fakes.run(test)
+
+
+class Roles:
+    """The roles of some hosts."""
+
+    def __init__(self, names):
+        self.network = fakes.Network()
+        self.names = names
+        self.roles = {}
+        self.down = set()
+
+    def start(self, tasks):
+        for name in self.names:
+            board = blackboard.Blackboard()
+            for other in self.names:
+                board.members.put(
+                    other, blackboard.Member(other, 1, 'a', '', '')
+                )
+            role = work_role.WorkRole(
+                name,
+                board,
+                self.network.port(name, tasks),
+                lambda name=name: name not in self.down,
+            )
+            self.network.handlers[name] = role.handlers
+            self.roles[name] = role
+        tasks.start_soon(self._judge)
+
+    async def _judge(self):
+        while True:
+            for role in self.roles.values():
+                role.judge()
+            await anyio.sleep(0.05)
+
+    def runners(self):
+        return [name for name, role in self.roles.items() if role.is_runner]
+
+    def cut(self, name):
+        for other in self.names:
+            if other != name:
+                self.network.cut.add(frozenset((name, other)))
+
+
+class TestRole(unittest.TestCase):
+    def play(self, test, count=4):
+        roles = Roles([f'host-{number}' for number in range(count)])
+
+        async def run():
+            async with anyio.create_task_group() as tasks:
+                roles.start(tasks)
+                await anyio.sleep(3)
+                await test(roles)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(run)
+
+    def test_one_host_runs(self):
+        async def test(roles):
+            self.assertEqual(1, len(roles.runners()))
+
+        self.play(test)
+
+    def test_leaving_host_hands_over_and_does_not_take_it_back(self):
+        async def test(roles):
+            first = roles.runners()
+            roles.down.update(first)
+            await anyio.sleep(0.5)
+            second = roles.runners()
+            self.assertEqual(1, len(second))
+            self.assertNotEqual(first, second)
+            roles.down.clear()
+            await anyio.sleep(5)
+            self.assertEqual(second, roles.runners())
+
+        self.play(test)
+
+    def test_cut_off_runner_leaves_it_to_the_others(self):
+        async def test(roles):
+            (first,) = roles.runners()
+            roles.cut(first)
+            await anyio.sleep(1)
+            (second,) = roles.runners()
+            self.assertNotEqual(first, second)
+            roles.network.cut.clear()
+            await anyio.sleep(2)
+            self.assertEqual([second], roles.runners())
+
+        self.play(test)
+
+    def test_two_that_claim_it_become_one(self):
+        async def test(roles):
+            for role in roles.roles.values():
+                role.is_runner = True
+                role._claim = work_role.Claim(7, role._host)
+            await anyio.sleep(1)
+            self.assertEqual(1, len(roles.runners()))
+
+        self.play(test)
+
+
+class TestRecords(unittest.TestCase):
+    def test_round_trip(self):
+        job = make_job()
+        name = work.job_name('j')
+        found = work.read(records.Record(name, 1, work.encode_job(job), {}))
+        self.assertEqual(job, found.job)
+        results = [done('a', 'x\ny'), work.ItemResult('b', work.State.FAILED)]
+        name = work.results_name('j', 3)
+        data = work.encode_results(results)
+        found = work.read(records.Record(name, 1, data, {}))
+        self.assertEqual((3, results), (found.number, found.results))
+
+    @expand(
+        [
+            ('other', 'x.j', {}),
+            ('empty', 'j.j', {}),
+            ('results', 'r.j.000001', {'results': 3}),
+            ('number', 'r.j.x', {'results': []}),
+        ]
+    )
+    def test_unreadable(self, _, name, data):
+        self.assertIsNone(work.read(records.Record(name, 1, data, {})))
+
+
+class TestOutcome(unittest.TestCase):
+    def test_end_is_kept(self):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            host = Host(memory)
+            deadline = anyio.current_time() + 4
+            await host.log.accept(make_job(), ROUTE, deadline)
+            memory.faults.append(fakes.LOST_ANSWER)
+            for _ in range(2):
+                ended = await host.log.end('j', deadline)
+                self.assertIsInstance(ended, result.Ok)
+            self.assertFalse(host.log.jobs['j'].is_open)
+            self.assertEqual(0, host.log.waiting_tokens('jobs'))
+
+        fakes.run(test)
+
+
+if __name__ == '__main__':
+    unittest.main()
