Never join the texts of two runs of an item

Ruled out: the target (its runs went on where asked), the log of results. Change: texts are told under the term and host of their runner and joined only within one of them; a new run outdates earlier ones.

--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -13,6 +13,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass import item_text
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import shards
 from persimmonpass import verdicts
@@ -60,6 +61,7 @@
         self._told_at = -CLAIM_SECONDS
         self._settled_at: float | None = None
         self._resigned: str | None = None
+        self._own_term = 0
 
     @property
     def handlers(self) -> peer_port.Handlers:
@@ -75,6 +77,11 @@
         connected = self._claim.host in self._peers.connected()
         return self._claim.host if age < EXPIRY_SECONDS and connected else None
 
+    @property
+    def source(self) -> item_text.Source:
+        """Under which this host tells the texts of items."""
+        return item_text.Source(self._own_term, self._host)
+
     def successors(self) -> list[str]:
         """Return the peers that would take over, the first one first."""
         ranked = shards.ranked(RUNNER_KEY, self._reached())
@@ -99,6 +106,7 @@
         elif not before and now >= self._settled_at:
             if self.holder is None and self._is_first():
                 self._claim = Claim(self._claim.term + 1, self._host)
+                self._own_term = self._claim.term
                 self.is_runner = True
         if self.is_runner and now - self._told_at >= CLAIM_SECONDS:
             self._tell(now, True)
--- a/src/persimmonpass/controllers/work_runner.py
+++ b/src/persimmonpass/controllers/work_runner.py
@@ -22,6 +22,7 @@
 from persimmonpass import events
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
+from persimmonpass import item_text
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import work as policy
 from persimmonpass import routes
@@ -73,15 +74,10 @@
 
 
 class _Item:
-    """What this host knows of an item that is not done.
-
-    :ivar texts: data of its events so far
-    :ivar last_id: id of the last of them
-    """
+    """What this host knows of an item that is not done."""
 
     def __init__(self) -> None:
-        self.texts: list[str] = []
-        self.last_id: int | None = None
+        self.text = item_text.ItemText()
         self.failures = 0
         self.breaks = 0
         self.not_before = 0.0
@@ -136,7 +132,11 @@
             self._items.clear()
 
     def _step(self) -> None:
-        ceased = self._role.judge() and not self._role.is_runner
+        changed = self._role.judge()
+        if changed:
+            # What others were told in an earlier term counts no more.
+            self._told.clear()
+        ceased = changed and not self._role.is_runner
         self._drop_done()
         if self._role.is_runner:
             self._yield_places()
@@ -157,27 +157,36 @@
 
         :param ceased: another host runs them now and is told everything
         """
-        if ceased:
-            self._told.clear()
-        elif not self._role.is_runner:
-            return
-        elif now - self._told_at < PROGRESS_SECONDS:
+        is_due = now - self._told_at >= PROGRESS_SECONDS
+        if not ceased and not (self._role.is_runner and is_due):
             return
         self._told_at = now
         backups = self._role.successors()[:BACKUP_HOSTS]
         holder = self._role.holder
         if ceased and holder is not None and holder not in backups:
             backups.append(holder)
-        self._told = {peer: self._told.get(peer, {}) for peer in backups}
+        # A link that was lost may have lost what was told.
+        connected = set(self._ports.peers.connected())
+        self._told = {
+            peer: self._told.get(peer, {})
+            for peer in backups
+            if peer in connected
+        }
         for peer, told in self._told.items():
             rows = []
             for key, item in self._items.items():
                 count = told.get(key, 0)
-                if item.outcome is None and len(item.texts) > count:
+                if item.outcome is None and len(item.text.texts) > count:
                     rows.append(
-                        [*key, count, item.last_id, item.texts[count:]]
+                        [
+                            *key,
+                            self._role.source,
+                            count,
+                            item.text.last_id,
+                            item.text.texts[count:],
+                        ]
                     )
-                    told[key] = len(item.texts)
+                    told[key] = len(item.text.texts)
             for key in set(told) - set(self._items):
                 del told[key]
             if rows:
@@ -187,13 +196,12 @@
         self, peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
         """Keep what another host's items have, in case it ends."""
-        for job_id, number, count, last_id, texts in payload:
+        for job_id, number, source, count, last_id, texts in payload:
             item = self._items.setdefault((job_id, number), _Item())
-            have = len(item.texts)
-            is_newer = count <= have < count + len(texts)
-            if is_newer and item.scope is None and item.outcome is None:
-                item.texts[count:] = texts
-                item.last_id = last_id
+            if item.scope is None and item.outcome is None:
+                item.text.take(
+                    item_text.Source(*source), count, last_id, texts
+                )
         return result.Ok(None)
 
     def _drop_done(self) -> None:
@@ -224,7 +232,9 @@
         for key, item in self._items.items():
             if item.scope is not None and item.target is not None:
                 by_target.setdefault(item.target, []).append(
-                    policy.Running(key, self._due_at(key[0]), len(item.texts))
+                    policy.Running(
+                        key, self._due_at(key[0]), len(item.text.texts)
+                    )
                 )
         for name, running in by_target.items():
             row = self._ports.board.targets.get(name)
@@ -249,7 +259,7 @@
                         target=name,
                         online=counts.online,
                         batch=counts.batch,
-                        events=len(item.texts),
+                        events=len(item.text.texts),
                     )
                     item.scope.cancel()
                     item.not_before = anyio.current_time() + PREEMPTED_SECONDS
@@ -287,7 +297,7 @@
                 left = self._item_seconds
                 if item is not None:
                     left = policy.left_seconds(
-                        left, self._item_events, len(item.texts)
+                        left, self._item_events, len(item.text.texts)
                     )
                     if item.scope is not None or item.outcome is not None:
                         continue
@@ -355,7 +365,8 @@
         target: blackboard.Target,
     ) -> None:
         began = anyio.current_time()
-        had = len(item.texts)
+        had = len(item.text.texts)
+        item.text.claim(self._role.source)
         scope = item.scope or anyio.CancelScope()
         events.log(
             events.ITEM_STARTED,
@@ -363,7 +374,7 @@
             job=key[0],
             item=job.items[key[1]].id,
             target=target.name,
-            after=item.last_id,
+            after=item.text.last_id,
         )
         cause = 'stopped'
         try:
@@ -382,14 +393,14 @@
                 item=job.items[key[1]].id,
                 target=target.name,
                 cause=cause,
-                events=len(item.texts),
+                events=len(item.text.texts),
                 ms=round(1000 * (now - began)),
             )
-        elif not had and item.texts:
+        elif not had and item.text.texts:
             self._item_seconds += MEAN_WEIGHT * (
                 now - began - self._item_seconds
             )
-            count = len(item.texts)
+            count = len(item.text.texts)
             self._item_events = self._item_events or count
             self._item_events += MEAN_WEIGHT * (count - self._item_events)
         self._poke()
@@ -415,12 +426,12 @@
             ],
             wanted.content,
         )
-        had = len(item.texts)
+        had = len(item.text.texts)
         async with self._ports.targets.open(
             call,
             target,
             ITEM_SECONDS,
-            item.last_id,
+            item.text.last_id,
             repeatable=True,
             head_seconds=FIRST_EVENT_SECONDS,
         ) as opened:
@@ -456,7 +467,7 @@
                     type(error).__name__,
                 )
                 return self._failed(item, target, failure, had)
-        output = '\n'.join(item.texts)
+        output = '\n'.join(item.text.texts)
         self._finish(
             key,
             item,
@@ -479,13 +490,12 @@
             if chunk is None:
                 break
             for event in reader.feed(chunk):
-                if event.id is not None and item.last_id is not None:
-                    if event.id <= item.last_id:
+                if event.id is not None and item.text.last_id is not None:
+                    if event.id <= item.text.last_id:
                         continue
-                    if event.id != item.last_id + 1:
+                    if event.id != item.text.last_id + 1:
                         raise ValueError('an event is missing')
-                item.texts.append(event.data.decode())
-                item.last_id = event.id
+                item.text.add(event.data.decode(), event.id)
         if reader.has_rest:
             raise ValueError('the last event is cut')
 
@@ -502,7 +512,7 @@
         )
         pause = RETRY_SECONDS
         if not not_run:
-            item.breaks = item.breaks + 1 if len(item.texts) == had else 0
+            item.breaks = item.breaks + 1 if len(item.text.texts) == had else 0
             if item.breaks >= MAX_BREAKS:
                 pause = BREAK_RETRY_SECONDS
         item.not_before = anyio.current_time() + pause
@@ -546,7 +556,7 @@
             item=outcome.item,
             state=outcome.state.value,
             cause=cause,
-            events=len(item.texts),
+            events=len(item.text.texts),
         )
 
     def _commit_due(self) -> None:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -12,6 +12,7 @@
 from persimmonpass.controllers import mirror
 from persimmonpass.controllers import work_log
 from persimmonpass.controllers import work_role
+from persimmonpass import item_text
 from persimmonpass import records
 from persimmonpass import routes
 from persimmonpass import work
@@ -386,6 +387,50 @@
         self.assertIsNone(work.read(records.Record(name, 1, data, {})))
 
 
+OLD = item_text.Source(1, 'a')
+NEW = item_text.Source(2, 'b')
+
+
+class TestItemText(unittest.TestCase):
+    @expand(
+        [
+            ('in order', [(OLD, 0, ['a1']), (OLD, 1, ['a2'])], ['a1', 'a2']),
+            ('again', [(OLD, 0, ['a1']), (OLD, 0, ['a1', 'a2'])],
+             ['a1', 'a2']),
+            ('with a gap', [(OLD, 0, ['a1']), (OLD, 2, ['a3'])], ['a1']),
+            (
+                'two runs are never joined',
+                [(OLD, 0, ['a1', 'a2', 'a3']), (NEW, 2, ['b3', 'b4'])],
+                ['a1', 'a2', 'a3'],
+            ),
+            (
+                'a later run replaces the text',
+                [(OLD, 0, ['a1', 'a2', 'a3']), (NEW, 0, ['a1', 'b2'])],
+                ['a1', 'b2'],
+            ),
+            (
+                'an earlier run comes too late',
+                [(NEW, 0, ['b1']), (OLD, 0, ['a1', 'a2'])],
+                ['b1'],
+            ),
+        ]
+    )  # fmt: skip
+    def test_take(self, _, messages, expected):
+        text = item_text.ItemText()
+        for source, count, texts in messages:
+            text.take(source, count, count + len(texts), texts)
+        self.assertEqual(expected, text.texts)
+        self.assertEqual(len(expected), text.last_id)
+
+    def test_late_word_of_an_earlier_runner_changes_nothing(self):
+        text = item_text.ItemText()
+        text.take(OLD, 0, 1, ['a1'])
+        text.claim(NEW)
+        text.add('b2', 2)
+        self.assertFalse(text.take(OLD, 1, 3, ['a2', 'a3']))
+        self.assertEqual(['a1', 'b2'], text.texts)
+
+
 class TestOutcome(unittest.TestCase):
     def test_end_is_kept(self):
         async def test():
