--- a/src/persimmonpass/controllers/work_runner.py
+++ b/src/persimmonpass/controllers/work_runner.py
@@ -570,7 +570,8 @@
             if state is None or job_id in self._committing:
                 continue
             oldest = min(item.done_at for item in items)
-            hurry = now > self._due_at(job_id) - HURRY_SECONDS
+            due_at = self._due_at(job_id)
+            hurry = due_at - HURRY_SECONDS < now < due_at
             all_done = len(items) >= len(state.open_items)
             if not (all_done or hurry or now - oldest >= LINGER_SECONDS):
                 continue
