Refuse requests on which three targets broke, on every host

Change: breaks before the first event are counted by path and body and told to peers. Test: test_request_that_breaks_targets_is_stopped_on_every_host.

--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -12,6 +12,7 @@
 from persimmonpass.controllers import admission_line
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import conduct
+from persimmonpass.controllers import crash_watch
 from persimmonpass.controllers import occupancy
 from persimmonpass import events
 from persimmonpass import exceptions
@@ -39,6 +40,8 @@
 MAX_REFUSALS = 6
 REFUSED_PAUSE_SECONDS = 0.02
 NO_CONFIG_RETRY_SECONDS = 0.5
+# A request on which targets break is not worth coming back for soon.
+CONVICTED_RETRY_SECONDS = 30.0
 
 
 class _End(enum.Enum):
@@ -57,6 +60,7 @@
     occupied: occupancy.Occupancy
     conduct: conduct.Conduct
     targets: opaque.TargetClient
+    crashes: crash_watch.CrashWatch
     metrics: gateway_metrics.GatewayMetrics
 
 
@@ -141,6 +145,9 @@
             self._report(request, outcome)
 
     async def _serve(self, request: _Request) -> str:
+        if self._ports.crashes.is_convicted(request.call.fingerprint):
+            await refuse(request.caller, UNAVAILABLE, CONVICTED_RETRY_SECONDS)
+            return 'quarantined'
         while request.may_run_again and request.left > 0:
             placed = await self._ports.line.take(
                 request.service,
@@ -342,6 +349,14 @@
         request.excluded.add(target.name)
         if not not_run:
             request.failure = failure
+            broke = (
+                failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
+                and failure.status == BAD_GATEWAY
+            )
+            if broke and not request.started:
+                self._ports.crashes.note_broke(
+                    request.call.fingerprint, target.name
+                )
         events.log(
             events.REQUEST_RESUMED
             if request.started
@@ -433,7 +448,7 @@
         verdicts.Verdict.MAY_HAVE_RUN,
         events.TARGET_FAILED,
         f'target {target.name}: {type(error).__name__}',
-        BAD_GATEWAY,
+        GATEWAY_TIMEOUT if isinstance(error, TimeoutError) else BAD_GATEWAY,
     )
 
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -16,6 +16,7 @@
 from persimmonpass.controllers import admission_line
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import conduct
+from persimmonpass.controllers import crash_watch
 from persimmonpass.controllers import drain
 from persimmonpass.controllers import membership
 from persimmonpass.controllers import mirror
@@ -265,6 +266,7 @@
             lambda: self.is_ready,
             self._occupied.hears,
         )
+        self._crashes = crash_watch.CrashWatch(options.host, port)
         self._conduct = conduct.Conduct(options.host, self.board)
         self._line = admission_line.AdmissionLine(
             options.host,
@@ -278,6 +280,7 @@
         self._handlers |= self._membership.handlers
         self._handlers |= self._occupied.handlers
         self._handlers |= self._role.handlers
+        self._handlers |= self._crashes.handlers
 
     def _build_work(self) -> None:
         """Make the controllers of requests and jobs."""
@@ -289,6 +292,7 @@
                 self._occupied,
                 self._conduct,
                 self._targets,
+                self._crashes,
                 self.metrics,
             ),
         )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -112,6 +112,31 @@
 
         platform_fakes.run(test)
 
+    def test_request_that_breaks_targets_is_stopped_on_every_host(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 5) as fleet:
+                for server in fleet.servers:
+                    server.cut_after = 0
+                statuses = []
+                for number in range(6):
+                    answer = await fleet.post(
+                        '/once/a',
+                        'crash',
+                        ('one', 'two')[number % 2],
+                        **{'Request-Id': f'r{number}'},
+                    )
+                    statuses.append(answer.status_code)
+                    await anyio.sleep(0.3)
+                self.assertEqual([502] * 3 + [503] * 3, statuses)
+                for server in fleet.servers:
+                    server.cut_after = None
+                other = await fleet.post(
+                    '/once/a', 'other', **{'Request-Id': 'o'}
+                )
+                self.assertEqual(200, other.status_code)
+
+        platform_fakes.run(test)
+
     def test_caller_that_leaves_stops_the_run(self):
         async def test():
             async with platform_fakes.fleet(count=1) as fleet:
