--- a/src/persimmonpass/cli/operator.py
+++ b/src/persimmonpass/cli/operator.py
@@ -14,6 +14,7 @@
 from persimmonpass.cli import connection as connections
 from persimmonpass.cli import demo
 from persimmonpass.cli import deployments
+from persimmonpass.cli import explain
 from persimmonpass.cli import jobs
 from persimmonpass import logs
 from persimmonpass import objects
@@ -230,6 +231,7 @@
 @main.command()
 @click.option(
     '--explain',
+    'subject',
     nargs=2,
     default=None,
     metavar='KIND NAME',
@@ -237,11 +239,11 @@
 )
 @click.pass_obj
 def status(
-    connection: connections.Connection, explain: tuple[str, str] | None
+    connection: connections.Connection, subject: tuple[str, str] | None
 ) -> None:
     """Show hosts and targets."""
-    if explain is not None:
-        _explain(connection, *explain)
+    if subject is not None:
+        _explain(connection, *subject)
         return
     body = connections.call(connection, 'GET', '/v1/status').json()
     if connection.output == 'json':
@@ -354,3 +356,4 @@
 
 
 main.add_command(jobs.job)
+main.add_command(explain.command)
