--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -28,6 +28,8 @@
 # is no other try and the store is asked until the end.
 REFUSE_AFTER_SHARE = 0.5
 LAST_TRY_SECONDS = 2.0
+# What the answer needs on its way.
+ANSWER_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.4
 MAX_PAGE_BYTES = 900_000
 # The largest value of the store, less room for its frame.
@@ -219,14 +221,15 @@
                 failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
             )
             now = anyio.current_time()
-            if now + pause >= deadline:
+            left = deadline - now
+            if left <= ANSWER_SECONDS:
                 # A write that may still take effect promises nothing.
                 return self._refused(
                     job, GATEWAY_TIMEOUT if unknown else 503, failure.message
                 )
             if not unknown and now >= refuse_at:
                 return self._refused(job, 503, failure.message)
-            await anyio.sleep(pause)
+            await anyio.sleep(min(pause, left / 2))
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
     async def _create_soon(
@@ -239,14 +242,19 @@
         """
         outcomes: list[result.Result[int, verdicts.Failure]] = []
 
+        flying = 0
+
         async def send(delay: float) -> None:
+            nonlocal flying
             await anyio.sleep(delay)
-            if outcomes and not _is_unknown(outcomes[-1]):
-                # The store refuses; the caller decides when to ask again.
-                return
+            flying += 1
             outcome = await self._port.create(work.KIND, name, data)
+            flying -= 1
             outcomes.append(outcome)
-            if _is_settled(outcome):
+            # One that is given up on its way may still take effect, so that
+            # a refusal ends the others only before they were sent.
+            refused = not flying and not _is_unknown(outcome)
+            if _is_settled(outcome) or refused:
                 tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
