--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -19,6 +19,7 @@
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass.policy import waiting
+from persimmonpass import request_state
 from persimmonpass import routes
 from persimmonpass.targets import opaque
 from persimmonpass import verdicts
@@ -64,53 +65,6 @@
     metrics: gateway_metrics.GatewayMetrics
 
 
-class _Request:
-    """State of one request on its way.
-
-    :ivar last_id: id of the last event that the caller has
-    :ivar started: whether the caller has the head of an answer
-    :ivar runs: sends that may have run
-    :ivar excluded: targets that have failed it
-    """
-
-    def __init__(
-        self,
-        call: exchange.Call,
-        route: routes.Route,
-        service: str,
-        caller: exchange.CallerPort,
-        began: float,
-    ) -> None:
-        self.call = call
-        self.route = route
-        self.service = service
-        self.caller = caller
-        self.began = began
-        allowed = route.timeout_seconds
-        if call.deadline_seconds is not None:
-            allowed = min(allowed, call.deadline_seconds)
-        self.deadline = began + allowed
-        self.last_id = call.resume_after
-        self.started = False
-        self.runs = 0
-        self.refusals = 0
-        self.excluded: set[str] = set()
-        self.failure: verdicts.Failure | None = None
-        self.first_seconds: float | None = None
-
-    @property
-    def left(self) -> float:
-        """Seconds until the deadline."""
-        return self.deadline - anyio.current_time()
-
-    @property
-    def may_run_again(self) -> bool:
-        """Whether another target may run it."""
-        if not self.runs:
-            return True
-        return self.route.repeatable and self.runs < self.route.max_attempts
-
-
 class Passing:
     """The online controller of routes."""
 
@@ -135,7 +89,9 @@
             finished; the connection has to be closed
         """
         service = routes.pick_service(route, call.id)
-        request = _Request(call, route, service, caller, anyio.current_time())
+        request = request_state.RequestState(
+            call, route, service, caller, anyio.current_time()
+        )
         self.in_progress += 1
         outcome = 'abandoned'
         try:
@@ -144,7 +100,7 @@
             self.in_progress -= 1
             self._report(request, outcome)
 
-    async def _serve(self, request: _Request) -> str:
+    async def _serve(self, request: request_state.RequestState) -> str:
         if self._ports.crashes.is_convicted(request.call.fingerprint):
             await refuse(request.caller, UNAVAILABLE, CONVICTED_RETRY_SECONDS)
             return 'quarantined'
@@ -178,7 +134,7 @@
         return await self._give_up(request)
 
     async def _send(
-        self, request: _Request, target: blackboard.Target
+        self, request: request_state.RequestState, target: blackboard.Target
     ) -> _End:
         """Send a request to a target and pass the answer on."""
         counts = self._ports.occupied.at(target.name)
@@ -240,7 +196,7 @@
 
     async def _pass_events(
         self,
-        request: _Request,
+        request: request_state.RequestState,
         target: blackboard.Target,
         answer: opaque.Answer,
         sent_at: float,
@@ -276,7 +232,10 @@
         await request.caller.send(b'', False)
 
     async def _pass_event(
-        self, request: _Request, head: exchange.Head, event: exchange.Event
+        self,
+        request: request_state.RequestState,
+        head: exchange.Head,
+        event: exchange.Event,
     ) -> None:
         if event.id is not None and request.last_id is not None:
             if event.id <= request.last_id:
@@ -293,7 +252,7 @@
             request.last_id = event.id
 
     async def _pass_whole(
-        self, request: _Request, answer: opaque.Answer
+        self, request: request_state.RequestState, answer: opaque.Answer
     ) -> None:
         """Pass an answer on once all of it is here."""
         chunks: list[bytes] = []
@@ -311,13 +270,15 @@
         )
         await request.caller.send(body, False)
 
-    async def _start(self, request: _Request, head: exchange.Head) -> None:
+    async def _start(
+        self, request: request_state.RequestState, head: exchange.Head
+    ) -> None:
         request.started = True
         await request.caller.start(head.status, head.headers)
 
     async def _refused(
         self,
-        request: _Request,
+        request: request_state.RequestState,
         target: blackboard.Target,
         head: exchange.Head,
     ) -> _End:
@@ -338,7 +299,7 @@
 
     def _failed(
         self,
-        request: _Request,
+        request: request_state.RequestState,
         target: blackboard.Target,
         failure: verdicts.Failure,
     ) -> _End:
@@ -371,7 +332,7 @@
         )
         return _End.NOT_RUN if not_run else _End.BROKEN
 
-    async def _give_up(self, request: _Request) -> str:
+    async def _give_up(self, request: request_state.RequestState) -> str:
         """Send the final answer of a request that was not served."""
         if request.started:
             events.log(
@@ -394,7 +355,9 @@
         await refuse(request.caller, UNAVAILABLE, retry_after)
         return 'refused'
 
-    def _report(self, request: _Request, outcome: str) -> None:
+    def _report(
+        self, request: request_state.RequestState, outcome: str
+    ) -> None:
         self._ports.metrics.requests.labels(
             request.route.kind.value, outcome
         ).inc()
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -1,7 +1,6 @@
 """Accepts jobs, keeps their results and lets any host read them."""
 
 import collections.abc
-import time
 import typing
 
 import anyio
@@ -9,6 +8,7 @@
 
 from persimmonpass.controllers import mirror
 from persimmonpass import events
+from persimmonpass import job_state
 from persimmonpass import records
 from persimmonpass import routes
 from persimmonpass import verdicts
@@ -17,8 +17,9 @@
 # A copy that was complete within this time may say that there is no more:
 # a watch that hears nothing returns sooner.
 FRESH_SECONDS = 2.6
-# When a job's write is sent again while its answer is out, by when it began.
-# A calm store answers in milliseconds; the caller's objective is some hundreds.
+# When a job's write is sent again while its answer is out, since it began.
+# A calm store answers in milliseconds, and the caller's objective is some
+# hundreds of them.
 # Sending the same record again is harmless: the name is taken once.
 AGAIN_SECONDS = (0.0, 0.12, 0.3)
 RETRY_SECONDS = 0.05
@@ -37,73 +38,6 @@
 GATEWAY_TIMEOUT = 504
 
 
-class JobState:
-    """A job as far as it is known.
-
-    :ivar seen_at: when this host learned of it, in seconds
-    :ivar results: by position; only ever longer
-    :ivar groups: number of groups that ``results`` holds
-    """
-
-    def __init__(self, order: int) -> None:
-        self.order = order
-        self.seen_at = anyio.current_time()
-        self.age_seconds = 0.0
-        self.job: work.Job | None = None
-        self.ended = False
-        self.results: list[work.ItemResult] = []
-        self.groups = 0
-        self.done: set[str] = set()
-        self.changed = anyio.Event()
-        self._early: dict[int, list[work.ItemResult]] = {}
-
-    @property
-    def open_items(self) -> list[int]:
-        """Numbers of the items without a result."""
-        if self.job is None:
-            return []
-        return [
-            number
-            for number, item in enumerate(self.job.items)
-            if item.id not in self.done
-        ]
-
-    @property
-    def is_open(self) -> bool:
-        """Whether items are left to run."""
-        return (
-            self.job is not None
-            and not self.ended
-            and len(self.done) < len(self.job.items)
-        )
-
-    @property
-    def waiting_tokens(self) -> int:
-        """Tokens of the items without a result."""
-        if self.job is None or self.ended:
-            return 0
-        return sum(
-            item.tokens for item in self.job.items if item.id not in self.done
-        )
-
-    def take(self, change: work.Change) -> None:
-        """Take what a record says."""
-        if change.job is not None and self.job is None:
-            self.job = change.job
-            self.age_seconds = max(0.0, time.time() - change.job.accepted_at)
-        if change.ended:
-            self.ended = True
-        if change.results is not None and change.number >= self.groups:
-            self._early[change.number] = change.results
-            while self.groups in self._early:
-                group = self._early.pop(self.groups)
-                self.groups += 1
-                self.results += group
-                self.done.update(one.item for one in group)
-        self.changed.set()
-        self.changed = anyio.Event()
-
-
 class Page(typing.NamedTuple):
     """Results of a job from a position on."""
 
@@ -126,7 +60,7 @@
         copy: collections.abc.Callable[[], mirror.Mirror],
         quota_overage: float,
     ) -> None:
-        self.jobs: dict[str, JobState] = {}
+        self.jobs: dict[str, job_state.JobState] = {}
         self.changed: list[collections.abc.Callable[[], None]] = []
         self._host = host
         self._port = port
@@ -154,7 +88,7 @@
             state = self.jobs.get(change.job_id)
             if state is None:
                 self._orders += 1
-                state = JobState(self._orders)
+                state = job_state.JobState(self._orders)
                 self.jobs[change.job_id] = state
             state.take(change)
         self._tell()
@@ -409,7 +343,7 @@
 
     async def _find(
         self, job_id: str
-    ) -> result.Result[JobState, verdicts.Failure]:
+    ) -> result.Result[job_state.JobState, verdicts.Failure]:
         state = self.jobs.get(job_id)
         if state is not None and state.job is not None:
             return result.Ok(state)
@@ -421,7 +355,7 @@
             return result.Err(_missing(f'job {job_id}'))
         return result.Err(self._uncertain(job_id, found.err_value.message))
 
-    def _is_whole(self, state: JobState) -> bool:
+    def _is_whole(self, state: job_state.JobState) -> bool:
         job = state.job
         return job is not None and len(state.results) >= len(job.items)
 
--- a/src/persimmonpass/controllers/work_runner.py
+++ b/src/persimmonpass/controllers/work_runner.py
@@ -9,7 +9,6 @@
 
 import anyio
 import anyio.abc
-import httpx
 import result
 
 from persimmonpass import blackboard
@@ -17,10 +16,10 @@
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import conduct
 from persimmonpass.controllers import occupancy
+from persimmonpass.controllers import work_attempt
 from persimmonpass.controllers import work_log
 from persimmonpass.controllers import work_role
 from persimmonpass import events
-from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass.peers import port as peer_port
@@ -43,20 +42,11 @@
 # Near the end of its time a job's results are written at once.
 HURRY_SECONDS = 3.0
 MAX_GROUP_BYTES = 600_000
-ITEM_SECONDS = 60.0
-STALL_SECONDS = 1.0
-FIRST_EVENT_SECONDS = 2.0
 RETRY_SECONDS = 0.1
-FULL_RETRY_SECONDS = 0.3
-# An item on which targets broke so often without an event is left alone for
-# longer than the others: it may be what breaks them.
-MAX_BREAKS = 3
-BREAK_RETRY_SECONDS = 15.0
+# An item whose route is gone so long is given up.
+ROUTE_GONE_SECONDS = 15.0
 # A new sample's part of the mean of items.
 MEAN_WEIGHT = 0.1
-UNPROCESSABLE = 422
-SERVER_ERROR = 500
-SUCCESS = 200
 
 
 class RunnerPorts(typing.NamedTuple):
@@ -73,30 +63,18 @@
     role: work_role.WorkRole
 
 
-class _Item:
-    """What this host knows of an item that is not done."""
-
-    def __init__(self) -> None:
-        self.text = item_text.ItemText()
-        self.failures = 0
-        self.breaks = 0
-        self.not_before = 0.0
-        self.target: str | None = None
-        self.scope: anyio.CancelScope | None = None
-        self.outcome: work.ItemResult | None = None
-        self.done_at = 0.0
-        self.route_missing_at: float | None = None
-
-
 class WorkRunner:
     """The batch controller of one host."""
 
     def __init__(self, host: str, ports: RunnerPorts) -> None:
         self._host = host
         self._ports = ports
-        self._items: dict[tuple[str, int], _Item] = {}
+        self._items: dict[tuple[str, int], work_attempt.Item] = {}
         self._committing: set[str] = set()
         self._role = ports.role
+        self._attempts = work_attempt.Attempts(
+            host, ports.targets, ports.conduct, ports.metrics
+        )
         self._told: dict[str, dict[tuple[str, int], int]] = {}
         self._told_at = 0.0
         self._wake = anyio.Event()
@@ -197,7 +175,9 @@
     ) -> result.Result[typing.Any, verdicts.Failure]:
         """Keep what another host's items have, in case it ends."""
         for job_id, number, source, count, last_id, texts in payload:
-            item = self._items.setdefault((job_id, number), _Item())
+            item = self._items.setdefault(
+                (job_id, number), work_attempt.Item()
+            )
             if item.scope is None and item.outcome is None:
                 item.text.take(
                     item_text.Source(*source), count, last_id, texts
@@ -266,7 +246,7 @@
                     # Its place is free from now on.
                     self._leave(item)
 
-    def _leave(self, item: _Item) -> None:
+    def _leave(self, item: work_attempt.Item) -> None:
         if item.target is not None:
             target, item.target = item.target, None
             self._ports.occupied.add_batch(target, -1)
@@ -332,7 +312,7 @@
                 full.add(service)
                 continue
             key = (pending.job, number)
-            item = self._items.setdefault(key, _Item())
+            item = self._items.setdefault(key, work_attempt.Item())
             item.target = target.name
             item.scope = anyio.CancelScope()
             self._ports.occupied.add_batch(target.name, 1)
@@ -345,11 +325,11 @@
     ) -> None:
         """Give up items whose route has been gone for a while."""
         key = (pending.job, pending.item)
-        item = self._items.setdefault(key, _Item())
+        item = self._items.setdefault(key, work_attempt.Item())
         if item.route_missing_at is None:
             item.route_missing_at = now
-        if now - item.route_missing_at >= BREAK_RETRY_SECONDS:
-            self._finish(
+        if now - item.route_missing_at >= ROUTE_GONE_SECONDS:
+            self._attempts.finish(
                 key,
                 item,
                 work.ItemResult(job.items[pending.item].id, work.State.FAILED),
@@ -359,7 +339,7 @@
     async def _run_item(
         self,
         key: tuple[str, int],
-        item: _Item,
+        item: work_attempt.Item,
         job: work.Job,
         route: routes.Route,
         target: blackboard.Target,
@@ -379,7 +359,7 @@
         cause = 'stopped'
         try:
             with scope:
-                cause = await self._attempt(key, item, job, route, target)
+                cause = await self._attempts.run(key, item, job, route, target)
         finally:
             self._leave(item)
             item.scope = None
@@ -405,163 +385,9 @@
             self._item_events += MEAN_WEIGHT * (count - self._item_events)
         self._poke()
 
-    async def _attempt(
-        self,
-        key: tuple[str, int],
-        item: _Item,
-        job: work.Job,
-        route: routes.Route,
-        target: blackboard.Target,
-    ) -> str:
-        """Run an item at a target; return why it ended without a result."""
-        wanted = job.items[key[1]]
-        call = exchange.Call(
-            wanted.id,
-            'POST',
-            job.host,
-            wanted.path.encode(),
-            [
-                (name.encode('latin-1'), value.encode('latin-1'))
-                for name, value in wanted.headers
-            ],
-            wanted.content,
-        )
-        had = len(item.text.texts)
-        async with self._ports.targets.open(
-            call,
-            target,
-            ITEM_SECONDS,
-            item.text.last_id,
-            repeatable=True,
-            head_seconds=FIRST_EVENT_SECONDS,
-        ) as opened:
-            if isinstance(opened, result.Err):
-                return self._failed(item, target, opened.err_value, had)
-            answer = opened.ok_value
-            head = answer.head
-            if head.other_target:
-                self._ports.conduct.note_gone(target.name)
-                return 'another target'
-            if head.not_run:
-                item.not_before = anyio.current_time() + FULL_RETRY_SECONDS
-                self._ports.conduct.note_failure(target.name, 'refused')
-                return 'refused'
-            if head.status == UNPROCESSABLE:
-                self._finish(
-                    key,
-                    item,
-                    work.ItemResult(wanted.id, work.State.FAILED),
-                    'can not be done',
-                )
-                return ''
-            if head.status != SUCCESS:
-                return self._count_failure(
-                    key, item, wanted.id, route, head.status
-                )
-            try:
-                await self._collect(item, answer)
-            except (httpx.HTTPError, TimeoutError, ValueError) as error:
-                failure = verdicts.Failure(
-                    verdicts.Verdict.MAY_HAVE_RUN,
-                    events.TARGET_FAILED,
-                    type(error).__name__,
-                )
-                return self._failed(item, target, failure, had)
-        output = '\n'.join(item.text.texts)
-        self._finish(
-            key,
-            item,
-            work.ItemResult(wanted.id, work.State.COMPLETED, output),
-            '',
-        )
-        return ''
-
-    async def _collect(self, item: _Item, answer: opaque.Answer) -> None:
-        """Add the events of an answer to an item's text.
-
-        :raises ValueError: if an event is missing or cut
-        """
-        reader = exchange.EventReader()
-        limit = FIRST_EVENT_SECONDS
-        while True:
-            with anyio.fail_after(limit):
-                chunk = await anext(answer.chunks, None)
-            limit = STALL_SECONDS
-            if chunk is None:
-                break
-            for event in reader.feed(chunk):
-                if event.id is not None and item.text.last_id is not None:
-                    if event.id <= item.text.last_id:
-                        continue
-                    if event.id != item.text.last_id + 1:
-                        raise ValueError('an event is missing')
-                item.text.add(event.data.decode(), event.id)
-        if reader.has_rest:
-            raise ValueError('the last event is cut')
-
-    def _failed(
-        self,
-        item: _Item,
-        target: blackboard.Target,
-        failure: verdicts.Failure,
-        had: int,
-    ) -> str:
-        not_run = failure.verdict is verdicts.Verdict.NOT_RUN
-        self._ports.conduct.note_failure(
-            target.name, failure.message, unreachable=not_run
-        )
-        pause = RETRY_SECONDS
-        if not not_run:
-            item.breaks = item.breaks + 1 if len(item.text.texts) == had else 0
-            if item.breaks >= MAX_BREAKS:
-                pause = BREAK_RETRY_SECONDS
-        item.not_before = anyio.current_time() + pause
-        return failure.message
-
-    def _count_failure(
-        self,
-        key: tuple[str, int],
-        item: _Item,
-        item_id: str,
-        route: routes.Route,
-        status: int,
-    ) -> str:
-        item.not_before = anyio.current_time() + RETRY_SECONDS
-        if status == SERVER_ERROR:
-            item.failures += 1
-            if item.failures >= max(1, route.max_attempts):
-                self._finish(
-                    key,
-                    item,
-                    work.ItemResult(item_id, work.State.FAILED),
-                    f'failed {item.failures} times',
-                )
-                return ''
-        return f'status {status}'
-
-    def _finish(
-        self,
-        key: tuple[str, int],
-        item: _Item,
-        outcome: work.ItemResult,
-        cause: str,
-    ) -> None:
-        item.outcome = outcome
-        item.done_at = anyio.current_time()
-        self._ports.metrics.items.labels(outcome.state.value).inc()
-        events.log(
-            events.ITEM_FINISHED,
-            host=self._host,
-            job=key[0],
-            item=outcome.item,
-            state=outcome.state.value,
-            cause=cause,
-            events=len(item.text.texts),
-        )
-
     def _commit_due(self) -> None:
         now = anyio.current_time()
-        done: dict[str, list[_Item]] = {}
+        done: dict[str, list[work_attempt.Item]] = {}
         for key, item in self._items.items():
             if item.outcome is not None:
                 done.setdefault(key[0], []).append(item)
@@ -579,7 +405,9 @@
             if self._tasks is not None:
                 self._tasks.start_soon(self._commit, job_id, items)
 
-    async def _commit(self, job_id: str, items: list[_Item]) -> None:
+    async def _commit(
+        self, job_id: str, items: list[work_attempt.Item]
+    ) -> None:
         results: list[work.ItemResult] = []
         size = 0
         for item in sorted(items, key=lambda item: item.done_at):
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -1,15 +1,12 @@
 """Puts a gateway together: a host that serves opaque requests by routes."""
 
 import collections.abc
-import random
 import typing
 import uuid
 
 import anyio
 import anyio.abc
 import httpx
-import result
-from starlette import types
 
 from persimmonpass import blackboard
 from persimmonpass import budget
@@ -27,75 +24,32 @@
 from persimmonpass.controllers import work_role
 from persimmonpass.controllers import work_runner
 from persimmonpass import events
-from persimmonpass import exchange
+from persimmonpass import gateway_front
 from persimmonpass import gateway_metrics
 from persimmonpass import gateway_ports
 from persimmonpass import gateway_settings
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
-from persimmonpass.policy import entry
 from persimmonpass import records
-from persimmonpass import routes
 from persimmonpass import servers
 from persimmonpass.targets import opaque
-from persimmonpass import verdicts
 from persimmonpass import work
 
 RUN_DIGITS = 12
-MAX_ADDRESSES = 64
-# Short, so that callers leave a stopping host within its grace.
-ENTRY_TTL_SECONDS = 1.0
 # Some callers keep an answer for so many times its life.
 KEPT_ANSWERS = 3
 # Left of the grace when what is in progress has to have ended.
 STOP_MARGIN_SECONDS = 0.8
-DEFAULT_BODY_BYTES = 4_194_304
-DEFAULT_JOB_SECONDS = 4.0
 MAX_CONNECTIONS = 200
 
 
-class PlatformPorts(typing.NamedTuple):
-    """What a platform brings.
-
-    :ivar connect: client, address, budget -> its store
-    :ivar wire: how requests look on the wire
-    :ivar kinds: names of the kinds of configuration and of targets
-    :ivar read: how their records are read
-    :ivar caller_app: ports -> application for callers
-    :ivar ready_app: readiness -> application for its checks
-    :ivar entry_app: entry answers -> application that gives them
-    """
-
-    connect: collections.abc.Callable[
-        [httpx.AsyncClient, str, budget.Budget], records.RecordPort
-    ]
-    wire: exchange.WirePort
-    configuration_kind: str
-    configuration_name: str
-    targets_kind: str
-    read_configuration: collections.abc.Callable[
-        [records.Record], routes.Configuration | None
-    ]
-    read_target: collections.abc.Callable[
-        [records.Record], blackboard.Target | None
-    ]
-    caller_app: collections.abc.Callable[
-        [gateway_ports.GatewayPorts], types.ASGIApp
-    ]
-    ready_app: collections.abc.Callable[
-        [collections.abc.Callable[[], bool]], types.ASGIApp
-    ]
-    entry_app: collections.abc.Callable[
-        [collections.abc.Callable[[str], gateway_ports.Entry | None]],
-        types.ASGIApp,
-    ]
-
-
 class Gateway:
     """One gateway."""
 
     def __init__(
-        self, options: gateway_settings.Settings, platform: PlatformPorts
+        self,
+        options: gateway_settings.Settings,
+        platform: gateway_ports.PlatformPorts,
     ) -> None:
         """Bind all addresses.
 
@@ -124,12 +78,11 @@
                 lambda: self._membership.leave(),
                 lambda: self._membership.other_hosts(),
                 lambda host: self._membership.confirm_leaving(host),
-                lambda: self._in_progress,
+                lambda: self._front.progress.in_progress,
             ),
-            KEPT_ANSWERS * ENTRY_TTL_SECONDS,
+            KEPT_ANSWERS * gateway_front.ENTRY_TTL_SECONDS,
             options.grace_seconds - STOP_MARGIN_SECONDS,
         )
-        self._in_progress = 0
 
     @property
     def is_draining(self) -> bool:
@@ -167,10 +120,11 @@
         ):
             self._build_fleet(client)
             self._build_work()
+            self._build_front()
             await tasks.start(self._peers.serve, self._sockets['peer'])
             for job in self._jobs():
                 tasks.start_soon(servers.keep_running, job, options.host)
-            for name, app in self._apps().items():
+            for name, app in self._front.apps().items():
                 if name in self._sockets:
                     tasks.start_soon(
                         servers.serve_http,
@@ -251,10 +205,10 @@
                 port,
                 self._peers.follow,
                 calls,
-                lambda: self._in_progress,
+                lambda: self._front.progress.in_progress,
                 lambda: 0,
                 lambda host, digest: None,
-                KEPT_ANSWERS * ENTRY_TTL_SECONDS,
+                KEPT_ANSWERS * gateway_front.ENTRY_TTL_SECONDS,
                 options.seed_peers,
             ),
         )
@@ -312,6 +266,24 @@
         )
         self._handlers |= self._runner.handlers
 
+    def _build_front(self) -> None:
+        """Make the applications."""
+        self._front = gateway_front.Front(
+            gateway_front.FrontPorts(
+                self._options.host,
+                self.board,
+                self._platform,
+                self._passing,
+                self._log,
+                self.metrics,
+                self._occupied,
+                self._relay,
+                self._mirrors,
+                lambda: self.is_ready,
+                lambda: self.is_draining,
+            )
+        )
+
     def _jobs(
         self,
     ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
@@ -332,147 +304,6 @@
             self._follow_members,
         ]
 
-    def _apps(self) -> dict[str, types.ASGIApp]:
-        platform = self._platform
-        caller = platform.caller_app(
-            gateway_ports.GatewayPorts(
-                self._max_body_bytes,
-                self._find_route,
-                self._passing.serve,
-                self._accept,
-                self._log.read,
-                self._log.body,
-                self._end,
-            )
-        )
-        return {
-            'caller': self._count(caller),
-            'ready': platform.ready_app(lambda: self.is_ready),
-            'entry': platform.entry_app(self._give_entry),
-            'seed': platform.ready_app(lambda: self.is_ready),
-            'metrics': self._serve_metrics,
-        }
-
-    def _count(self, app: types.ASGIApp) -> types.ASGIApp:
-        """Count requests; while leaving, tell callers not to come back."""
-
-        async def counted(
-            scope: types.Scope, receive: types.Receive, send: types.Send
-        ) -> None:
-            async def send_closing(message: types.Message) -> None:
-                if self.is_draining and (
-                    message['type'] == 'http.response.start'
-                ):
-                    headers = [
-                        *message.get('headers', []),
-                        (b'connection', b'close'),
-                    ]
-                    message = {**message, 'headers': headers}
-                await send(message)
-
-            self._in_progress += 1
-            try:
-                await app(scope, receive, send_closing)
-            finally:
-                self._in_progress -= 1
-
-        return counted
-
-    def _max_body_bytes(self) -> int:
-        known = self._passing.configuration()
-        return known.limits.body_bytes if known else DEFAULT_BODY_BYTES
-
-    def _find_route(
-        self, call: exchange.Call
-    ) -> result.Result[routes.Route, verdicts.Failure]:
-        known = self._passing.configuration()
-        if known is None:
-            return result.Err(
-                verdicts.Failure(
-                    verdicts.Verdict.NOT_RUN,
-                    events.REQUEST_REFUSED,
-                    'no configuration is known yet',
-                    passing.UNAVAILABLE,
-                    passing.NO_CONFIG_RETRY_SECONDS,
-                )
-            )
-        route = routes.find(known.routes, call.host, call.route_path)
-        if route is not None:
-            return result.Ok(route)
-        events.log(
-            events.ROUTE_MISSING,
-            host=self._options.host,
-            key=call.id,
-            name=call.host,
-            path=call.route_path,
-            version=known.version,
-        )
-        return result.Err(
-            verdicts.Failure(
-                verdicts.Verdict.NOT_RUN,
-                events.ROUTE_MISSING,
-                'no route matches',
-                passing.NOT_FOUND,
-            )
-        )
-
-    async def _accept(
-        self, job: work.Job, route: routes.Route, seconds: float | None
-    ) -> result.Result[None, verdicts.Failure]:
-        return await self._log.accept(job, route, _deadline(seconds))
-
-    async def _end(
-        self, job_id: str, seconds: float | None
-    ) -> result.Result[None, verdicts.Failure]:
-        return await self._log.end(job_id, _deadline(seconds))
-
-    def _give_entry(self, zone: str) -> gateway_ports.Entry | None:
-        """Return the hosts that callers should use."""
-        hosts = [
-            entry.EntryHost(
-                member.host,
-                member.caller_address,
-                member.availability_zone,
-                member.state,
-                self.board.host_loads.get(member.host),
-            )
-            for member in self.board.members.rows()
-            if member.caller_address
-        ]
-        addresses = entry.order(hosts, zone, random.random, MAX_ADDRESSES)
-        if not addresses:
-            return None
-        return gateway_ports.Entry(addresses, ENTRY_TTL_SECONDS)
-
-    async def _serve_metrics(
-        self, scope: types.Scope, receive: types.Receive, send: types.Send
-    ) -> None:
-        if scope['type'] != 'http':
-            return
-        self._measure()
-        body = self.metrics.render()
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': 200,
-                'headers': [
-                    (b'content-type', b'text/plain; version=0.0.4'),
-                    (b'content-length', str(len(body)).encode()),
-                ],
-            }
-        )
-        await send({'type': 'http.response.body', 'body': body})
-
-    def _measure(self) -> None:
-        """Set the gauges that are read at a scrape only."""
-        self.metrics.waiting.set(self._occupied.waiting)
-        self.metrics.store_lost.set(not self._relay.reaches_store)
-        self.metrics.jobs_open.set(
-            sum(state.is_open for state in self._log.jobs.values())
-        )
-        for kind, copy in self._mirrors.items():
-            self.metrics.record_age.labels(kind).set(copy.age_seconds)
-
     async def _announce_ready(self) -> None:
         await self._mirrors[self._platform.configuration_kind].ready.wait()
         await self._mirrors[self._platform.targets_kind].ready.wait()
@@ -489,8 +320,3 @@
             for member in self.board.members.rows():
                 if member.state == 'dead':
                     self._occupied.forget(member.host)
-
-
-def _deadline(seconds: float | None) -> float:
-    allowed = DEFAULT_JOB_SECONDS if seconds is None else seconds
-    return anyio.current_time() + allowed
--- /dev/null
+++ b/src/persimmonpass/gateway_front.py
@@ -0,0 +1,183 @@
+"""Serves callers, the platform's checks and scrapes of a gateway."""
+
+import collections.abc
+import random
+import typing
+
+import anyio
+import result
+from starlette import types
+
+from persimmonpass.api import progress
+from persimmonpass import blackboard
+from persimmonpass.controllers import mirror
+from persimmonpass.controllers import occupancy
+from persimmonpass.controllers import passing
+from persimmonpass.controllers import store_relay
+from persimmonpass.controllers import work_log
+from persimmonpass import events
+from persimmonpass import exchange
+from persimmonpass import gateway_metrics
+from persimmonpass import gateway_ports
+from persimmonpass.policy import entry
+from persimmonpass import routes
+from persimmonpass import verdicts
+from persimmonpass import work
+
+MAX_ADDRESSES = 64
+# Short, so that callers leave a stopping host within its grace.
+ENTRY_TTL_SECONDS = 1.0
+DEFAULT_BODY_BYTES = 4_194_304
+DEFAULT_JOB_SECONDS = 4.0
+
+
+class FrontPorts(typing.NamedTuple):
+    """What the front works with.
+
+    :ivar mirrors: copies of records by kind
+    """
+
+    host: str
+    board: blackboard.Blackboard
+    platform: gateway_ports.PlatformPorts
+    passing: passing.Passing
+    log: work_log.WorkLog
+    metrics: gateway_metrics.GatewayMetrics
+    occupied: occupancy.Occupancy
+    relay: store_relay.StoreRelay
+    mirrors: collections.abc.Mapping[str, mirror.Mirror]
+    is_ready: collections.abc.Callable[[], bool]
+    is_draining: collections.abc.Callable[[], bool]
+
+
+class Front:
+    """The applications of one gateway.
+
+    :ivar progress: the application for callers, which counts requests
+    """
+
+    def __init__(self, ports: FrontPorts) -> None:
+        self._ports = ports
+
+    def apps(self) -> dict[str, types.ASGIApp]:
+        """Return the applications by the socket that they serve."""
+        platform = self._ports.platform
+        caller = platform.caller_app(
+            gateway_ports.GatewayPorts(
+                self._max_body_bytes,
+                self._find_route,
+                self._ports.passing.serve,
+                self._accept,
+                self._ports.log.read,
+                self._ports.log.body,
+                self._end,
+            )
+        )
+        self.progress = progress.Progress(caller, self._ports.is_draining)
+        return {
+            'caller': self.progress,
+            'ready': platform.ready_app(self._ports.is_ready),
+            'entry': platform.entry_app(self._give_entry),
+            'seed': platform.ready_app(self._ports.is_ready),
+            'metrics': self._serve_metrics,
+        }
+
+    def _max_body_bytes(self) -> int:
+        known = self._ports.passing.configuration()
+        return known.limits.body_bytes if known else DEFAULT_BODY_BYTES
+
+    def _find_route(
+        self, call: exchange.Call
+    ) -> result.Result[routes.Route, verdicts.Failure]:
+        known = self._ports.passing.configuration()
+        if known is None:
+            return result.Err(
+                verdicts.Failure(
+                    verdicts.Verdict.NOT_RUN,
+                    events.REQUEST_REFUSED,
+                    'no configuration is known yet',
+                    passing.UNAVAILABLE,
+                    passing.NO_CONFIG_RETRY_SECONDS,
+                )
+            )
+        route = routes.find(known.routes, call.host, call.route_path)
+        if route is not None:
+            return result.Ok(route)
+        events.log(
+            events.ROUTE_MISSING,
+            host=self._ports.host,
+            key=call.id,
+            name=call.host,
+            path=call.route_path,
+            version=known.version,
+        )
+        return result.Err(
+            verdicts.Failure(
+                verdicts.Verdict.NOT_RUN,
+                events.ROUTE_MISSING,
+                'no route matches',
+                passing.NOT_FOUND,
+            )
+        )
+
+    async def _accept(
+        self, job: work.Job, route: routes.Route, seconds: float | None
+    ) -> result.Result[None, verdicts.Failure]:
+        return await self._ports.log.accept(job, route, _deadline(seconds))
+
+    async def _end(
+        self, job_id: str, seconds: float | None
+    ) -> result.Result[None, verdicts.Failure]:
+        return await self._ports.log.end(job_id, _deadline(seconds))
+
+    def _give_entry(self, zone: str) -> gateway_ports.Entry | None:
+        """Return the hosts that callers should use."""
+        hosts = [
+            entry.EntryHost(
+                member.host,
+                member.caller_address,
+                member.availability_zone,
+                member.state,
+                self._ports.board.host_loads.get(member.host),
+            )
+            for member in self._ports.board.members.rows()
+            if member.caller_address
+        ]
+        addresses = entry.order(hosts, zone, random.random, MAX_ADDRESSES)
+        if not addresses:
+            return None
+        return gateway_ports.Entry(addresses, ENTRY_TTL_SECONDS)
+
+    async def _serve_metrics(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        if scope['type'] != 'http':
+            return
+        self._measure()
+        body = self._ports.metrics.render()
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [
+                    (b'content-type', b'text/plain; version=0.0.4'),
+                    (b'content-length', str(len(body)).encode()),
+                ],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+    def _measure(self) -> None:
+        """Set the gauges that are read at a scrape only."""
+        self._ports.metrics.waiting.set(self._ports.occupied.waiting)
+        self._ports.metrics.store_lost.set(not self._ports.relay.reaches_store)
+        self._ports.metrics.jobs_open.set(
+            sum(state.is_open for state in self._ports.log.jobs.values())
+        )
+        for kind, copy in self._ports.mirrors.items():
+            self._ports.metrics.record_age.labels(kind).set(copy.age_seconds)
+
+
+def _deadline(seconds: float | None) -> float:
+    allowed = DEFAULT_JOB_SECONDS if seconds is None else seconds
+    return anyio.current_time() + allowed
--- a/src/persimmonpass/gateway_ports.py
+++ b/src/persimmonpass/gateway_ports.py
@@ -4,12 +4,16 @@
 import typing
 
 import anyio
+import httpx
 import result
 from starlette import types
 
+from persimmonpass import blackboard
+from persimmonpass import budget
 from persimmonpass.controllers import work_log
 from persimmonpass import exceptions
 from persimmonpass import exchange
+from persimmonpass import records
 from persimmonpass import routes
 from persimmonpass import verdicts
 from persimmonpass import work
@@ -62,6 +66,41 @@
     ]
 
 
+class PlatformPorts(typing.NamedTuple):
+    """What a platform brings.
+
+    :ivar connect: client, address, budget -> its store
+    :ivar wire: how requests look on the wire
+    :ivar kinds: names of the kinds of configuration and of targets
+    :ivar read: how their records are read
+    :ivar caller_app: ports -> application for callers
+    :ivar ready_app: readiness -> application for its checks
+    :ivar entry_app: entry answers -> application that gives them
+    """
+
+    connect: collections.abc.Callable[
+        [httpx.AsyncClient, str, budget.Budget], records.RecordPort
+    ]
+    wire: exchange.WirePort
+    configuration_kind: str
+    configuration_name: str
+    targets_kind: str
+    read_configuration: collections.abc.Callable[
+        [records.Record], routes.Configuration | None
+    ]
+    read_target: collections.abc.Callable[
+        [records.Record], blackboard.Target | None
+    ]
+    caller_app: collections.abc.Callable[[GatewayPorts], types.ASGIApp]
+    ready_app: collections.abc.Callable[
+        [collections.abc.Callable[[], bool]], types.ASGIApp
+    ]
+    entry_app: collections.abc.Callable[
+        [collections.abc.Callable[[str], Entry | None]],
+        types.ASGIApp,
+    ]
+
+
 async def until_gone(
     job: collections.abc.Callable[[], _Async[None]], receive: types.Receive
 ) -> None:
--- a/src/persimmonpass/platform/ports.py
+++ b/src/persimmonpass/platform/ports.py
@@ -1,12 +1,12 @@
 """The platform as a gateway sees it."""
 
-from persimmonpass import gateway
+from persimmonpass import gateway_ports
 from persimmonpass.platform import app
 from persimmonpass.platform import objects
 from persimmonpass.platform import store
 from persimmonpass.platform import wire
 
-PORTS = gateway.PlatformPorts(
+PORTS = gateway_ports.PlatformPorts(
     store.connect,
     wire.WIRE,
     objects.CONFIG_KIND,
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -13,6 +13,7 @@
 from persimmonpass.controllers import work_log
 from persimmonpass.controllers import work_role
 from persimmonpass import item_text
+from persimmonpass import job_state
 from persimmonpass import records
 from persimmonpass import routes
 from persimmonpass import work
@@ -241,7 +242,7 @@
 
         async def test():
             nonlocal state_
-            state_ = work_log.JobState(1)
+            state_ = job_state.JobState(1)
             state_.take(work.Change('j', job=make_job()))
             state_.take(work.Change('j', number=1, results=[done('j-1')]))
             self.assertEqual([], state_.results)
