--- a/src/persimmonpass/cli/gateway.py
+++ b/src/persimmonpass/cli/gateway.py
@@ -14,6 +14,7 @@
 from persimmonpass import logs
 from persimmonpass.platform import ports
 from persimmonpass.platform import settings
+from persimmonpass import settings as product_settings
 
 EXIT_USAGE = 2
 SETTINGS_CHECK_SECONDS = 2.0
@@ -27,9 +28,16 @@
     required=True,
     help='Settings file that the platform wrote.',
 )
-def command(path: str) -> None:
+@click.option(
+    '--trace',
+    type=product_settings.TRACE,
+    envvar='PERSIMMONPASS_TRACE',
+    default='',
+    help='Where spans go: file:PATH or the URL of an OTLP/HTTP collector.',
+)
+def command(path: str, trace: str) -> None:
     """Read the settings and run the gateway."""
-    options = settings.read(path)
+    options = settings.read(path)._replace(trace=trace)
     logs.open_sink()
     anyio.run(_run, path, options)
 
@@ -111,7 +119,8 @@
     changed = [
         name
         for name, value in found._asdict().items()
-        if value != getattr(options, name)
+        # Spans go where the command line said.
+        if name != 'trace' and value != getattr(options, name)
     ]
     events.log(events.SETTINGS_RELOADED, host=options.host, changed=changed)
 
--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -22,6 +22,7 @@
 from persimmonpass import request_state
 from persimmonpass import routes
 from persimmonpass.targets import opaque
+from persimmonpass import tracing
 from persimmonpass import verdicts
 
 NOT_FOUND = 404
@@ -63,6 +64,7 @@
     targets: opaque.TargetClient
     crashes: crash_watch.CrashWatch
     metrics: gateway_metrics.GatewayMetrics
+    spans: tracing.Tracing
 
 
 class Passing:
@@ -95,7 +97,10 @@
         self.in_progress += 1
         outcome = 'abandoned'
         try:
-            outcome = await self._serve(request)
+            with self._ports.spans.span(
+                'request', request=call.id, route=route.name
+            ):
+                outcome = await self._serve(request)
         finally:
             self.in_progress -= 1
             self._report(request, outcome)
@@ -122,7 +127,10 @@
                 break
             target = placed.ok_value
             try:
-                end = await self._send(request, target)
+                with self._ports.spans.inner_span(
+                    'target.send', target=target.name
+                ):
+                    end = await self._send(request, target)
             finally:
                 self._ports.occupied.add_online(target.name, -1)
             if end is _End.FINISHED:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -33,6 +33,7 @@
 from persimmonpass import records
 from persimmonpass import servers
 from persimmonpass.targets import opaque
+from persimmonpass import tracing
 from persimmonpass import work
 
 RUN_DIGITS = 12
@@ -58,6 +59,7 @@
         self._options = options
         self._platform = platform
         self._stopped = anyio.Event()
+        self._spans = tracing.Tracing(options.host, options.trace)
         self.board = blackboard.Blackboard()
         self.metrics = gateway_metrics.GatewayMetrics()
         self._sockets = {
@@ -147,6 +149,7 @@
             await self._membership.depart()
             tasks.cancel_scope.cancel()
         await self._targets.aclose()
+        self._spans.shut_down()
 
     def _build_fleet(self, client: httpx.AsyncClient) -> None:
         """Make the controllers of hosts, configuration and targets."""
@@ -154,7 +157,9 @@
         calls = budget.Budget(options.store_rate, options.store_write_rate)
         self._handlers: dict[str, typing.Any] = {}
         self._peers = link.Peers(
-            listener.Identity(options.host, ''), self._handlers
+            listener.Identity(options.host, ''),
+            self._handlers,
+            spans=self._spans,
         )
         port = self._peers.port
         self._relay = store_relay.StoreRelay(
@@ -248,6 +253,7 @@
                 self._targets,
                 self._crashes,
                 self.metrics,
+                self._spans,
             ),
         )
         self._runner = work_runner.WorkRunner(
--- a/src/persimmonpass/gateway_settings.py
+++ b/src/persimmonpass/gateway_settings.py
@@ -25,6 +25,7 @@
     :ivar quota_overage: part of a quota by which it may be exceeded
     :ivar memory_bytes: memory at which the process is killed
     :ivar max_descriptors: open files and sockets that are allowed
+    :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     """
 
     host: str
@@ -46,3 +47,4 @@
     quota_overage: float = 0.1
     memory_bytes: int = 256_000_000
     max_descriptors: int = 1024
+    trace: str = ''
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -361,7 +361,7 @@
         self.stopped = {}
         self._tasks = tasks
 
-    async def start_host(self, name, store_address):
+    async def start_host(self, name, store_address, trace=''):
         """Start a gateway and wait until it is ready."""
         options = gateway_settings.Settings(
             name,
@@ -380,6 +380,7 @@
                 '127.0.0.1:0',
             ),
             grace_seconds=8.0,
+            trace=trace,
         )
         options = _with_ports(options)
         made = gateway.Gateway(options, ports.PORTS)
@@ -445,7 +446,7 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(hosts=('one',), count=2, config=None):
+async def fleet(hosts=('one',), count=2, config=None, trace=''):
     """Run a small deployment."""
     store = StoreApp()
     made = [Server(f'i-{number}') for number in range(count)]
@@ -466,7 +467,7 @@
         built = Fleet(tasks, store, made, client)
         built.store_address = address
         for host in hosts:
-            await built.start_host(host, address)
+            await built.start_host(host, address, trace)
         if len(hosts) > 1:
             await connected(built)
         yield built
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,8 @@
 """The whole path on the platform's stand-ins, over loopback TCP."""
 
 import json
+import pathlib
+import tempfile
 import unittest
 
 import anyio
@@ -33,6 +35,28 @@
 
         platform_fakes.run(test)
 
+    def test_span_for_each_hop(self):
+        async def test():
+            with tempfile.TemporaryDirectory() as folder:
+                path = pathlib.Path(folder) / 'spans'
+                async with platform_fakes.fleet(
+                    count=1, trace=f'file:{path}'
+                ) as fleet:
+                    await fleet.post('/notes/a', **{'Request-Id': 'r1'})
+                spans = [
+                    json.loads(line) for line in path.read_text().splitlines()
+                ]
+                names = {span['name'] for span in spans}
+                self.assertLessEqual({'request', 'target.send'}, names)
+                traces = {
+                    span['context']['trace_id']
+                    for span in spans
+                    if span['name'] in ('request', 'target.send')
+                }
+                self.assertEqual(1, len(traces))
+
+        platform_fakes.run(test)
+
     @expand(
         [
             ('no route', '/other/a', {}, 404),
