Listen before the package is imported; wait for the configuration at a start

Change: the launcher binds the addresses first; a request at a host that has just started waits up to 0.5 s for the configuration. Tests: a caller that came before the daemon, seen failing without the wait.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,25 +1,56 @@
 """Starts a program of the package from the source tree.
 
 The platform starts programs at the root of the repository and sets no path
-of modules of ours.
+of modules of ours. Sockets are bound before the package is imported, which
+takes most of a start: callers that come meanwhile wait a moment instead of
+being turned away.
 """
 
 import importlib
 import pathlib
+import socket
 import sys
 
 PROGRAMS = {
     'host': 'persimmonpass.cli.gateway',
     'storage': 'persimmonpass.cli.storage',
 }
+BACKLOG = 1024
+
+
+def bind(address: str) -> socket.socket:
+    """Listen on an address.
+
+    :param address: ``ip:port``
+    :raises OSError: if it is taken or not this machine's
+    """
+    ip, _, port = address.rpartition(':')
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((ip, int(port)))
+    bound.listen(BACKLOG)
+    bound.setblocking(False)
+    return bound
 
 
 def main() -> None:
-    """Run the program that the first argument names."""
+    """Run the program that the first argument names.
+
+    The other arguments are addresses to listen on at once.
+    """
     root = pathlib.Path(__file__).resolve().parent.parent
+    name, *addresses = sys.argv[1:]
+    del sys.argv[1:]
+    bound: dict[str, socket.socket] = {}
+    for address in addresses:
+        try:
+            bound[address] = bind(address)
+        except OSError as error:
+            print(f'error: cannot listen: {error}', file=sys.stderr)
+            sys.exit(2)
     sys.path.insert(0, str(root / 'src'))
-    name = PROGRAMS[sys.argv.pop(1)]
-    importlib.import_module(name).main()
+    program = importlib.import_module(PROGRAMS[name])
+    program.main(bound)
 
 
 if __name__ == '__main__':
--- a/src/persimmonpass/cli/gateway.py
+++ b/src/persimmonpass/cli/gateway.py
@@ -1,7 +1,9 @@
 """Command line of ``persimmonpass-gateway``."""
 
+import collections.abc
 import os
 import signal
+import socket
 import sys
 
 import anyio
@@ -19,6 +21,8 @@
 EXIT_USAGE = 2
 SETTINGS_CHECK_SECONDS = 2.0
 
+Bound = collections.abc.Mapping[str, socket.socket]
+
 
 @click.command(help='Run one host of the fleet on the platform.')
 @click.option(
@@ -35,17 +39,21 @@
     default='',
     help='Where spans go: file:PATH or the URL of an OTLP/HTTP collector.',
 )
-def command(path: str, trace: str) -> None:
+@click.pass_obj
+def command(bound: Bound, path: str, trace: str) -> None:
     """Read the settings and run the gateway."""
     options = settings.read(path)._replace(trace=trace)
     logs.open_sink()
-    anyio.run(_run, path, options)
+    anyio.run(_run, path, options, bound)
+
 
+def main(bound: Bound | None = None) -> None:
+    """Run the command; a wrong setting ends it with one line.
 
-def main() -> None:
-    """Run the command; a wrong setting ends it with one line."""
+    :param bound: sockets that listen already, by address
+    """
     try:
-        command.main(standalone_mode=False)
+        command.main(standalone_mode=False, obj=bound or {})
     except (click.ClickException, exceptions.SettingsError) as error:
         message = (
             error.format_message()
@@ -56,9 +64,11 @@
         sys.exit(EXIT_USAGE)
 
 
-async def _run(path: str, options: gateway_settings.Settings) -> None:
+async def _run(
+    path: str, options: gateway_settings.Settings, bound: Bound
+) -> None:
     try:
-        made = gateway.Gateway(options, ports.PORTS)
+        made = gateway.Gateway(options, ports.PORTS, bound)
     except OSError as error:
         raise exceptions.SettingsError(f'cannot listen: {error}') from error
     async with anyio.create_task_group() as tasks:
--- a/src/persimmonpass/cli/storage.py
+++ b/src/persimmonpass/cli/storage.py
@@ -36,8 +36,11 @@
     anyio.run(_run, options)
 
 
-def main() -> None:
-    """Run the command; a wrong setting ends it with one line."""
+def main(bound: object = None) -> None:
+    """Run the command; a wrong setting ends it with one line.
+
+    :param bound: not used; nobody calls a storage host
+    """
     try:
         command.main(standalone_mode=False)
     except (click.ClickException, exceptions.SettingsError) as error:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -1,6 +1,7 @@
 """Puts a gateway together: a host that serves opaque requests by routes."""
 
 import collections.abc
+import socket
 import typing
 import uuid
 
@@ -51,19 +52,22 @@
         self,
         options: gateway_settings.Settings,
         platform: gateway_ports.PlatformPorts,
+        bound: collections.abc.Mapping[str, socket.socket] | None = None,
     ) -> None:
         """Bind all addresses.
 
+        :param bound: sockets that listen already, by address
         :raises OSError: if one is taken or not this machine's
         """
         self._options = options
         self._platform = platform
         self._stopped = anyio.Event()
+        self._settled = anyio.Event()
         self._spans = tracing.Tracing(options.host, options.trace)
         self.board = blackboard.Blackboard()
         self.metrics = gateway_metrics.GatewayMetrics()
         self._sockets = {
-            name: servers.listen(address)
+            name: (bound or {}).get(address) or servers.listen(address)
             for name, address in (
                 ('caller', options.caller_listen),
                 ('ready', options.ready_listen),
@@ -287,6 +291,7 @@
                 self._mirrors,
                 lambda: self.is_ready,
                 lambda: self.is_draining,
+                self._settled,
             )
         )
 
@@ -315,6 +320,7 @@
         await self._mirrors[self._platform.targets_kind].ready.wait()
         while self.board.routes.get(catalog.ROUTES_KEY) is None:
             await self.board.routes.wait(self.board.routes.version)
+        self._settled.set()
         self._membership.enter()
         events.log(events.DAEMON_READY, host=self._options.host)
 
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -27,6 +27,8 @@
 MAX_ADDRESSES = 64
 # Short, so that callers leave a stopping host within its grace.
 ENTRY_TTL_SECONDS = 1.0
+# How long a request waits at a host that has just started.
+SETTLE_SECONDS = 0.5
 DEFAULT_BODY_BYTES = 4_194_304
 DEFAULT_JOB_SECONDS = 4.0
 
@@ -35,6 +37,7 @@
     """What the front works with.
 
     :ivar mirrors: copies of records by kind
+    :ivar settled: set once the configuration and targets are known
     """
 
     host: str
@@ -48,6 +51,7 @@
     mirrors: collections.abc.Mapping[str, mirror.Mirror]
     is_ready: collections.abc.Callable[[], bool]
     is_draining: collections.abc.Callable[[], bool]
+    settled: anyio.Event
 
 
 class Front:
@@ -86,9 +90,13 @@
         known = self._ports.passing.configuration()
         return known.limits.body_bytes if known else DEFAULT_BODY_BYTES
 
-    def _find_route(
+    async def _find_route(
         self, call: exchange.Call
     ) -> result.Result[routes.Route, verdicts.Failure]:
+        # A host that has just started learns its configuration and targets in
+        # milliseconds, if the store or a peer answers.
+        with anyio.move_on_after(SETTLE_SECONDS):
+            await self._ports.settled.wait()
         known = self._ports.passing.configuration()
         if known is None:
             return result.Err(
--- a/src/persimmonpass/gateway_ports.py
+++ b/src/persimmonpass/gateway_ports.py
@@ -45,7 +45,8 @@
 
     max_body_bytes: collections.abc.Callable[[], int]
     find_route: collections.abc.Callable[
-        [exchange.Call], result.Result[routes.Route, verdicts.Failure]
+        [exchange.Call],
+        _Async[result.Result[routes.Route, verdicts.Failure]],
     ]
     serve: collections.abc.Callable[
         [exchange.Call, routes.Route, exchange.CallerPort], _Async[None]
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -111,7 +111,7 @@
         else:
             await caller.answer(200, found.ok_value)
         return
-    chosen = ports.find_route(call)
+    chosen = await ports.find_route(call)
     if isinstance(chosen, result.Err):
         await caller.refuse(chosen.err_value)
         return
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -361,7 +361,7 @@
         self.stopped = {}
         self._tasks = tasks
 
-    async def start_host(self, name, store_address, trace=''):
+    async def start_host(self, name, store_address, trace='', bound=None):
         """Start a gateway and wait until it is ready."""
         options = gateway_settings.Settings(
             name,
@@ -383,7 +383,9 @@
             trace=trace,
         )
         options = _with_ports(options)
-        made = gateway.Gateway(options, ports.PORTS)
+        if bound:
+            options = options._replace(caller_listen=next(iter(bound)))
+        made = gateway.Gateway(options, ports.PORTS, bound)
         self.hosts[name] = made
         self.addresses[name] = options.caller_listen
         self.entries[name] = options.entry_listen
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import anyio
 import parameterized
 
+from persimmonpass import servers
 from tests import platform_fakes
 
 expand = parameterized.parameterized.expand
@@ -394,6 +395,37 @@
 
         platform_fakes.run(test)
 
+    def test_socket_that_listens_already_is_used(self):
+        """A caller that came before the daemon was made is served."""
+
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                bound = servers.listen('127.0.0.1:0')
+                address = servers.address_of(bound)
+                answers = []
+
+                async def ask():
+                    answers.append(
+                        await fleet.client.post(
+                            f'http://{address}/notes/a',
+                            content='x',
+                            headers={
+                                'Host': platform_fakes.HOST,
+                                'Request-Id': 'early',
+                            },
+                        )
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(ask)
+                    await anyio.sleep(0.1)
+                    await fleet.start_host(
+                        'two', fleet.store_address, bound={address: bound}
+                    )
+                self.assertEqual([200], [one.status_code for one in answers])
+
+        platform_fakes.run(test)
+
     def test_entry_answers_leave_out_a_leaving_host(self):
         async def test():
             async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
