Let a core of eight hosts watch, run batch and take it over

Change: each host keeps links to eight hosts chosen by hashing, these to all; watchers and runners are among them. In fleets of up to eight hosts nothing changes. Tests: core and links at 6, 8 and 70 hosts.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -68,7 +68,13 @@
         port: records.RecordPort,
         peers: peer_port.PeerPort,
         on_change: OnChange,
+        candidates: collections.abc.Callable[[], list[str]] | None = None,
     ) -> None:
+        """Make an empty copy.
+
+        :param candidates: hosts that may watch; all that are reached if it
+            is left out
+        """
         self.records: dict[str, records.Record] = {}
         self.ready = anyio.Event()
         self.version = 0
@@ -77,6 +83,7 @@
         self._port = port
         self._peers = peers
         self._on_change = on_change
+        self._candidates = candidates
         self._fresh_at: float | None = None
         self._listed = False
         self._heard: dict[str, _Heard] = {}
@@ -167,6 +174,9 @@
         :param count: number of hosts that count as such
         """
         hosts = [self._host, *self._peers.connected()]
+        if self._candidates is not None:
+            allowed = set(self._candidates())
+            hosts = [host for host in hosts if host in allowed]
         ranked = shards.ranked(f'watch {self._kind}', hosts)
         return self._host in ranked[:count]
 
--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -51,12 +51,15 @@
         peers: peer_port.PeerPort,
         may_run: collections.abc.Callable[[], bool],
         hears: collections.abc.Callable[[str], bool],
+        candidates: collections.abc.Callable[[], list[str]] | None = None,
     ) -> None:
         """Make the role.
 
         :param may_run: whether this host is ready to run batch
         :param hears: host -> whether anything came from it lately; a link
             to a host that stands still or is cut off looks well for seconds
+        :param candidates: hosts that may run batch; all that live if it is
+            left out
         """
         self.is_runner = False
         self._host = host
@@ -64,6 +67,7 @@
         self._peers = peers
         self._may_run = may_run
         self._hears = hears
+        self._candidates = candidates
         self._claim = Claim(0, '')
         self._heard_at = -EXPIRY_SECONDS
         self._told_at = -CLAIM_SECONDS
@@ -139,6 +143,8 @@
         peer_port.broadcast(self._peers, METHOD_CLAIM, payload)
 
     def _others(self) -> list[str]:
+        if self._candidates is not None:
+            return [host for host in self._candidates() if host != self._host]
         return [
             row.host
             for row in self._board.members.rows()
@@ -162,6 +168,9 @@
 
     def _is_first(self) -> bool:
         reached = [host for host in self._reached() if host != self._resigned]
+        if self._candidates is not None:
+            if self._host not in self._candidates():
+                return False
         ranked = shards.ranked(RUNNER_KEY, [*reached, self._host])
         return ranked[0] == self._host
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -31,6 +31,7 @@
 from persimmonpass import gateway_settings
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
+from persimmonpass.policy import core
 from persimmonpass import records
 from persimmonpass import servers
 from persimmonpass.targets import opaque
@@ -194,7 +195,7 @@
         }
         self._mirrors = {
             kind: mirror.Mirror(
-                options.host, kind, self._relay.port, port, take
+                options.host, kind, self._relay.port, port, take, self._core
             )
             for kind, take in kinds.items()
         }
@@ -212,7 +213,7 @@
             membership.MembershipPorts(
                 records.as_store(self._relay.port),
                 port,
-                self._peers.follow,
+                self._follow,
                 calls,
                 lambda: self._front.progress.in_progress,
                 lambda: 0,
@@ -228,6 +229,7 @@
             port,
             lambda: self.is_ready,
             self._occupied.hears,
+            self._core,
         )
         self._crashes = crash_watch.CrashWatch(options.host, port)
         self._conduct = conduct.Conduct(options.host, self.board)
@@ -315,6 +317,29 @@
             self._follow_members,
         ]
 
+    def _live_hosts(self) -> list[str]:
+        """Return the hosts that may act for the fleet, this one first."""
+        others = [
+            row.host
+            for row in self.board.members.rows()
+            if row.state in work_role.CANDIDATE_STATES
+            and row.host != self._options.host
+        ]
+        return [self._options.host, *others]
+
+    def _core(self) -> list[str]:
+        return core.choose(self._live_hosts())
+
+    def _follow(
+        self,
+        addresses: collections.abc.Mapping[str, str],
+        kept: collections.abc.Collection[str],
+    ) -> None:
+        """Keep links to the core too; the core keeps them to all."""
+        known = [host for host in self._live_hosts() if host in addresses]
+        host = self._options.host
+        self._peers.follow(addresses, core.links(host, [host, *known], kept))
+
     async def _announce_ready(self) -> None:
         await self._mirrors[self._platform.configuration_kind].ready.wait()
         await self._mirrors[self._platform.targets_kind].ready.wait()
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -4,6 +4,7 @@
 
 import parameterized
 
+from persimmonpass.policy import core
 from persimmonpass.policy import placing
 from persimmonpass.policy import waiting
 from persimmonpass.policy import work
@@ -58,6 +59,20 @@
         self.assertEqual({8}, set(online.values()))
 
 
+class TestCore(unittest.TestCase):
+    @expand(
+        [('small', 6, 6), ('as large as the core', 8, 8), ('large', 70, 8)]
+    )
+    def test_core_and_its_links(self, _, count, size):
+        hosts = [f'host-{number}' for number in range(count)]
+        chosen = core.choose(hosts)
+        self.assertEqual(size, len(chosen))
+        for host in hosts:
+            links = core.links(host, hosts, ())
+            self.assertLessEqual(set(chosen) - {host}, links)
+            self.assertEqual(host in chosen, len(links) == count - 1)
+
+
 class TestWaiting(unittest.TestCase):
     @expand(
         [
