--- a/src/persimmonpass/controllers/admission_line.py
+++ b/src/persimmonpass/controllers/admission_line.py
@@ -65,6 +65,7 @@
             with anyio.move_on_after(PUMP_SECONDS if self._entries else 1.0):
                 version = await self._board.targets.wait(version)
             self.pump()
+            self._tell_waiting()
 
     def capacity(self, service: str) -> conduct.Capacity:
         """Return what the usable targets of a service run at once."""
@@ -118,7 +119,7 @@
                 refused = self._refuse_hopeless(entry, deadline)
                 if refused is not None:
                     return result.Err(refused)
-                self._occupied.set_waiting(len(self._entries))
+                self._tell_waiting()
                 with anyio.CancelScope() as scope:
                     scope.deadline = deadline - MIN_SERVICE_SECONDS
                     await entry.placed.wait()
@@ -128,12 +129,21 @@
         finally:
             if entry in self._entries:
                 self._entries.remove(entry)
-            self._occupied.set_waiting(len(self._entries))
+            self._tell_waiting()
         if entry.target is not None:
             return result.Ok(entry.target)
         wait = self._wait_seconds(service)
         return result.Err(self._refusal(wait, 'no place in time'))
 
+    def _tell_waiting(self) -> None:
+        now = anyio.current_time()
+        on_time = sum(
+            not waiting.is_late(entry.waiter, now) for entry in self._entries
+        )
+        self._occupied.set_waiting(
+            occupancy.Waiting(len(self._entries), on_time)
+        )
+
     def _give_back(self, entry: _Entry) -> None:
         """Return a place that a cancelled request got."""
         if entry.target is not None:
@@ -187,7 +197,11 @@
                 self._entries,
                 key=lambda entry: waiting.rank(entry.waiter, now),
             )
+            hold_late = self._occupied.peers_on_time > 0
             for entry in ranked:
+                if hold_late and waiting.is_late(entry.waiter, now):
+                    # A peer's request makes better use of the place.
+                    break
                 if entry.service in full and not entry.excluded:
                     continue
                 if not self._place(entry) and not entry.excluded:
--- a/src/persimmonpass/controllers/conduct.py
+++ b/src/persimmonpass/controllers/conduct.py
@@ -14,6 +14,10 @@
 # A slow target is tried again after its mean has decayed for some seconds.
 DECAY_SECONDS = 3.0
 MAX_PACE = 8.0
+# Until a first event was seen.
+TYPICAL_FIRST_SECONDS = 0.1
+# First events of busy targets come so much later than typical ones.
+FIRST_MARGIN = 1.8
 MIN_BLOCK_SECONDS = 0.25
 MAX_BLOCK_SECONDS = 2.0
 # Another target has the address; the list will say so within seconds.
@@ -49,6 +53,11 @@
         self._typical = 0.0
         self._service_seconds = 0.8
 
+    @property
+    def first_seconds(self) -> float:
+        """Time from a send to the first event that most targets keep."""
+        return FIRST_MARGIN * (self._typical or TYPICAL_FIRST_SECONDS)
+
     @property
     def service_seconds(self) -> float:
         """How long an online request runs, on the average."""
--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -115,7 +115,11 @@
                 waiting.Waiter(
                     request.route.priority,
                     request.began,
-                    request.began + request.route.objective_seconds,
+                    waiting.placed_by(
+                        request.began,
+                        request.route.objective_seconds,
+                        self._ports.conduct.first_seconds,
+                    ),
                 ),
                 request.deadline,
                 request.excluded,
--- a/src/persimmonpass/policy/waiting.py
+++ b/src/persimmonpass/policy/waiting.py
@@ -16,7 +16,8 @@
 
     :ivar priority: 0 is the most urgent
     :ivar arrived_at: in seconds
-    :ivar on_time_until: when its objective has passed, in seconds
+    :ivar on_time_until: when it has to be placed to meet its objective, in
+        seconds
     """
 
     priority: int
@@ -24,10 +25,27 @@
     on_time_until: float
 
 
+def placed_by(
+    arrived_at: float, objective_seconds: float, first_seconds: float
+) -> float:
+    """Return until when a request has to be placed to be on time.
+
+    A queue that holds each request until its objective has passed would make
+    all of them late.
+
+    :param first_seconds: time from a send to the first event
+    """
+    return arrived_at + max(0.0, objective_seconds - first_seconds)
+
+
+def is_late(waiter: Waiter, now: float) -> bool:
+    """Return whether a request can not meet its objective any more."""
+    return now >= waiter.on_time_until
+
+
 def rank(waiter: Waiter, now: float) -> tuple[bool, int, float]:
     """Return the place of a request in the queue; lower ones go first."""
-    is_late = now >= waiter.on_time_until
-    return is_late, waiter.priority, waiter.arrived_at
+    return is_late(waiter, now), waiter.priority, waiter.arrived_at
 
 
 def expected_wait(ahead: int, slots: int, service_seconds: float) -> float:
