Soak hosts as real processes under kills, stops and freezes

Two seeds, six faults each over three hosts, with callers and jobs: nothing that must not repeat ran twice, what was said not to have run did not, each accepted job has one result an item, the same on all hosts, and stops end with status 0.

--- /dev/null
+++ b/tests/test_platform_soak.py
@@ -0,0 +1,275 @@
+"""Hosts as real processes under kills, stops and freezes, with a fixed seed.
+
+The store and the servers are stand-ins in the test's own process, which are
+told nothing of the faults.
+"""
+
+import collections
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+
+import anyio
+import httpx
+import parameterized
+
+from persimmonpass import servers
+from tests import platform_fakes
+from tests import processes
+from tests import test_store_client
+
+HOSTS = 3
+TARGETS = 3
+FAULTS = 6
+JOB_ITEMS = 4
+SETTLE_SECONDS = 30.0
+STATUS_NOT_RUN = frozenset((408, 421, 429, 503))
+LAUNCHER = str(processes.ROOT / 'deploy' / 'launch.py')
+SETTINGS = """
+nodeName: "host-{number}"
+zone: "a"
+ip: "127.0.0.1"
+listen: {{front: "{front}", directory: "{entry}"}}
+portRange: [{peer}, {metrics}]
+bounds: {{graceS: 8}}
+platform: {{address: "{store}", writesPerS: 100000, readsPerS: 100000}}
+"""
+
+
+class Host:
+    """A gateway as a process that may be started again."""
+
+    def __init__(self, folder, number, store):
+        fields = _free_addresses()
+        self.address = fields['front']
+        self._path = pathlib.Path(folder) / f'host-{number}.yaml'
+        self._path.write_text(
+            SETTINGS.format(number=number, store=store, **fields)
+        )
+        self._process = None
+        self.start()
+
+    def start(self):
+        environment = {
+            **os.environ,
+            'PERSIMMONPASS_SETTINGS': str(self._path),
+        }
+        self._process = subprocess.Popen(
+            [sys.executable, LAUNCHER, 'host', self.address],
+            env=environment,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def send(self, number):
+        self._process.send_signal(number)
+
+    async def end(self, number):
+        """Send a signal and wait until the process has ended."""
+        self._process.send_signal(number)
+        while self._process.poll() is None:
+            await anyio.sleep(0.02)
+        return self._process.returncode
+
+    def close(self):
+        self._process.kill()
+        self._process.wait()
+
+
+def _free_addresses():
+    """Return free addresses; the two ports of the range follow each other."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            held = [
+                stack.enter_context(
+                    contextlib.closing(servers.listen('127.0.0.1:0'))
+                )
+                for _ in range(3)
+            ]
+            front, entry, peer = map(servers.address_of, held)
+            port = int(peer.rpartition(':')[2])
+            try:
+                servers.listen(f'127.0.0.1:{port + 1}').close()
+            except (OSError, OverflowError):
+                continue
+            return {
+                'front': front,
+                'entry': entry,
+                'peer': port,
+                'metrics': port + 1,
+            }
+
+
+class Load:
+    """Callers that keep what they were told.
+
+    :ivar answers: status by request id, for requests that must not repeat
+    :ivar broken: answers with success that were not whole
+    """
+
+    def __init__(self, hosts, draw):
+        self._hosts = hosts
+        self._draw = draw
+        self.answers = {}
+        self.broken = []
+        self.accepted = []
+        self.stopping = False
+
+    async def requests(self, client):
+        whole = ''.join(
+            f'id: {n}\ndata: x-{n}\n\n'
+            for n in range(1, platform_fakes.TOKENS + 1)
+        )
+        number = 0
+        while not self.stopping:
+            number += 1
+            path = ('/notes/a', '/once/a')[number % 2]
+            request_id = f'r{number}'
+            answer = await self._post(client, path, 'x', request_id)
+            if answer is None:
+                continue
+            if path == '/once/a':
+                self.answers[request_id] = answer.status_code
+            if answer.status_code == 200 and answer.text != whole:
+                self.broken.append(answer.text)
+
+    async def jobs(self, client):
+        number = 0
+        while not self.stopping:
+            number += 1
+            body = platform_fakes.submission(JOB_ITEMS)
+            for _ in range(5):
+                answer = await self._post(
+                    client, '/jobs/j', body, f'j{number}'
+                )
+                if answer is not None and answer.status_code == 202:
+                    self.accepted.append(f'j{number}')
+                    break
+            await anyio.sleep(0.3)
+
+    async def _post(self, client, path, content, request_id):
+        host = self._draw.choice(self._hosts)
+        try:
+            return await client.post(
+                f'http://{host.address}{path}',
+                content=content,
+                headers={
+                    'Host': platform_fakes.HOST,
+                    'Request-Id': request_id,
+                    'Deadline-Ms': '3000',
+                },
+                timeout=4.0,
+            )
+        except httpx.HTTPError:
+            # The host died; a caller learns nothing.
+            await anyio.sleep(0.02)
+            return None
+
+
+async def _fault(host, kind):
+    """Apply a fault to a host and end it."""
+    if kind == 'freeze':
+        host.send(signal.SIGSTOP)
+        await anyio.sleep(1.5)
+        host.send(signal.SIGCONT)
+        return 0
+    number = signal.SIGTERM if kind == 'stop' else signal.SIGKILL
+    code = await host.end(number)
+    host.start()
+    return code if kind == 'stop' else 0
+
+
+class TestSoak(unittest.TestCase):
+    @parameterized.parameterized.expand([(1,), (2,)])
+    def test_promises_hold(self, seed):
+        draw = random.Random(seed)
+
+        async def test():
+            made = [
+                platform_fakes.Server(f'i-{number}')
+                for number in range(TARGETS)
+            ]
+            store = platform_fakes.StoreApp()
+            async with contextlib.AsyncExitStack() as stack:
+                serving = test_store_client.serving
+                address = await stack.enter_async_context(serving(store.app))
+                for server in made:
+                    server.pace_seconds = 0.02
+                    server.address = await stack.enter_async_context(
+                        serving(server.app)
+                    )
+                    store.memory.put('servers', server.name, server.entry())
+                store.memory.put(
+                    'config', 'main', platform_fakes.configuration()
+                )
+                folder = stack.enter_context(tempfile.TemporaryDirectory())
+                hosts = [Host(folder, n, address) for n in range(HOSTS)]
+                for host in hosts:
+                    stack.callback(host.close)
+                client = await stack.enter_async_context(
+                    httpx.AsyncClient(trust_env=False)
+                )
+                load = Load(hosts, draw)
+                await anyio.sleep(3)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(load.requests, client)
+                    tasks.start_soon(load.jobs, client)
+                    for _ in range(FAULTS):
+                        kind = draw.choice(('kill', 'stop', 'freeze', 'all'))
+                        hit = hosts if kind == 'all' else [draw.choice(hosts)]
+                        for host in hit:
+                            code = await _fault(host, kind)
+                            self.assertEqual(0, code, kind)
+                        await anyio.sleep(1)
+                    load.stopping = True
+                self._check_requests(load, made)
+                await self._check_jobs(load, hosts, client)
+
+        platform_fakes.run(test)
+
+    def _check_requests(self, load, made):
+        runs = collections.Counter(
+            request_id for server in made for request_id, _ in server.ran
+        )
+        self.assertEqual([], load.broken)
+        self.assertGreater(len(load.answers), 20)
+        for request_id, status in load.answers.items():
+            self.assertLessEqual(runs[request_id], 1, request_id)
+            if status in STATUS_NOT_RUN:
+                self.assertEqual(0, runs[request_id], request_id)
+
+    async def _check_jobs(self, load, hosts, client):
+        self.assertGreater(len(load.accepted), 2)
+        for job_id in load.accepted:
+            pages = []
+            with anyio.fail_after(SETTLE_SECONDS):
+                while len(pages) < len(hosts):
+                    answer = await client.get(
+                        f'http://{hosts[len(pages)].address}'
+                        f'/persimmonpass/lots/{job_id}?after=0'
+                    )
+                    whole = answer.status_code == 200 and (
+                        answer.json()['next'] == JOB_ITEMS
+                    )
+                    if whole:
+                        pages.append(answer.json()['results'])
+                    else:
+                        self.assertIn(answer.status_code, (200, 503))
+                        await anyio.sleep(0.1)
+            self.assertEqual([pages[0]] * len(hosts), pages)
+            items = {one['id'] for one in pages[0]}
+            self.assertEqual(JOB_ITEMS, len(items))
+            outputs = {one['output'] for one in pages[0]}
+            text = '\n'.join(
+                f'x-{n}' for n in range(1, platform_fakes.TOKENS + 1)
+            )
+            self.assertEqual({text}, outputs)
+
+
+if __name__ == '__main__':
+    unittest.main()
