Refuse a waiting request before its caller leaves

Change: what has no place by the time at which callers leave is refused with a time to come back. Kept for the callers: an answer that is true and in time. Test seen failing first. Open: a standing overload could be refused sooner, when a request can no longer be on time.

--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -121,7 +121,7 @@
                         self._ports.conduct.first_seconds,
                     ),
                 ),
-                request.deadline,
+                request.answer_by,
                 request.excluded,
             )
             if isinstance(placed, result.Err):
--- a/src/persimmonpass/policy/waiting.py
+++ b/src/persimmonpass/policy/waiting.py
@@ -7,6 +7,12 @@
 
 import typing
 
+# Callers leave a stream that stays silent for the longest of a time, a
+# multiple of the objective and a multiple of the allowed pause. A caller that
+# has left can not be told that its request did not run.
+LEAVE_SECONDS = 2.0
+LEAVE_OBJECTIVES = 4.0
+LEAVE_GAPS = 8.0
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 3.0
 
@@ -25,6 +31,18 @@
     on_time_until: float
 
 
+def patience(objective_seconds: float, gap_seconds: float) -> float:
+    """Return how long callers wait for the first event of a stream.
+
+    :param gap_seconds: longest pause between events that is on time
+    """
+    return max(
+        LEAVE_SECONDS,
+        LEAVE_OBJECTIVES * objective_seconds,
+        LEAVE_GAPS * gap_seconds,
+    )
+
+
 def placed_by(
     arrived_at: float, objective_seconds: float, first_seconds: float
 ) -> float:
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -3,6 +3,7 @@
 import anyio
 
 from persimmonpass import exchange
+from persimmonpass.policy import waiting
 from persimmonpass import routes
 from persimmonpass import verdicts
 
@@ -41,6 +42,16 @@
         self.failure: verdicts.Failure | None = None
         self.first_seconds: float | None = None
 
+    @property
+    def answer_by(self) -> float:
+        """When its caller leaves if it has heard nothing, in seconds."""
+        if self.started or self.route.kind is not routes.Kind.STREAM:
+            return self.deadline
+        waits = waiting.patience(
+            self.route.objective_seconds, self.route.gap_seconds
+        )
+        return min(self.deadline, self.began + waits)
+
     @property
     def left(self) -> float:
         """Seconds until the deadline."""
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -317,7 +317,7 @@
         'routes': routes
         or [
             route('/notes/'),
-            route('/once/', resumable=False, maxAttempts=1),
+            route('/once/', resumable=False, maxAttempts=1, gapTargetMs=200),
             route('/jobs/', 'batch', maxAttempts=3),
         ],
         'services': [{'name': 'notes', 'engine': {'slots': 8}}],
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import anyio
 import parameterized
 
+from persimmonpass.policy import waiting
 from persimmonpass import servers
 from tests import platform_fakes
 
@@ -88,6 +89,36 @@
 
         platform_fakes.run(test)
 
+    def test_refused_before_the_caller_leaves(self):
+        """Its caller waits two seconds for an event, whatever its deadline."""
+
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                server = fleet.servers[0]
+                server.pace_seconds = 5.0
+                async with anyio.create_task_group() as tasks:
+                    for number in range(server.slots):
+                        tasks.start_soon(
+                            lambda number=number: fleet.post(
+                                '/once/a', **{'Request-Id': f'r{number}'}
+                            )
+                        )
+                    with anyio.fail_after(2):
+                        while server.busy < server.slots:
+                            await anyio.sleep(0.01)
+                    began = anyio.current_time()
+                    answer = await fleet.post(
+                        '/once/a',
+                        **{'Request-Id': 'last', 'Deadline-Ms': '2900'},
+                    )
+                    waited = anyio.current_time() - began
+                    tasks.cancel_scope.cancel()
+                self.assertEqual(503, answer.status_code)
+                self.assertLess(waited, waiting.LEAVE_SECONDS)
+                self.assertNotIn('last', [run for run, _ in server.ran])
+
+        platform_fakes.run(test)
+
     def test_no_target_is_refused_at_once(self):
         async def test():
             async with platform_fakes.fleet(count=0) as fleet:
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -109,6 +109,16 @@
     def test_retry_after(self, _, wait, drawn, expected):
         self.assertEqual(expected, waiting.retry_after(wait, drawn))
 
+    @expand(
+        [
+            ('time', 0.3, 0.2, 2.0),
+            ('objective', 0.8, 0.2, 3.2),
+            ('pause', 0.3, 0.5, 4.0),
+        ]
+    )
+    def test_patience(self, _, objective, gap, expected):
+        self.assertEqual(expected, waiting.patience(objective, gap))
+
     def test_overload_makes_few_late(self):
         """A peak of 1.25 times what the slots serve, for two seconds.
 
