Remove jobs that nobody may read any more; drop settings that nothing reads

Cause (newcomer's reading): no record of a job was ever removed, so that each host's copy and the store grew by about 150 KB a job for good. Change: the runner removes jobs that are not open a minute after their time; one copy of how the platform's programs end on a wrong setting; settings without a reader are gone. Tests: three rows of removal; both programs with two wrong files end with one line and status 2.

--- a/src/persimmonpass/cli/gateway.py
+++ b/src/persimmonpass/cli/gateway.py
@@ -4,11 +4,11 @@
 import os
 import signal
 import socket
-import sys
 
 import anyio
 import click
 
+from persimmonpass.cli import programs
 from persimmonpass import events
 from persimmonpass import exceptions
 from persimmonpass import gateway
@@ -18,7 +18,6 @@
 from persimmonpass.platform import settings
 from persimmonpass import settings as product_settings
 
-EXIT_USAGE = 2
 SETTINGS_CHECK_SECONDS = 2.0
 
 Bound = collections.abc.Mapping[str, socket.socket]
@@ -52,16 +51,7 @@
 
     :param bound: sockets that listen already, by address
     """
-    try:
-        command.main(standalone_mode=False, obj=bound or {})
-    except (click.ClickException, exceptions.SettingsError) as error:
-        message = (
-            error.format_message()
-            if isinstance(error, click.ClickException)
-            else str(error)
-        )
-        print(f'error: {message}', file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    programs.run(command, bound or {})
 
 
 async def _run(
--- a/src/persimmonpass/cli/storage.py
+++ b/src/persimmonpass/cli/storage.py
@@ -1,15 +1,14 @@
 """Command line of ``persimmonpass-storage``."""
 
 import signal
-import sys
 
 import anyio
 import click
 import httpx
 
 from persimmonpass import budget
+from persimmonpass.cli import programs
 from persimmonpass import events
-from persimmonpass import exceptions
 from persimmonpass import gateway_settings
 from persimmonpass import logs
 from persimmonpass.platform import objects
@@ -18,8 +17,6 @@
 from persimmonpass import servers
 from persimmonpass import storage_host
 
-EXIT_USAGE = 2
-
 
 @click.command(help='Run one storage host of the fleet on the platform.')
 @click.option(
@@ -41,16 +38,7 @@
 
     :param bound: not used; nobody calls a storage host
     """
-    try:
-        command.main(standalone_mode=False)
-    except (click.ClickException, exceptions.SettingsError) as error:
-        message = (
-            error.format_message()
-            if isinstance(error, click.ClickException)
-            else str(error)
-        )
-        print(f'error: {message}', file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+    programs.run(command)
 
 
 async def _run(options: gateway_settings.Settings) -> None:
--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -1,6 +1,5 @@
 """Passes online requests on to targets and their answers back."""
 
-import collections.abc
 import enum
 import typing
 
@@ -425,9 +424,3 @@
         f'target {target.name}: {type(error).__name__}',
         GATEWAY_TIMEOUT if isinstance(error, TimeoutError) else BAD_GATEWAY,
     )
-
-
-Serve = collections.abc.Callable[
-    [exchange.Call, routes.Route, exchange.CallerPort],
-    collections.abc.Awaitable[None],
-]
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -58,20 +58,22 @@
         host: str,
         port: records.RecordPort,
         copy: collections.abc.Callable[[], mirror.Mirror],
-        quota_overage: float,
     ) -> None:
         self.jobs: dict[str, job_state.JobState] = {}
         self.changed: list[collections.abc.Callable[[], None]] = []
         self._host = host
         self._port = port
         self._copy = copy
-        self._overage = quota_overage
         self._orders = 0
         self._accepting: dict[str, tuple[str, int]] = {}
 
     def take(self, changed: list[records.Record]) -> None:
         """Take records that came or changed."""
         for record in changed:
+            if record.deleted:
+                # Only what is past its time is removed, the job first.
+                self.jobs.pop(work.job_of(record.name) or '', None)
+                continue
             change = work.read(record)
             if change is None:
                 events.log(
@@ -81,10 +83,6 @@
                     revision=record.version,
                 )
                 continue
-            if record.deleted:
-                # Only what is past its time is removed.
-                self.jobs.pop(change.job_id, None)
-                continue
             state = self.jobs.get(change.job_id)
             if state is None:
                 self._orders += 1
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -403,6 +403,12 @@
     Level.INFO,
     'A job could not be read with certainty; the caller was told to wait.',
 )
+JOB_REMOVED = Event(
+    615,
+    'job_removed',
+    Level.INFO,
+    'A job that nobody may read any more was removed from the store.',
+)
 BATCH_RUNNER_CHANGED = Event(
     614,
     'batch_runner_changed',
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -21,6 +21,7 @@
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import passing
 from persimmonpass.controllers import store_relay
+from persimmonpass.controllers import work_cleanup
 from persimmonpass.controllers import work_log
 from persimmonpass.controllers import work_role
 from persimmonpass.controllers import work_runner
@@ -186,7 +187,6 @@
             options.host,
             self._relay.port,
             lambda: self._mirrors[work.KIND],
-            options.quota_overage,
         )
         kinds = {
             platform.configuration_kind: self._catalog.take_configuration,
@@ -277,12 +277,23 @@
             ),
         )
         self._handlers |= self._runner.handlers
+        self._cleanup = work_cleanup.WorkCleanup(
+            self._options.host,
+            self._relay.port,
+            self._log.jobs,
+            self._options.job_status_seconds,
+            lambda: self._role.is_runner,
+        )
 
     def _build_front(self) -> None:
         """Make the applications."""
         self._front = gateway_front.Front(
             gateway_front.FrontPorts(
                 self._options.host,
+                min(
+                    gateway_front.ENTRY_TTL_SECONDS,
+                    self._options.max_entry_ttl_seconds,
+                ),
                 self.board,
                 self._platform,
                 self._passing,
@@ -314,6 +325,7 @@
             self._conduct.run,
             self._line.run,
             self._runner.run,
+            self._cleanup.run,
             self._follow_members,
         ]
 
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -36,11 +36,13 @@
 class FrontPorts(typing.NamedTuple):
     """What the front works with.
 
+    :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar mirrors: copies of records by kind
     :ivar settled: set once the configuration and targets are known
     """
 
     host: str
+    entry_ttl_seconds: float
     board: blackboard.Blackboard
     platform: gateway_ports.PlatformPorts
     passing: passing.Passing
@@ -154,7 +156,7 @@
         addresses = entry.order(hosts, zone, random.random, MAX_ADDRESSES)
         if not addresses:
             return None
-        return gateway_ports.Entry(addresses, ENTRY_TTL_SECONDS)
+        return gateway_ports.Entry(addresses, self._ports.entry_ttl_seconds)
 
     async def _serve_metrics(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
--- a/src/persimmonpass/gateway_settings.py
+++ b/src/persimmonpass/gateway_settings.py
@@ -18,13 +18,8 @@
     :ivar metrics_listen: ``ip:port`` for metrics
     :ivar seed_peers: peers' ``ip:port`` to ask while the store is down
     :ivar grace_seconds: time from the signal to stop until the kill
-    :ivar target_drain_seconds: time in which a leaving target must have
-        got its last request
     :ivar max_entry_ttl_seconds: longest time that callers keep an answer
     :ivar job_status_seconds: how long jobs stay readable
-    :ivar quota_overage: part of a quota by which it may be exceeded
-    :ivar memory_bytes: memory at which the process is killed
-    :ivar max_descriptors: open files and sockets that are allowed
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     """
 
@@ -41,10 +36,6 @@
     metrics_listen: str = ''
     seed_peers: tuple[str, ...] = ()
     grace_seconds: float = 8.0
-    target_drain_seconds: float = 2.0
     max_entry_ttl_seconds: float = 5.0
     job_status_seconds: float = 120.0
-    quota_overage: float = 0.1
-    memory_bytes: int = 256_000_000
-    max_descriptors: int = 1024
     trace: str = ''
--- a/src/persimmonpass/platform/settings.py
+++ b/src/persimmonpass/platform/settings.py
@@ -8,20 +8,12 @@
 from persimmonpass import gateway_settings
 
 PATH_VARIABLE = 'PERSIMMONPASS_SETTINGS'
-_MEGABYTE = 1_000_000
-
-
-class _Limits(msgspec.Struct, rename='camel'):
-    memory_mb: float = 256.0
-    max_fds: int = 1024
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
     grace_s: float = 8.0
-    drain_ms: float = 2_000.0
     ttl_max_s: float = msgspec.field(default=5.0, name='ttl_max_s')
     status_s: float = 120.0
-    quota_overage: float = 0.1
 
 
 class _Platform(msgspec.Struct, rename='camel'):
@@ -39,7 +31,6 @@
     port_range: list[int] = []
     seeds: list[str] = []
     serves: list[str] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -90,10 +81,6 @@
             if seed.rpartition(':')[0] != found.ip
         ),
         grace_seconds=found.bounds.grace_s,
-        target_drain_seconds=found.bounds.drain_ms / 1000,
         max_entry_ttl_seconds=found.bounds.ttl_max_s,
         job_status_seconds=found.bounds.status_s,
-        quota_overage=found.bounds.quota_overage,
-        memory_bytes=int(found.limits.memory_mb * _MEGABYTE),
-        max_descriptors=found.limits.max_fds,
     )
--- a/src/persimmonpass/work.py
+++ b/src/persimmonpass/work.py
@@ -93,6 +93,11 @@
     return _JOB + job_id
 
 
+def job_of(name: str) -> str | None:
+    """Return the id of the job whose own record has a name."""
+    return name[len(_JOB) :] if name.startswith(_JOB) else None
+
+
 def end_name(job_id: str) -> str:
     """Return the name of the record that ends a job."""
     return _END + job_id
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -3,6 +3,8 @@
 import os
 import pathlib
 import re
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -27,6 +29,7 @@
 expand = parameterized.parameterized.expand
 SOURCE = processes.ROOT / 'src' / 'persimmonpass'
 FOLDER = SOURCE / 'platform'
+LAUNCHER = processes.ROOT / 'deploy' / 'launch.py'
 TARGET = blackboard.Target('i-1', '10.0.0.1:80', 'engine', 'a', {})
 SETTINGS = """
 nodeName: "edge-a-1"
@@ -72,7 +75,7 @@
         self.assertEqual('10.1.0.10:7720', found.peer_listen)
         self.assertEqual(('10.2.0.40:7720',), found.seed_peers)
         self.assertEqual('', found.entry_listen)
-        self.assertEqual(2.0, found.target_drain_seconds)
+        self.assertEqual(8.0, found.grace_seconds)
 
     @expand(
         [
@@ -93,6 +96,28 @@
         with self.assertRaises(exceptions.SettingsError):
             settings.read('/nonexistent/boot.yaml')
 
+    @expand(
+        [
+            (program, text, named)
+            for program in ('host', 'storage')
+            for text, named in (('{', 'boot.yaml'), ('zone: a', 'nodeName'))
+        ]
+    )
+    def test_program_ends_with_one_line(self, program, text, named):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'boot.yaml'
+            path.write_text(text)
+            done = subprocess.run(
+                [sys.executable, str(LAUNCHER), program],
+                env={**os.environ, settings.PATH_VARIABLE: str(path)},
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+        self.assertEqual(2, done.returncode)
+        self.assertEqual(1, len(done.stderr.splitlines()), done.stderr)
+        self.assertIn(named, done.stderr)
+
     def test_reload_of_a_wrong_file_changes_nothing(self):
         options = self.read(SETTINGS)
         command.reload('/nonexistent/boot.yaml', options)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -1,5 +1,6 @@
 """Jobs: accepted once, each position one result, one runner."""
 
+import time
 import unittest
 
 import anyio
@@ -10,6 +11,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass.controllers import mirror
+from persimmonpass.controllers import work_cleanup
 from persimmonpass.controllers import work_log
 from persimmonpass.controllers import work_role
 from persimmonpass import item_text
@@ -50,7 +52,7 @@
 
     def __init__(self, memory, name='host'):
         self.memory = memory
-        self.log = work_log.WorkLog(name, memory.port, lambda: self.copy, 0.1)
+        self.log = work_log.WorkLog(name, memory.port, lambda: self.copy)
         network = fakes.Network()
         self.copy = mirror.Mirror(
             name, work.KIND, memory.port, network.port(name), self.log.take
@@ -430,6 +432,41 @@
         self.play(test)
 
 
+class TestCleanup(unittest.TestCase):
+    @expand(
+        [
+            ('young', 100, True, 5),
+            ('old and open', 300, False, 2),
+            ('old and done', 300, True, 0),
+        ]
+    )
+    def test_old_jobs_are_removed(self, _, age, finished, left):
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            host = Host(memory)
+            cleanup = work_cleanup.WorkCleanup(
+                'host', memory.port, host.log.jobs, 120.0, lambda: True
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(host.copy.run)
+                deadline = anyio.current_time() + 4
+                job = make_job()._replace(accepted_at=time.time())
+                await host.log.accept(job, ROUTE, deadline)
+                await host.log.commit('j', [done('j-0')])
+                if finished:
+                    await host.log.commit('j', [done('j-1'), done('j-2')])
+                    await host.log.end('j', deadline)
+                    memory.put(work.KIND, 'r.j.000002', {'results': []})
+                tasks.start_soon(cleanup.run)
+                await anyio.sleep(age)
+                self.assertEqual(left, len(memory.rows))
+                self.assertEqual(left > 0, 'j' in host.log.jobs)
+                self.assertEqual(left, len(host.copy.records))
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
+
 class TestRecords(unittest.TestCase):
     def test_round_trip(self):
         job = make_job()
