Let a program that still starts live through SIGHUP and end in order at SIGTERM

Change: the launcher drops SIGHUP, as the settings are read later, and leaves with status 0 at SIGTERM.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -8,6 +8,7 @@
 
 import importlib
 import pathlib
+import signal
 import socket
 import sys
 
@@ -33,11 +34,20 @@
     return bound
 
 
+def _leave(*_: object) -> None:
+    """End in order; no request has been read yet."""
+    sys.exit(0)
+
+
 def main() -> None:
     """Run the program that the first argument names.
 
     The other arguments are addresses to listen on at once.
     """
+    # Without these either signal would kill a program that still starts. The
+    # settings are read later, so that a request to read them can be dropped.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, _leave)
     root = pathlib.Path(__file__).resolve().parent.parent
     name, *addresses = sys.argv[1:]
     del sys.argv[1:]
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -184,6 +184,25 @@
     return code if kind == 'stop' else 0
 
 
+class TestSignalsAtStart(unittest.TestCase):
+    @parameterized.parameterized.expand([(0.15,), (0.4,), (1.0,)])
+    def test_reload_keeps_it_and_stop_ends_it_in_order(self, seconds):
+        async def test():
+            with tempfile.TemporaryDirectory() as folder:
+                host = Host(folder, 1, '127.0.0.1:9')
+                try:
+                    await anyio.sleep(seconds)
+                    host.send(signal.SIGHUP)
+                    await anyio.sleep(0.1)
+                    with anyio.fail_after(20):
+                        code = await host.end(signal.SIGTERM)
+                    self.assertEqual(0, code)
+                finally:
+                    host.close()
+
+        platform_fakes.run(test)
+
+
 class TestSoak(unittest.TestCase):
     @parameterized.parameterized.expand([(1,), (2,)])
     def test_promises_hold(self, seed):
