Send refusals in one place; drop what nothing reads

Own refusals were written twice (platform.app and passing), the states of hosts that may act stood in membership and in work_role, requests in progress were counted by passing and by api.progress, and three constants had no reader.

--- a/src/persimmonpass/controllers/admission_line.py
+++ b/src/persimmonpass/controllers/admission_line.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import typing
 
 import anyio
 import result
@@ -21,6 +22,13 @@
 PUMP_SECONDS = 0.05
 
 
+class Capacity(typing.NamedTuple):
+    """What the usable targets of a service run at once."""
+
+    targets: int
+    slots: int
+
+
 class _Entry:
     """A request that waits for a place."""
 
@@ -67,10 +75,10 @@
             self.pump()
             self._tell_waiting()
 
-    def capacity(self, service: str) -> conduct.Capacity:
+    def capacity(self, service: str) -> Capacity:
         """Return what the usable targets of a service run at once."""
         spots = self.spots(service)
-        return conduct.Capacity(len(spots), sum(spot.slots for spot in spots))
+        return Capacity(len(spots), sum(spot.slots for spot in spots))
 
     def spots(
         self,
--- a/src/persimmonpass/controllers/conduct.py
+++ b/src/persimmonpass/controllers/conduct.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import statistics
-import typing
 
 import anyio
 
@@ -177,10 +176,3 @@
 
     def _get(self, target: str) -> _Record:
         return self._records.setdefault(target, _Record())
-
-
-class Capacity(typing.NamedTuple):
-    """What the usable targets of a service run at once."""
-
-    targets: int
-    slots: int
--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -25,7 +25,6 @@
 from persimmonpass import verdicts
 
 NOT_FOUND = 404
-TOO_LARGE = 413
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -72,7 +71,6 @@
     def __init__(self, host: str, ports: PassingPorts) -> None:
         self._host = host
         self._ports = ports
-        self.in_progress = 0
 
     def configuration(self) -> routes.Configuration | None:
         """Return the configuration in force."""
@@ -93,7 +91,6 @@
         request = request_state.RequestState(
             call, route, service, caller, anyio.current_time()
         )
-        self.in_progress += 1
         outcome = 'abandoned'
         try:
             with self._ports.spans.span(
@@ -101,12 +98,13 @@
             ):
                 outcome = await self._serve(request)
         finally:
-            self.in_progress -= 1
             self._report(request, outcome)
 
     async def _serve(self, request: request_state.RequestState) -> str:
         if self._ports.crashes.is_convicted(request.call.fingerprint):
-            await refuse(request.caller, UNAVAILABLE, CONVICTED_RETRY_SECONDS)
+            await exchange.refuse(
+                request.caller, UNAVAILABLE, CONVICTED_RETRY_SECONDS
+            )
             return 'quarantined'
         while request.may_run_again and request.left > 0:
             placed = await self._ports.line.take(
@@ -358,12 +356,12 @@
         failure = request.failure
         if request.runs:
             status = GATEWAY_TIMEOUT if request.left <= 0 else BAD_GATEWAY
-            await refuse(request.caller, status)
+            await exchange.refuse(request.caller, status)
             return 'failed'
         retry_after = 0.5
         if failure is not None and failure.retry_after_seconds is not None:
             retry_after = failure.retry_after_seconds
-        await refuse(request.caller, UNAVAILABLE, retry_after)
+        await exchange.refuse(request.caller, UNAVAILABLE, retry_after)
         return 'refused'
 
     def _report(
@@ -395,19 +393,6 @@
         )
 
 
-async def refuse(
-    caller: exchange.CallerPort,
-    status: int,
-    retry_after_seconds: float | None = None,
-) -> None:
-    """Send an answer of this host's own, without a body."""
-    headers: exchange.Headers = [(b'content-length', b'0')]
-    if retry_after_seconds is not None:
-        headers.append((b'retry-after', f'{retry_after_seconds:g}'.encode()))
-    await caller.start(status, headers)
-    await caller.send(b'', False)
-
-
 def _bad_answer(target: blackboard.Target, status: int) -> verdicts.Failure:
     return verdicts.Failure(
         verdicts.Verdict.RAN,
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -33,8 +33,6 @@
 ANSWER_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.4
 MAX_PAGE_BYTES = 900_000
-# The largest value of the store, less room for its frame.
-MAX_JOB_BYTES = 1_000_000
 GATEWAY_TIMEOUT = 504
 
 
--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -12,6 +12,7 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import membership
 from persimmonpass import events
 from persimmonpass import item_text
 from persimmonpass.peers import port as peer_port
@@ -25,7 +26,6 @@
 EXPIRY_SECONDS = 0.9
 # A host that has just become ready hears the others' claims first.
 SETTLE_SECONDS = 0.8
-CANDIDATE_STATES = ('alive', 'suspect')
 
 
 class Claim(typing.NamedTuple):
@@ -148,7 +148,7 @@
         return [
             row.host
             for row in self._board.members.rows()
-            if row.state in CANDIDATE_STATES and row.host != self._host
+            if row.state in membership.LIVE_STATES and row.host != self._host
         ]
 
     def _reached(self) -> list[str]:
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -91,6 +91,19 @@
     ]
 
 
+async def refuse(
+    caller: CallerPort,
+    status: int,
+    retry_after_seconds: float | None = None,
+) -> None:
+    """Send an answer of this host's own, without a body."""
+    headers: Headers = [(b'content-length', b'0')]
+    if retry_after_seconds is not None:
+        headers.append((b'retry-after', f'{retry_after_seconds:g}'.encode()))
+    await caller.start(status, headers)
+    await caller.send(b'', False)
+
+
 class Event(typing.NamedTuple):
     """A server-sent event.
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -334,7 +334,7 @@
         others = [
             row.host
             for row in self.board.members.rows()
-            if row.state in work_role.CANDIDATE_STATES
+            if row.state in membership.LIVE_STATES
             and row.host != self._options.host
         ]
         return [self._options.host, *others]
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -58,11 +58,9 @@
 
     async def refuse(self, failure: verdicts.Failure) -> None:
         """Send a failure."""
-        headers = []
-        if failure.retry_after_seconds is not None:
-            value = f'{failure.retry_after_seconds:g}'.encode()
-            headers.append((b'retry-after', value))
-        await self.answer(failure.status, b'', *headers)
+        await exchange.refuse(
+            self.port, failure.status, failure.retry_after_seconds
+        )
 
 
 def make_caller_app(ports: gateway_ports.GatewayPorts) -> types.ASGIApp:
