Ask again whether a target has died before a body is cleared of it

Cause: a dying engine takes the probe's connection until its sockets are closed; the body was then not held against it and cost a third engine. Change: the probe is repeated after 0.05 and 0.15 s.

--- a/src/persimmonpass/controllers/quarantine.py
+++ b/src/persimmonpass/controllers/quarantine.py
@@ -25,6 +25,9 @@
 REFRESH_SECONDS = 30.0
 SUSPECT_SECONDS = 300.0
 RESERVED_SECONDS = 60.0
+# A process that dies still takes connections until its sockets are closed,
+# which takes some hundredths of a second on a busy machine.
+PROBE_AGAIN_SECONDS = (0.05, 0.15)
 
 
 class SuspectNotice(typing.TypedDict):
@@ -144,8 +147,7 @@
     async def note_broken(self, run: Run) -> None:
         """Suspect a body if its connection broke because the target died."""
         shared = run.shared or self._sent.at_peers(run.target.name) > 0
-        connected = await self._connect(run.target)
-        if connected != probe.Connected.REFUSED:
+        if not await self._has_died(run.target):
             return
         known = self._suspects.get(run.digest, quarantine.Suspicion())
         suspicion = quarantine.on_death(known, run.target.name, not shared)
@@ -161,6 +163,13 @@
             self._unsaved.add(run.digest)
             self._changed.set()
 
+    async def _has_died(self, target: blackboard.Target) -> bool:
+        for seconds in (0.0, *PROBE_AGAIN_SECONDS):
+            await anyio.sleep(seconds)
+            if await self._connect(target) == probe.Connected.REFUSED:
+                return True
+        return False
+
     async def run(self) -> None:
         """Read what is recorded and record what is new, for ever."""
         while True:
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -44,6 +44,7 @@
 
     :ivar faults: what a target does: after how many words, and how
     :ivar dead: targets that refuse connections
+    :ivar dying_probes: connections that a dead target still takes
     :ivar runs: prompts or bodies that each target has run
     :ivar running: requests in progress by target
     """
@@ -51,6 +52,8 @@
     def __init__(self):
         self.faults = {}
         self.dead = set()
+        self.dying_probes = 0
+        self._probed = collections.Counter()
         self.runs = collections.defaultdict(list)
         self.running = collections.Counter()
         self.engines = engine.EnginePort(self._stream, self._report)
@@ -58,6 +61,9 @@
 
     async def connect(self, target):
         gone = target.name in self.dead
+        if gone:
+            self._probed[target.name] += 1
+            gone = self._probed[target.name] > self.dying_probes
         return probe.Connected.REFUSED if gone else probe.Connected.ACCEPTED
 
     def _fail(self, target, verdict):
--- a/tests/test_online_faults.py
+++ b/tests/test_online_faults.py
@@ -289,6 +289,16 @@
             test, targets=('e1', 'e2', 'e3', 'e4'), hosts=('h1', 'h2')
         )
 
+    @parameterized.parameterized.expand([(0,), (1,), (2,)])
+    def test_killer_is_known_by_targets_that_die_slowly(self, dying_probes):
+        async def test(fleet):
+            fleet.targets.dying_probes = dying_probes
+            _, end = await fleet.hosts['h1'].complete(online_fakes.KILLER, 'a')
+            self.assertEqual(2, len(fleet.targets.dead))
+            self.assertEqual(events.REQUEST_QUARANTINED, end.err_value.event)
+
+        online_fakes.run(test, targets=('e1', 'e2', 'e3', 'e4'))
+
     def test_neighbours_finish(self):
         async def test(fleet):
             host = fleet.hosts['h1']
