Let answers that have begun go on before others begin

Cause: a stream whose target broke waited in the late lane, as its request had come long ago; its caller heard a pause meanwhile. Change: an answer that has begun is never late and goes first. The new row of the test failed first.

--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -117,6 +117,7 @@
                         request.route.objective_seconds,
                         self._ports.conduct.first_seconds,
                     ),
+                    request.started,
                 ),
                 request.answer_by,
                 request.excluded,
--- a/src/persimmonpass/policy/waiting.py
+++ b/src/persimmonpass/policy/waiting.py
@@ -2,7 +2,9 @@
 
 Those that can still be on time go first, the more urgent of them before the
 others; late ones take what is left, so that a short peak makes few late and
-loses none. What can not be served before its deadline is refused at once.
+loses none. An answer that has begun goes on before any other begins: its
+caller hears a pause. What can not be served before its deadline is refused at
+once.
 """
 
 import typing
@@ -24,11 +26,13 @@
     :ivar arrived_at: in seconds
     :ivar on_time_until: when it has to be placed to meet its objective, in
         seconds
+    :ivar begun: whether its caller has part of the answer
     """
 
     priority: int
     arrived_at: float
     on_time_until: float
+    begun: bool = False
 
 
 def patience(objective_seconds: float, gap_seconds: float) -> float:
@@ -58,12 +62,17 @@
 
 def is_late(waiter: Waiter, now: float) -> bool:
     """Return whether a request can not meet its objective any more."""
-    return now >= waiter.on_time_until
+    return not waiter.begun and now >= waiter.on_time_until
 
 
-def rank(waiter: Waiter, now: float) -> tuple[bool, int, float]:
+def rank(waiter: Waiter, now: float) -> tuple[bool, bool, int, float]:
     """Return the place of a request in the queue; lower ones go first."""
-    return is_late(waiter, now), waiter.priority, waiter.arrived_at
+    return (
+        is_late(waiter, now),
+        not waiter.begun,
+        waiter.priority,
+        waiter.arrived_at,
+    )
 
 
 def expected_wait(ahead: int, slots: int, service_seconds: float) -> float:
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -79,6 +79,7 @@
             ('the first', (0, 1.0, 9.0), (0, 2.0, 9.0)),
             ('the urgent', (0, 2.0, 9.0), (1, 1.0, 9.0)),
             ('on time before late', (1, 4.0, 9.0), (0, 1.0, 2.0)),
+            ('begun before all', (1, 4.0, 2.0, True), (0, 1.0, 9.0)),
         ]
     )
     def test_rank(self, _, first, second):
