Refuse at once the late requests that get no place

Cause: in an overload that lasts, requests that can be on time take every slot; late ones were kept until their callers left and refused then. Ruled out: a queue of its own for each zone, longer patience. Change: a request that is or will be late is refused where late ones have got no place for longer than its caller stays; Retry-After follows how long the overload has lasted. Requests that can be on time no longer count the late ones as ahead of them.

--- a/src/persimmonpass/controllers/admission_line.py
+++ b/src/persimmonpass/controllers/admission_line.py
@@ -63,6 +63,7 @@
         self._conduct = conduct_
         self._entries: list[_Entry] = []
         self._pumping = False
+        self._stall = waiting.Stall()
         occupied.changed.append(self.pump)
         conduct_.changed.append(self.pump)
 
@@ -128,9 +129,9 @@
                 if refused is not None:
                     return result.Err(refused)
                 self._tell_waiting()
-                with anyio.CancelScope() as scope:
-                    scope.deadline = deadline - MIN_SERVICE_SECONDS
-                    await entry.placed.wait()
+                refused = await self._wait(entry, deadline)
+                if refused is not None:
+                    return result.Err(refused)
         except BaseException:
             self._give_back(entry)
             raise
@@ -140,9 +141,37 @@
             self._tell_waiting()
         if entry.target is not None:
             return result.Ok(entry.target)
-        wait = self._wait_seconds(service)
+        wait = self._wait_seconds(self._occupied.waiting, service)
         return result.Err(self._refusal(wait, 'no place in time'))
 
+    async def _wait(
+        self, entry: _Entry, deadline: float
+    ) -> verdicts.Failure | None:
+        """Wait for a place; refuse at once what will get none."""
+        waiter = entry.waiter
+        with anyio.CancelScope() as scope:
+            if not waiter.begun and waiter.on_time_until < deadline:
+                scope.deadline = waiter.on_time_until
+                await entry.placed.wait()
+                return None
+        if scope.cancelled_caught and entry.target is None:
+            refused = self._pass_over(deadline)
+            if refused is not None:
+                return refused
+        with anyio.CancelScope() as scope:
+            scope.deadline = deadline - MIN_SERVICE_SECONDS
+            await entry.placed.wait()
+        return None
+
+    def _pass_over(self, deadline: float) -> verdicts.Failure | None:
+        """Take that a request is late; refuse it if late ones get no place."""
+        now = anyio.current_time()
+        self._stall = waiting.pass_over(self._stall, now)
+        stalled = waiting.stalled_seconds(self._stall, now)
+        if not waiting.is_hopeless(deadline - now, stalled):
+            return None
+        return self._refusal(stalled, 'late requests get no place')
+
     def _tell_waiting(self) -> None:
         now = anyio.current_time()
         on_time = sum(
@@ -157,9 +186,9 @@
         if entry.target is not None:
             self._occupied.add_online(entry.target.name, -1)
 
-    def _wait_seconds(self, service: str) -> float:
+    def _wait_seconds(self, ahead: int, service: str) -> float:
         return waiting.expected_wait(
-            self._occupied.waiting,
+            ahead,
             self.capacity(service).slots,
             self._conduct.service_seconds,
         )
@@ -179,10 +208,16 @@
             if not known:
                 return self._refusal(1.0, 'no target')
             return None
-        wait = self._wait_seconds(entry.service)
+        if entry.waiter.begun:
+            return None
+        wait = self._wait_seconds(self._occupied.on_time, entry.service)
+        now = anyio.current_time()
+        if now + wait <= entry.waiter.on_time_until:
+            return None
+        wait = self._wait_seconds(self._occupied.waiting, entry.service)
         if wait > left - MIN_SERVICE_SECONDS:
             return self._refusal(wait, 'the queue is longer than the deadline')
-        return None
+        return self._pass_over(deadline)
 
     def _refusal(self, wait: float, message: str) -> verdicts.Failure:
         return verdicts.Failure(
@@ -226,6 +261,8 @@
         if entry.target is None:
             return False
         self._entries.remove(entry)
+        if waiting.is_late(entry.waiter, anyio.current_time()):
+            self._stall = waiting.Stall()
         self._occupied.add_online(name, 1)
         entry.placed.set()
         return True
--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -90,6 +90,11 @@
         told = sum(waiting.total for waiting in self._told_waiting.values())
         return self._waiting.total + told
 
+    @property
+    def on_time(self) -> int:
+        """Those of them that can still meet their objective."""
+        return self._waiting.on_time + self.peers_on_time
+
     @property
     def peers_on_time(self) -> int:
         """Requests of peers that wait and can still meet their objective."""
--- a/src/persimmonpass/policy/waiting.py
+++ b/src/persimmonpass/policy/waiting.py
@@ -15,6 +15,8 @@
 LEAVE_SECONDS = 2.0
 LEAVE_OBJECTIVES = 4.0
 LEAVE_GAPS = 8.0
+# An overload without a late request for so long is over.
+STALL_QUIET_SECONDS = 1.0
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 3.0
 
@@ -87,6 +89,43 @@
     return (ahead + 1) * service_seconds / slots
 
 
+class Stall(typing.NamedTuple):
+    """For how long no late request has got a place, in seconds of a clock.
+
+    :ivar since: when the first of them was passed over, ``None`` if none was
+    :ivar seen_at: when the last of them was passed over
+    """
+
+    since: float | None = None
+    seen_at: float = 0.0
+
+
+def pass_over(stall: Stall, now: float) -> Stall:
+    """Note that a request has become late."""
+    if stall.since is None or now - stall.seen_at > STALL_QUIET_SECONDS:
+        return Stall(now, now)
+    return stall._replace(seen_at=now)
+
+
+def stalled_seconds(stall: Stall, now: float) -> float:
+    """Return for how long late requests have got no place."""
+    if stall.since is None or now - stall.seen_at > STALL_QUIET_SECONDS:
+        return 0.0
+    return now - stall.since
+
+
+def is_hopeless(left_seconds: float, stall_seconds: float) -> bool:
+    """Return whether a late request will get no place before its caller goes.
+
+    What has lasted for some time lasts about as long again: in a short peak
+    late requests wait for the end of it, in an overload that lasts they are
+    told so at once.
+
+    :param left_seconds: time until its caller leaves
+    """
+    return stall_seconds > left_seconds
+
+
 def retry_after(wait_seconds: float, drawn: float) -> float:
     """Return when a refused caller should come back, in seconds.
 
