Load neither authorities nor the span SDK where they have no use

Cause: each start of a host loaded the certificate authorities three times and the span SDK once, though the platform speaks plain HTTP and no spans are asked for; after a loss of power nothing is served meanwhile. Ruled out: the collector during imports (0.254 and 0.258 s). Change: clients of the platform get a context without authorities; spans are made in a module that only a traced process imports. The test of what a start loads failed first.

--- a/src/persimmonpass/cli/storage.py
+++ b/src/persimmonpass/cli/storage.py
@@ -18,6 +18,7 @@
 from persimmonpass.platform import store
 from persimmonpass import servers
 from persimmonpass import storage_host
+from persimmonpass.targets import pools
 
 
 @click.command(help='Run one storage host of the fleet on the platform.')
@@ -50,7 +51,9 @@
 ) -> None:
     calls = budget.Budget(options.store_rate, options.store_write_rate)
     async with (
-        httpx.AsyncClient(trust_env=False) as client,
+        httpx.AsyncClient(
+            trust_env=False, verify=pools.plain_context()
+        ) as client,
         anyio.create_task_group() as tasks,
     ):
         port = store.connect(client, options.store_address, calls)
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -36,6 +36,7 @@
 from persimmonpass import records
 from persimmonpass import servers
 from persimmonpass.targets import opaque
+from persimmonpass.targets import pools
 from persimmonpass import tracing
 from persimmonpass import work
 
@@ -123,7 +124,9 @@
         )
         self._targets = opaque.TargetClient(self._platform.wire)
         async with (
-            httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            httpx.AsyncClient(
+                limits=limits, trust_env=False, verify=pools.plain_context()
+            ) as client,
             anyio.create_task_group() as tasks,
         ):
             self._build_fleet(client)
--- /dev/null
+++ b/src/persimmonpass/spans.py
@@ -0,0 +1,76 @@
+"""Makes spans and writes them out, by the OpenTelemetry SDK.
+
+Its import takes a tenth of a start, so that only a process that traces does.
+"""
+
+import typing
+
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk_trace
+from opentelemetry.sdk.trace import export
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+FILE_PREFIX = 'file:'
+
+
+class Spans:
+    """Spans of one process.
+
+    :param destination: ``file:PATH`` or an OTLP/HTTP URL
+    """
+
+    def __init__(self, host: str, destination: str) -> None:
+        self._file: typing.IO[str] | None = None
+        self._propagator = tracecontext.TraceContextTextMapPropagator()
+        self._provider = sdk_trace.TracerProvider(
+            resource=resources.Resource(
+                {'service.name': 'persimmonpassd', 'host.name': host}
+            )
+        )
+        self._provider.add_span_processor(self._make_processor(destination))
+        self._tracer = self._provider.get_tracer('persimmonpass')
+
+    def start(
+        self,
+        name: str,
+        headers: typing.Mapping[str, str] | None,
+        attributes: typing.Mapping[str, str],
+    ) -> tuple[trace.Span, dict[str, str]]:
+        """Open a span.
+
+        :returns: the span and the headers that carry its context onwards
+        """
+        context = self._propagator.extract(dict(headers)) if headers else None
+        span = self._tracer.start_span(
+            name, context, trace.SpanKind.INTERNAL, attributes
+        )
+        onwards: dict[str, str] = {}
+        self._propagator.inject(onwards, trace.set_span_in_context(span))
+        return span, onwards
+
+    def shut_down(self) -> None:
+        """Write out what is left."""
+        self._provider.shutdown()
+        if self._file is not None:
+            self._file.close()
+
+    def _make_processor(self, destination: str) -> sdk_trace.SpanProcessor:
+        if destination.startswith(FILE_PREFIX):
+            path = destination.removeprefix(FILE_PREFIX)
+            self._file = open(path, 'a', encoding='utf-8')
+            return export.SimpleSpanProcessor(
+                export.ConsoleSpanExporter(
+                    out=self._file, formatter=_format_line
+                )
+            )
+        # Its import takes a fifth of a daemon's start.
+        from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
+        return export.BatchSpanProcessor(
+            trace_exporter.OTLPSpanExporter(endpoint=destination)
+        )
+
+
+def _format_line(span: sdk_trace.ReadableSpan) -> str:
+    return span.to_json(indent=None) + '\n'
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -48,15 +48,18 @@
 
     def __init__(self, wire: exchange.WirePort) -> None:
         self._wire = wire
+        context = pools.plain_context()
         self._kept = pools.TargetPools(
             httpx.Limits(
                 max_connections=None,
                 max_keepalive_connections=MAX_KEPT_CONNECTIONS,
                 keepalive_expiry=KEPT_SECONDS,
-            )
+            ),
+            context,
         )
         self._fresh = pools.TargetPools(
-            httpx.Limits(max_connections=None, max_keepalive_connections=0)
+            httpx.Limits(max_connections=None, max_keepalive_connections=0),
+            context,
         )
 
     async def aclose(self) -> None:
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import ssl
 
 import httpx
 
@@ -17,13 +18,12 @@
     """Transport that gives each address a pool of its own.
 
     :param limits: limits of each pool
+    :param context: of TLS, for all pools
     """
 
-    def __init__(self, limits: httpx.Limits) -> None:
+    def __init__(self, limits: httpx.Limits, context: ssl.SSLContext) -> None:
         self._limits = limits
-        # Loading the certificate authorities takes tens of milliseconds, in
-        # which the process does nothing else.
-        self._context = httpx.create_ssl_context(trust_env=False)
+        self._context = context
         self._pools: collections.OrderedDict[str, httpx.AsyncHTTPTransport] = (
             collections.OrderedDict()
         )
@@ -62,4 +62,18 @@
             MAX_KEPT_CONNECTIONS if keep_connections else 0
         ),
     )
-    return httpx.AsyncClient(transport=TargetPools(limits), trust_env=False)
+    # Loading the certificate authorities takes tens of milliseconds, in
+    # which the process does nothing else: once for all targets.
+    context = httpx.create_ssl_context(trust_env=False)
+    return httpx.AsyncClient(
+        transport=TargetPools(limits, context), trust_env=False
+    )
+
+
+def plain_context() -> ssl.SSLContext:
+    """Return what clients get that only speak plain HTTP.
+
+    It knows no certificate authority, whose loading takes a fifth of a start,
+    and so would accept no certificate.
+    """
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
--- a/src/persimmonpass/tracing.py
+++ b/src/persimmonpass/tracing.py
@@ -5,17 +5,8 @@
 import contextvars
 import typing
 
-from opentelemetry.sdk import resources
-from opentelemetry.sdk import trace as sdk_trace
-from opentelemetry.sdk.trace import export
-from opentelemetry import trace
-from opentelemetry.trace.propagation import tracecontext
-
-FILE_PREFIX = 'file:'
-
 PARENT_HEADER = 'traceparent'
 
-_PROPAGATOR = tracecontext.TraceContextTextMapPropagator()
 _PARENT: contextvars.ContextVar[str] = contextvars.ContextVar(
     'persimmonpass_trace_parent', default=''
 )
@@ -31,16 +22,12 @@
 
     def __init__(self, host: str, destination: str = '') -> None:
         self.destination = destination
-        self._file: typing.IO[str] | None = None
-        self._provider = sdk_trace.TracerProvider(
-            resource=resources.Resource(
-                {'service.name': 'persimmonpassd', 'host.name': host}
-            )
-        )
-        processor = self._make_processor(destination)
-        if processor is not None:
-            self._provider.add_span_processor(processor)
-        self._tracer = self._provider.get_tracer('persimmonpass')
+        self._spans = None
+        if destination:
+            # Only a process that traces pays for the import.
+            from persimmonpass import spans
+
+            self._spans = spans.Spans(host, destination)
 
     @property
     def enabled(self) -> bool:
@@ -58,15 +45,10 @@
         :param attributes: attributes of the span
         :returns: headers that carry the span's context onwards
         """
-        if not self.enabled:
+        if self._spans is None:
             yield _pass_on(headers)
             return
-        context = _PROPAGATOR.extract(dict(headers)) if headers else None
-        span = self._tracer.start_span(
-            name, context, trace.SpanKind.INTERNAL, attributes
-        )
-        onwards: dict[str, str] = {}
-        _PROPAGATOR.inject(onwards, trace.set_span_in_context(span))
+        span, onwards = self._spans.start(name, headers, attributes)
         outer = _PARENT.get()
         _PARENT.set(onwards.get(PARENT_HEADER, ''))
         try:
@@ -93,29 +75,8 @@
 
     def shut_down(self) -> None:
         """Write out what is left."""
-        self._provider.shutdown()
-        if self._file is not None:
-            self._file.close()
-
-    def _make_processor(
-        self, destination: str
-    ) -> sdk_trace.SpanProcessor | None:
-        if not destination:
-            return None
-        if destination.startswith(FILE_PREFIX):
-            path = destination.removeprefix(FILE_PREFIX)
-            self._file = open(path, 'a', encoding='utf-8')
-            return export.SimpleSpanProcessor(
-                export.ConsoleSpanExporter(
-                    out=self._file, formatter=_format_line
-                )
-            )
-        # Its import takes a fifth of a daemon's start.
-        from opentelemetry.exporter.otlp.proto.http import trace_exporter
-
-        return export.BatchSpanProcessor(
-            trace_exporter.OTLPSpanExporter(endpoint=destination)
-        )
+        if self._spans is not None:
+            self._spans.shut_down()
 
 
 def current_parent() -> str:
@@ -123,10 +84,6 @@
     return _PARENT.get()
 
 
-def _format_line(span: sdk_trace.ReadableSpan) -> str:
-    return span.to_json(indent=None) + '\n'
-
-
 def _pass_on(headers: Headers | None) -> dict[str, str]:
     if headers and PARENT_HEADER in headers:
         return {PARENT_HEADER: headers[PARENT_HEADER]}
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -36,7 +36,7 @@
 LAUNCHER = str(processes.ROOT / 'deploy' / 'launch.py')
 # Runs the launcher and stops it at a call that the start makes.
 STOPPED = """
-import importlib, runpy, signal, sys
+import importlib, runpy, signal, ssl, sys
 from unittest import mock
 launcher, called, program = sys.argv[1:]
 module, _, name = called.rpartition('.')
@@ -46,10 +46,19 @@
 def stopped(*args):
     signal.raise_signal(signal.SIGTERM)
     return made(*args)
+authorities = 0
+def load(*args, **names):
+    global authorities
+    authorities += 1
+ssl.SSLContext.load_verify_locations = load
 sys.argv = [launcher, program]
 with mock.patch.object(whole, name, stopped):
     runpy.run_path(launcher, run_name='__main__')
 """
+# Says what the start has loaded of what takes long and is not used.
+STOPPED += """
+print('loaded', authorities, 'opentelemetry' in sys.modules)
+"""
 SETTINGS = """
 nodeName: "host-{number}"
 zone: "a"
@@ -251,6 +260,7 @@
             )
         self.assertEqual((0, ''), (done.returncode, done.stderr))
         self.assertIn('daemon_stopped', done.stdout)
+        self.assertIn('loaded 0 False', done.stdout)
 
 
 class TestSoak(unittest.TestCase):
