Send callers of a large fleet to its core

Change: the core is 16 hosts, the largest first, as many of each zone; entry answers name it; changes of counts are told to it at once and to the others every two seconds; the largest host of the core runs batch. Fleets of up to 16 hosts work as before. The new rows on zones, sizes, audience and entry answers need the change.

--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -88,6 +88,7 @@
     :ivar run: names one run of the daemon, from its start to its end
     :ivar caller_address: ``ip:port`` for callers
     :ivar peer_address: ``ip:port`` for peers
+    :ivar cores: processors that it may use, 0 if unknown
     """
 
     host: str
@@ -98,6 +99,7 @@
     state: str = 'alive'
     generation: int = 0
     run: str = ''
+    cores: float = 0.0
 
 
 class Target(typing.NamedTuple):
--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -20,11 +20,17 @@
 GATHER_SECONDS = 0.004
 # Everything is told again so often, which mends what a lost link missed.
 REPEAT_SECONDS = 0.5
+# Hosts outside the audience hear of every fourth repeat only: they serve the
+# few callers that come to them by an old entry answer.
+FAR_REPEATS = 4
 FORGET_SECONDS = 3.0
 # A host that missed two repeats stands still or is cut off.
 SILENCE_SECONDS = 1.2
 
 
+Audience = collections.abc.Callable[[], collections.abc.Collection[str] | None]
+
+
 class Counts(typing.NamedTuple):
     """What runs at a target."""
 
@@ -48,7 +54,15 @@
     :ivar changed: called after each change of any count
     """
 
-    def __init__(self, peers: peer_port.PeerPort) -> None:
+    def __init__(
+        self, peers: peer_port.PeerPort, audience: Audience | None = None
+    ) -> None:
+        """Start with nothing in progress.
+
+        :param audience: hosts that hear of changes at once, ``None`` for
+            all; the others hear the whole twice a second
+        """
+        self._audience = audience
         self.changed: list[collections.abc.Callable[[], None]] = []
         self._peers = peers
         self._online: collections.Counter[str] = collections.Counter()
@@ -132,6 +146,7 @@
     async def run(self) -> None:
         """Tell peers of changes for ever."""
         repeated_at = anyio.current_time()
+        repeats = 0
         while True:
             with anyio.move_on_after(REPEAT_SECONDS):
                 await self._wake.wait()
@@ -141,10 +156,16 @@
             whole = now - repeated_at >= REPEAT_SECONDS
             if whole:
                 repeated_at = now
+                repeats += 1
                 self._forget(now)
-            self._tell(whole)
+            self._tell(whole, whole and repeats % FAR_REPEATS == 0)
+
+    def _tell(self, whole: bool, far: bool) -> None:
+        """Tell what runs here.
 
-    def _tell(self, whole: bool) -> None:
+        :param whole: whether all of it or what has changed
+        :param far: whether hosts outside the audience are told too
+        """
         names = set(self._online) | set(self._batch) if whole else self._dirty
         rows = {
             name: [self._online[name], self._batch[name]]
@@ -153,7 +174,12 @@
         }
         self._dirty = set()
         payload = [whole, rows, list(self._waiting)]
-        peer_port.broadcast(self._peers, METHOD_OCCUPANCY, payload)
+        audience = self._audience() if self._audience else None
+        if audience is None or far:
+            peer_port.broadcast(self._peers, METHOD_OCCUPANCY, payload)
+            return
+        for host in set(self._peers.connected()) & set(audience):
+            self._peers.notify(host, METHOD_OCCUPANCY, payload)
 
     def _forget(self, now: float) -> None:
         """Drop the counts of peers that are silent."""
--- a/src/persimmonpass/controllers/passing.py
+++ b/src/persimmonpass/controllers/passing.py
@@ -250,6 +250,12 @@
         if event.id is not None and request.last_id is not None:
             if event.id <= request.last_id:
                 return
+        now = anyio.current_time()
+        if request.event_at is not None:
+            self._ports.metrics.between_events.labels(
+                request.route.kind.value
+            ).observe(now - request.event_at)
+        request.event_at = now
         if not request.started:
             await self._start(request, head)
             seconds = anyio.current_time() - request.began
@@ -376,6 +382,9 @@
             'abandoned': events.REQUEST_ABANDONED,
         }.get(outcome, events.REQUEST_FINISHED)
         failure = request.failure
+        if outcome == 'refused':
+            cause = failure.message if failure else 'no time left'
+            self._ports.metrics.refusals.labels(cause).inc()
         events.log(
             event,
             host=self._host,
--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -31,6 +31,9 @@
 _WRITES = frozenset(('create', 'replace', 'set_status', 'delete'))
 
 
+Count = collections.abc.Callable[[str, str, str], None]
+
+
 class StoreRelay:
     """A record port that falls back on peers.
 
@@ -38,9 +41,18 @@
     """
 
     def __init__(
-        self, host: str, direct: records.RecordPort, peers: peer_port.PeerPort
+        self,
+        host: str,
+        direct: records.RecordPort,
+        peers: peer_port.PeerPort,
+        count: Count | None = None,
     ) -> None:
+        """Make the relay.
+
+        :param count: told the name, kind and outcome of each call
+        """
         self._host = host
+        self._count = count
         self._direct = direct
         self._peers = peers
         self._failed_at: float | None = None
@@ -116,7 +128,10 @@
         began = anyio.current_time()
         outcome: Answer = await getattr(self._direct, name)(*args)
         now = anyio.current_time()
-        self._calls[f'{name} {args[0]} {_outcome(outcome)}'] += 1
+        how = _outcome(outcome)
+        self._calls[f'{name} {args[0]} {how}'] += 1
+        if self._count is not None:
+            self._count(name, str(args[0]), how)
         if self._is_outage(outcome):
             self._troubled_at = now
             if self._failed_at is None:
--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -96,8 +96,7 @@
 
     def successors(self) -> list[str]:
         """Return the peers that would take over, the first one first."""
-        ranked = shards.ranked(RUNNER_KEY, self._reached())
-        return list(ranked)
+        return self._ranked(self._reached())
 
     def judge(self) -> bool:
         """Begin or cease to be the runner.
@@ -171,8 +170,13 @@
         if self._candidates is not None:
             if self._host not in self._candidates():
                 return False
-        ranked = shards.ranked(RUNNER_KEY, [*reached, self._host])
-        return ranked[0] == self._host
+        return self._ranked([*reached, self._host])[0] == self._host
+
+    def _ranked(self, hosts: collections.abc.Collection[str]) -> list[str]:
+        """Return hosts in the order in which they run batch."""
+        if self._candidates is None:
+            return list(shards.ranked(RUNNER_KEY, hosts))
+        return [host for host in self._candidates() if host in hosts]
 
     async def _take(
         self, peer: str, payload: typing.Any
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -175,6 +175,7 @@
             options.host,
             platform.connect(client, options.store_address, calls),
             port,
+            lambda *labels: self.metrics.store_calls.labels(*labels).inc(),
         )
         self._catalog = catalog.Catalog(
             options.host,
@@ -211,6 +212,7 @@
                 options.peer_listen,
                 state='starting',
                 run=uuid.uuid4().hex[:RUN_DIGITS],
+                cores=options.cores,
             ),
             self.board,
             membership.MembershipPorts(
@@ -225,7 +227,7 @@
                 options.seed_peers,
             ),
         )
-        self._occupied = occupancy.Occupancy(port)
+        self._occupied = occupancy.Occupancy(port, self._audience)
         self._role = work_role.WorkRole(
             options.host,
             self.board,
@@ -308,6 +310,7 @@
                 lambda: self.is_ready,
                 lambda: self.is_draining,
                 self._settled,
+                self._core,
             )
         )
 
@@ -332,28 +335,40 @@
             self._follow_members,
         ]
 
-    def _live_hosts(self) -> list[str]:
+    def _live_hosts(self) -> list[core.CoreHost]:
         """Return the hosts that may act for the fleet, this one first."""
+        options = self._options
         others = [
-            row.host
+            core.CoreHost(row.host, row.availability_zone, row.cores)
             for row in self.board.members.rows()
-            if row.state in membership.LIVE_STATES
-            and row.host != self._options.host
+            if row.state in membership.LIVE_STATES and row.host != options.host
         ]
-        return [self._options.host, *others]
+        me = core.CoreHost(
+            options.host, options.availability_zone, options.cores
+        )
+        return [me, *others]
 
     def _core(self) -> list[str]:
         return core.choose(self._live_hosts())
 
+    def _audience(self) -> collections.abc.Collection[str] | None:
+        """Return the hosts that hear at once what runs where."""
+        hosts = self._live_hosts()
+        return core.choose(hosts) if len(hosts) > core.CORE_HOSTS else None
+
     def _follow(
         self,
         addresses: collections.abc.Mapping[str, str],
         kept: collections.abc.Collection[str],
     ) -> None:
         """Keep links to the core too; the core keeps them to all."""
-        known = [host for host in self._live_hosts() if host in addresses]
-        host = self._options.host
-        self._peers.follow(addresses, core.links(host, [host, *known], kept))
+        me = self._options.host
+        known = [
+            one
+            for one in self._live_hosts()
+            if one.host == me or one.host in addresses
+        ]
+        self._peers.follow(addresses, core.links(me, known, kept))
 
     async def _announce_ready(self) -> None:
         await self._mirrors[self._platform.configuration_kind].ready.wait()
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -39,6 +39,7 @@
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar mirrors: copies of records by kind
     :ivar settled: set once the configuration and targets are known
+    :ivar core: hosts to which callers are sent
     """
 
     host: str
@@ -54,6 +55,7 @@
     is_ready: collections.abc.Callable[[], bool]
     is_draining: collections.abc.Callable[[], bool]
     settled: anyio.Event
+    core: collections.abc.Callable[[], collections.abc.Collection[str]]
 
 
 class Front:
@@ -153,7 +155,13 @@
             for member in self._ports.board.members.rows()
             if member.caller_address
         ]
-        addresses = entry.order(hosts, zone, random.random, MAX_ADDRESSES)
+        chosen = set(self._ports.core())
+        alive = [
+            one for one in hosts if one.host in chosen and one.state == 'alive'
+        ]
+        addresses = entry.order(
+            alive or hosts, zone, random.random, MAX_ADDRESSES
+        )
         if not addresses:
             return None
         return gateway_ports.Entry(addresses, self._ports.entry_ttl_seconds)
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -29,6 +29,25 @@
             buckets=metrics.LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.between_events = prometheus_client.Histogram(
+            'persimmonpass_route_between_events_seconds',
+            'Time from an event of a stream to the next one.',
+            ['kind'],
+            buckets=metrics.LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            'persimmonpass_record_store_calls',
+            'Calls of the store by this host itself.',
+            ['call', 'kind', 'outcome'],
+            registry=self.registry,
+        )
+        self.refusals = prometheus_client.Counter(
+            'persimmonpass_route_refusals',
+            'Requests that were refused, by what was in their way.',
+            ['cause'],
+            registry=self.registry,
+        )
         self.items = prometheus_client.Counter(
             'persimmonpass_job_items',
             'Runs of batch items by how they ended.',
--- a/src/persimmonpass/gateway_settings.py
+++ b/src/persimmonpass/gateway_settings.py
@@ -20,6 +20,7 @@
     :ivar grace_seconds: time from the signal to stop until the kill
     :ivar max_entry_ttl_seconds: longest time that callers keep an answer
     :ivar job_status_seconds: how long jobs stay readable
+    :ivar cores: processors that this host may use
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     """
 
@@ -38,4 +39,5 @@
     grace_seconds: float = 8.0
     max_entry_ttl_seconds: float = 5.0
     job_status_seconds: float = 120.0
+    cores: float = 0.0
     trace: str = ''
--- a/src/persimmonpass/platform/settings.py
+++ b/src/persimmonpass/platform/settings.py
@@ -16,6 +16,13 @@
     status_s: float = 120.0
 
 
+class _Limits(msgspec.Struct, rename='camel'):
+    # The share of one processor; the other says how much faster that one is
+    # than usual, not how many there are.
+    cpu_share: float = 0.0
+    cores: float = 1.0
+
+
 class _Platform(msgspec.Struct, rename='camel'):
     address: str
     writes_per_s: float = 400.0
@@ -32,6 +39,7 @@
     seeds: list[str] = []
     serves: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read(path: str) -> gateway_settings.Settings:
@@ -83,4 +91,5 @@
         grace_seconds=found.bounds.grace_s,
         max_entry_ttl_seconds=found.bounds.ttl_max_s,
         job_status_seconds=found.bounds.status_s,
+        cores=found.limits.cpu_share * found.limits.cores,
     )
--- a/src/persimmonpass/policy/core.py
+++ b/src/persimmonpass/policy/core.py
@@ -1,30 +1,59 @@
 """Chooses the hosts that act for a large fleet.
 
 In a small fleet every host has links to all others. In a large one each has
-links to some and to the core, and the core has links to all: whoever watches
-the store, runs batch or takes it over is one of the core.
+links to some and to the core, and the core has links to all: callers are sent
+to the core, and whoever watches the store, runs batch or takes it over is one
+of it. A host that takes a small part of the requests only would know little
+of what runs where.
 """
 
+import collections
 import collections.abc
+import typing
 
 from persimmonpass.policy import shards
 
 KEY = 'core'
-# Losing several of them at once is borne; each keeps a link to every host.
-CORE_HOSTS = 8
+# Losing several of them at once is borne; each keeps a link to every host. A
+# request costs a host about 0.03 s of a processor, batch with it.
+CORE_HOSTS = 16
 
 
-def choose(hosts: collections.abc.Iterable[str]) -> list[str]:
-    """Return the core of a fleet.
+class CoreHost(typing.NamedTuple):
+    """A host that may be of the core.
+
+    :ivar cores: processors that it may use
+    """
+
+    host: str
+    availability_zone: str
+    cores: float
+
+
+def choose(hosts: collections.abc.Iterable[CoreHost]) -> list[str]:
+    """Return the core of a fleet, the largest hosts first.
+
+    Each availability zone gives as many as the others.
 
     :param hosts: those that live
     """
-    return list(shards.ranked(KEY, hosts))[:CORE_HOSTS]
+    ranked = sorted(
+        hosts,
+        key=lambda one: (one.cores, shards.score(KEY, one.host), one.host),
+        reverse=True,
+    )
+    taken: collections.Counter[str] = collections.Counter()
+    turns: list[tuple[int, int]] = []
+    for index, one in enumerate(ranked):
+        turns.append((taken[one.availability_zone], index))
+        taken[one.availability_zone] += 1
+    chosen = sorted(index for _, index in sorted(turns)[:CORE_HOSTS])
+    return [ranked[index].host for index in chosen]
 
 
 def links(
     me: str,
-    hosts: collections.abc.Collection[str],
+    hosts: collections.abc.Collection[CoreHost],
     kept: collections.abc.Collection[str],
 ) -> set[str]:
     """Return the hosts to which a host keeps links.
@@ -33,5 +62,5 @@
     :param kept: what it would keep in any case
     """
     core = choose(hosts)
-    wanted = set(hosts) if me in core else set(core)
+    wanted = {one.host for one in hosts} if me in core else set(core)
     return (set(kept) | wanted) - {me}
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -15,6 +15,7 @@
     :ivar started: whether the caller has the head of an answer
     :ivar runs: sends that may have run
     :ivar excluded: targets that have failed it
+    :ivar event_at: when the last event came, in seconds
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         self.excluded: set[str] = set()
         self.failure: verdicts.Failure | None = None
         self.first_seconds: float | None = None
+        self.event_at: float | None = None
 
     @property
     def answer_by(self) -> float:
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -333,6 +333,35 @@
 
         fakes.run(test)
 
+    @expand(
+        [
+            ('all', None, (1, 0), (1, 0)),
+            ('the core', ['two'], (1, 0), (0, 0)),
+        ]
+    )
+    def test_who_hears_at_once(self, _, audience, two, three):
+        """The others hear the whole a little later."""
+
+        async def test():
+            network = fakes.Network()
+            made = {}
+            async with anyio.create_task_group() as tasks:
+                for name in ('one', 'two', 'three'):
+                    port = network.port(name, tasks)
+                    made[name] = occupancy.Occupancy(port, lambda: audience)
+                    network.handlers[name] = made[name].handlers
+                    tasks.start_soon(made[name].run)
+                await anyio.sleep(0.1)
+                made['one'].add_online('t', 1)
+                await anyio.sleep(0.1)
+                self.assertEqual(two, made['two'].at('t'))
+                self.assertEqual(three, made['three'].at('t'))
+                await anyio.sleep(2.2)
+                self.assertEqual((1, 0), made['three'].at('t'))
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
 
 class TestConduct(unittest.TestCase):
     @expand(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,10 +4,12 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
+from persimmonpass.policy import core
 from persimmonpass.policy import waiting
 from persimmonpass import servers
 from tests import platform_fakes
@@ -20,6 +22,15 @@
 OUTPUT = '\n'.join(f'x-{n}' for n in range(1, platform_fakes.TOKENS + 1))
 
 
+async def _given(fleet, entry):
+    """Return the addresses that a host gives to callers."""
+    answer = await fleet.client.get(
+        f'http://{entry}/persimmonpass/'
+        f'resolve?name={platform_fakes.HOST}&zone=a'
+    )
+    return set(answer.json()['addresses'])
+
+
 class TestRequests(unittest.TestCase):
     def test_stream(self):
         async def test():
@@ -76,6 +87,27 @@
 
         platform_fakes.run(test)
 
+    def test_metrics_of_a_stream_and_a_refusal(self):
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                await fleet.post('/notes/a', **{'Request-Id': 'r1'})
+                fleet.servers[0].full = True
+                await fleet.post(
+                    '/once/a', **{'Request-Id': 'r2', 'Deadline-Ms': '900'}
+                )
+                text = fleet.hosts['one'].metrics.render().decode()
+                events_after_first = platform_fakes.TOKENS - 1
+                for line in (
+                    'route_between_events_seconds_count{kind="stream"} '
+                    f'{events_after_first:.1f}',
+                    'route_refusals_total{cause=',
+                    'record_store_calls_total{call="list",kind="servers",'
+                    'outcome="ok"}',
+                ):
+                    self.assertIn(f'\npersimmonpass_{line}', text)
+
+        platform_fakes.run(test)
+
     def test_full_targets_refuse_with_a_time(self):
         async def test():
             async with platform_fakes.fleet(count=1) as fleet:
@@ -457,23 +489,40 @@
 
         platform_fakes.run(test)
 
-    def test_entry_answers_leave_out_a_leaving_host(self):
+    def test_entry_answers_name_the_core_of_a_large_fleet(self):
         async def test():
             async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
-
-                async def given():
-                    answer = await fleet.client.get(
-                        f'http://{fleet.entries["one"]}/persimmonpass/'
-                        f'resolve?name={platform_fakes.HOST}&zone=a'
+                found = set()
+                with anyio.fail_after(5):
+                    while len(found) != 1:
+                        await anyio.sleep(0.05)
+                        found = {
+                            address
+                            for entry in fleet.entries.values()
+                            for address in (await _given(fleet, entry))
+                        }
+                # The others serve those who come all the same.
+                for host in ('one', 'two'):
+                    answer = await fleet.post(
+                        '/notes/a', 'x', host, **{'Request-Id': host}
                     )
-                    return set(answer.json()['addresses'])
+                    self.assertEqual(200, answer.status_code)
+
+        with mock.patch.object(core, 'CORE_HOSTS', 1):
+            platform_fakes.run(test)
 
+    def test_entry_answers_leave_out_a_leaving_host(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 1) as fleet:
+                entry = fleet.entries['one']
                 with anyio.fail_after(5):
-                    while len(await given()) < 2:
+                    while len(await _given(fleet, entry)) < 2:
                         await anyio.sleep(0.05)
                 fleet.hosts['two'].drain()
                 with anyio.fail_after(1):
-                    while await given() != {fleet.addresses['one']}:
+                    while await _given(fleet, entry) != {
+                        fleet.addresses['one']
+                    }:
                         await anyio.sleep(0.02)
                 # Callers keep an answer for a while and are still served.
                 answer = await fleet.post(
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -1,5 +1,6 @@
 """Decisions of placing, waiting and batch beside online requests."""
 
+import collections
 import unittest
 
 import parameterized
@@ -61,17 +62,50 @@
 
 class TestCore(unittest.TestCase):
     @expand(
-        [('small', 6, 6), ('as large as the core', 8, 8), ('large', 70, 8)]
+        [('small', 6, 6), ('as large as the core', 16, 16), ('large', 70, 16)]
     )
     def test_core_and_its_links(self, _, count, size):
-        hosts = [f'host-{number}' for number in range(count)]
+        hosts = [
+            core.CoreHost(f'host-{number}', 'abc'[number % 3], 1.0)
+            for number in range(count)
+        ]
         chosen = core.choose(hosts)
         self.assertEqual(size, len(chosen))
-        for host in hosts:
+        for host, _, _ in hosts:
             links = core.links(host, hosts, ())
             self.assertLessEqual(set(chosen) - {host}, links)
             self.assertEqual(host in chosen, len(links) == count - 1)
 
+    @expand(
+        [
+            ('even', {'a': 20, 'b': 20, 'c': 20}, {'a': 6, 'b': 5, 'c': 5}),
+            ('a small zone', {'a': 40, 'b': 3}, {'a': 13, 'b': 3}),
+        ]
+    )
+    def test_zones_give_as_many(self, _, counts, expected):
+        hosts = [
+            core.CoreHost(f'{zone}-{number}', zone, {'a': 2.0}.get(zone, 1.0))
+            for zone, count in counts.items()
+            for number in range(count)
+        ]
+        chosen = core.choose(hosts)
+        found = collections.Counter(host[0] for host in chosen)
+        if len(counts) == 2:
+            self.assertEqual(expected, found)
+        self.assertEqual(
+            sorted(expected.values()), sorted(found.values()), chosen
+        )
+
+    def test_the_largest_come_first(self):
+        hosts = [
+            core.CoreHost(f'host-{number}', 'a', float(number))
+            for number in range(40)
+        ]
+        self.assertEqual(
+            [f'host-{number}' for number in range(39, 23, -1)],
+            core.choose(hosts),
+        )
+
 
 class TestWaiting(unittest.TestCase):
     @expand(
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -42,6 +42,7 @@
 portRange: [7720, 7735]
 seeds: ["10.1.0.10:8166", "10.2.0.40:8166"]
 bounds: {graceS: 8, drainMs: 2000}
+limits: {cpuShare: 0.537, cores: 2, memoryMb: 300}
 platform: {address: "10.200.1.7:8169", writesPerS: 400}
 """
 # Names that only the platform uses; each stands in its folder alone.
@@ -76,6 +77,7 @@
         self.assertEqual(('10.2.0.40:7720',), found.seed_peers)
         self.assertEqual('', found.entry_listen)
         self.assertEqual(8.0, found.grace_seconds)
+        self.assertAlmostEqual(1.074, found.cores)
 
     @expand(
         [
