Count what waits, and overloads, by service

Cause: found on reading: hosts told how many requests wait in all, so that the queue of one service refused requests for another with free places soon; the new note of an overload was one for all services too. Change: both are kept by service; a late request is held back only for requests of its own service. Before: the new test is refused ('the queue is longer than the deadline'). After: it gets its place after a second.

--- a/src/persimmonpass/controllers/admission_line.py
+++ b/src/persimmonpass/controllers/admission_line.py
@@ -63,7 +63,7 @@
         self._conduct = conduct_
         self._entries: list[_Entry] = []
         self._pumping = False
-        self._stall = waiting.Stall()
+        self._stalls: dict[str, waiting.Stall] = {}
         occupied.changed.append(self.pump)
         conduct_.changed.append(self.pump)
 
@@ -141,7 +141,8 @@
             self._tell_waiting()
         if entry.target is not None:
             return result.Ok(entry.target)
-        wait = self._wait_seconds(self._occupied.waiting, service)
+        ahead = self._occupied.waiting(service).total
+        wait = self._wait_seconds(ahead, service)
         return result.Err(self._refusal(wait, 'no place in time'))
 
     async def _wait(
@@ -149,37 +150,41 @@
     ) -> verdicts.Failure | None:
         """Wait for a place; refuse at once what will get none."""
         waiter = entry.waiter
-        with anyio.CancelScope() as scope:
-            if not waiter.begun and waiter.on_time_until < deadline:
-                scope.deadline = waiter.on_time_until
-                await entry.placed.wait()
-                return None
-        if scope.cancelled_caught and entry.target is None:
-            refused = self._pass_over(deadline)
-            if refused is not None:
-                return refused
-        with anyio.CancelScope() as scope:
-            scope.deadline = deadline - MIN_SERVICE_SECONDS
-            await entry.placed.wait()
+        last = deadline - MIN_SERVICE_SECONDS
+        if not waiter.begun and waiter.on_time_until < last:
+            if not await self._is_placed_by(entry, waiter.on_time_until):
+                refused = self._pass_over(entry.service, deadline)
+                if refused is not None:
+                    return refused
+        await self._is_placed_by(entry, last)
         return None
 
-    def _pass_over(self, deadline: float) -> verdicts.Failure | None:
+    async def _is_placed_by(self, entry: _Entry, until: float) -> bool:
+        with anyio.CancelScope(deadline=until):
+            await entry.placed.wait()
+        return entry.target is not None
+
+    def _pass_over(
+        self, service: str, deadline: float
+    ) -> verdicts.Failure | None:
         """Take that a request is late; refuse it if late ones get no place."""
         now = anyio.current_time()
-        self._stall = waiting.pass_over(self._stall, now)
-        stalled = waiting.stalled_seconds(self._stall, now)
+        stall = self._stalls.get(service, waiting.Stall())
+        stall = waiting.pass_over(stall, now)
+        self._stalls[service] = stall
+        stalled = waiting.stalled_seconds(stall, now)
         if not waiting.is_hopeless(deadline - now, stalled):
             return None
         return self._refusal(stalled, 'late requests get no place')
 
     def _tell_waiting(self) -> None:
         now = anyio.current_time()
-        on_time = sum(
-            not waiting.is_late(entry.waiter, now) for entry in self._entries
-        )
-        self._occupied.set_waiting(
-            occupancy.Waiting(len(self._entries), on_time)
-        )
+        found: dict[str, occupancy.Waiting] = {}
+        for entry in self._entries:
+            total, on_time = found.get(entry.service, occupancy.Waiting())
+            on_time += not waiting.is_late(entry.waiter, now)
+            found[entry.service] = occupancy.Waiting(total + 1, on_time)
+        self._occupied.set_waiting(found)
 
     def _give_back(self, entry: _Entry) -> None:
         """Return a place that a cancelled request got."""
@@ -210,14 +215,15 @@
             return None
         if entry.waiter.begun:
             return None
-        wait = self._wait_seconds(self._occupied.on_time, entry.service)
+        ahead = self._occupied.waiting(entry.service)
+        wait = self._wait_seconds(ahead.on_time, entry.service)
         now = anyio.current_time()
         if now + wait <= entry.waiter.on_time_until:
             return None
-        wait = self._wait_seconds(self._occupied.waiting, entry.service)
+        wait = self._wait_seconds(ahead.total, entry.service)
         if wait > left - MIN_SERVICE_SECONDS:
             return self._refusal(wait, 'the queue is longer than the deadline')
-        return self._pass_over(deadline)
+        return self._pass_over(entry.service, deadline)
 
     def _refusal(self, wait: float, message: str) -> verdicts.Failure:
         return verdicts.Failure(
@@ -240,11 +246,18 @@
                 self._entries,
                 key=lambda entry: waiting.rank(entry.waiter, now),
             )
-            hold_late = self._occupied.peers_on_time > 0
+            # Where a peer's request makes better use of a place than a late
+            # one.
+            held = {
+                service
+                for service in {entry.service for entry in ranked}
+                if self._occupied.waiting_at_peers(service).on_time
+            }
             for entry in ranked:
-                if hold_late and waiting.is_late(entry.waiter, now):
-                    # A peer's request makes better use of the place.
-                    break
+                if entry.service in held and waiting.is_late(
+                    entry.waiter, now
+                ):
+                    continue
                 if entry.service in full and not entry.excluded:
                     continue
                 if not self._place(entry) and not entry.excluded:
@@ -262,7 +275,7 @@
             return False
         self._entries.remove(entry)
         if waiting.is_late(entry.waiter, anyio.current_time()):
-            self._stall = waiting.Stall()
+            self._stalls.pop(entry.service, None)
         self._occupied.add_online(name, 1)
         entry.placed.set()
         return True
--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -39,7 +39,7 @@
 
 
 class Waiting(typing.NamedTuple):
-    """Online requests of a host that wait for a place.
+    """Online requests for a service that wait for a place.
 
     :ivar on_time: those of them that can still meet their objective
     """
@@ -60,7 +60,7 @@
         """Start with nothing in progress.
 
         :param audience: hosts that hear of changes at once, ``None`` for
-            all; the others hear the whole twice a second
+            all; the others hear the whole every two seconds
         """
         self._audience = audience
         self.changed: list[collections.abc.Callable[[], None]] = []
@@ -72,8 +72,8 @@
         self._peers_online: collections.Counter[str] = collections.Counter()
         self._peers_batch: collections.Counter[str] = collections.Counter()
         self._heard: dict[str, float] = {}
-        self._waiting = Waiting()
-        self._told_waiting: dict[str, Waiting] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._told_waiting: dict[str, dict[str, Waiting]] = {}
         self._dirty: set[str] = set()
         self._wake = anyio.Event()
 
@@ -95,23 +95,30 @@
         return at is not None and anyio.current_time() - at < SILENCE_SECONDS
 
     @property
-    def waiting(self) -> int:
+    def waiting_in_all(self) -> int:
         """Online requests that wait for a place, of all hosts."""
-        told = sum(waiting.total for waiting in self._told_waiting.values())
-        return self._waiting.total + told
-
-    @property
-    def on_time(self) -> int:
-        """Those of them that can still meet their objective."""
-        return self._waiting.on_time + self.peers_on_time
-
-    @property
-    def peers_on_time(self) -> int:
-        """Requests of peers that wait and can still meet their objective."""
-        return sum(waiting.on_time for waiting in self._told_waiting.values())
+        rows = [self._waiting, *self._told_waiting.values()]
+        return sum(one.total for row in rows for one in row.values())
+
+    def waiting(self, service: str) -> Waiting:
+        """Return what waits for a service, of all hosts."""
+        own = self._waiting.get(service, Waiting())
+        peers = self.waiting_at_peers(service)
+        return Waiting(own.total + peers.total, own.on_time + peers.on_time)
+
+    def waiting_at_peers(self, service: str) -> Waiting:
+        """Return what waits for a service at peers."""
+        rows = [
+            row[service]
+            for row in self._told_waiting.values()
+            if service in row
+        ]
+        return Waiting(
+            sum(one.total for one in rows), sum(one.on_time for one in rows)
+        )
 
-    def set_waiting(self, waiting: Waiting) -> None:
-        """Set how many of this host's requests wait for a place."""
+    def set_waiting(self, waiting: dict[str, Waiting]) -> None:
+        """Set how many of this host's requests wait, by service."""
         if waiting != self._waiting:
             self._waiting = waiting
             self._touch('')
@@ -169,7 +176,8 @@
             if name
         }
         self._dirty = set()
-        payload = [whole, rows, list(self._waiting)]
+        waiting = {name: list(one) for name, one in self._waiting.items()}
+        payload = [whole, rows, waiting]
         audience = self._audience() if self._audience else None
         if audience is None or far:
             peer_port.broadcast(self._peers, METHOD_OCCUPANCY, payload)
@@ -207,7 +215,9 @@
     ) -> result.Result[typing.Any, verdicts.Failure]:
         whole, rows, waiting = payload
         self._heard[peer] = anyio.current_time()
-        self._told_waiting[peer] = Waiting(*waiting)
+        self._told_waiting[peer] = {
+            name: Waiting(*one) for name, one in waiting.items()
+        }
         told = self._told.setdefault(peer, {})
         if whole:
             for name in set(told) - set(rows):
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -187,7 +187,7 @@
 
     def _measure(self) -> None:
         """Set the gauges that are read at a scrape only."""
-        self._ports.metrics.waiting.set(self._ports.occupied.waiting)
+        self._ports.metrics.waiting.set(self._ports.occupied.waiting_in_all)
         self._ports.metrics.store_lost.set(not self._ports.relay.reaches_store)
         self._ports.metrics.jobs_open.set(
             sum(state.is_open for state in self._ports.log.jobs.values())
--- a/tests/test_admission_line.py
+++ b/tests/test_admission_line.py
@@ -17,6 +17,7 @@
 from tests import fakes
 
 SERVICE = 'notes'
+OTHER = 'letters'
 SLOTS = 8
 OBJECTIVE_SECONDS = 0.3
 FIRST_SECONDS = 0.1
@@ -52,6 +53,8 @@
                 board.targets.put(
                     row.name, row._replace(service=SERVICE, slots=SLOTS)
                 )
+            other = blackboard.Target('o-1', '', 'engine', 'a', {})
+            board.targets.put('o-1', other._replace(service=OTHER, slots=1))
             counts = occupancy.Occupancy(network.port(name, tasks))
             network.handlers[name] = counts.handlers
             self.occupied.append(counts)
@@ -83,6 +86,11 @@
         counts.add_online(placed.ok_value.name, -1)
 
 
+async def _free(counts):
+    await anyio.sleep(1)
+    counts.add_online('o-1', -1)
+
+
 async def _play(count, loads):
     """Send requests.
 
@@ -134,6 +142,32 @@
 
         fakes.run(test)
 
+    def test_overload_of_a_service_refuses_no_other(self):
+        """Its one slot is taken for a second; the request waits for it."""
+
+        async def test():
+            async with anyio.create_task_group() as tasks:
+                hosts = Hosts(1, 1, tasks)
+                line, counts = hosts.lines[0], hosts.occupied[0]
+                for one in (line, counts):
+                    tasks.start_soon(one.run)
+                counts.add_online('i-0', SLOTS)
+                counts.add_online('o-1', 1)
+                for number in range(60):
+                    tasks.start_soon(hosts.send, number)
+                    await anyio.sleep(0.05)
+                refused = [one for one in hosts.ended if one.waited < 0.3]
+                self.assertNotEqual([], refused)
+                now = anyio.current_time()
+                tasks.start_soon(_free, counts)
+                placed = await line.take(
+                    OTHER, waiting.Waiter(0, now, now + 0.2), now + 2
+                )
+                self.assertTrue(placed.is_ok(), placed)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
     def test_overload_that_lasts_is_told_at_once(self):
         """A caller is not kept for what it will not get.
 
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -319,11 +319,17 @@
                     tasks.start_soon(made[name].run)
                 made['one'].add_online('t', 1)
                 made['one'].add_batch('t', 2)
-                made['one'].set_waiting(occupancy.Waiting(3, 2))
+                made['one'].set_waiting(
+                    {'s': occupancy.Waiting(3, 2), 't': occupancy.Waiting(1)}
+                )
                 await anyio.sleep(0.1)
                 self.assertEqual((1, 2), made['two'].at('t'))
-                self.assertEqual(3, made['two'].waiting)
-                self.assertEqual(2, made['two'].peers_on_time)
+                self.assertEqual((3, 2), made['two'].waiting('s'))
+                self.assertEqual((3, 2), made['two'].waiting_at_peers('s'))
+                self.assertEqual((0, 0), made['one'].waiting_at_peers('s'))
+                self.assertEqual((3, 2), made['one'].waiting('s'))
+                self.assertEqual((1, 0), made['two'].waiting('t'))
+                self.assertEqual(4, made['two'].waiting_in_all)
                 made['one'].add_batch('t', -2)
                 await anyio.sleep(0.1)
                 self.assertEqual((1, 0), made['two'].at('t'))
@@ -355,7 +361,7 @@
                     made.forget(peer)
                     told.pop(peer, None)
                 else:
-                    await take(peer, [whole, rows, [0, 0]])
+                    await take(peer, [whole, rows, {}])
                     told[peer] = {} if whole else told.get(peer, {})
                     told[peer].update(rows)
                 for name in 'tuvw':
@@ -378,7 +384,7 @@
                 made = occupancy.Occupancy(fakes.Network().port('one'))
                 take = made.handlers[occupancy.METHOD_OCCUPANCY]
                 for peer in range(peers):
-                    await take(f'host-{peer}', [True, {'t': [1, 1]}, [0, 0]])
+                    await take(f'host-{peer}', [True, {'t': [1, 1]}, {}])
                 seconds[peers] = min(
                     timeit.repeat(lambda: made.at('t'), number=2000, repeat=5)
                 )
