Choose the core once a change of the members; share what stood twice

Found on reading the change. Behaviour stays as it is.

- The settings' list of served names was decoded and never read.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -86,16 +86,8 @@
 
     async def show_entry(request: requests.Request) -> responses.Response:
         zone = request.query_params.get('availability_zone', '')
-        hosts = [
-            entry.EntryHost(
-                member.host,
-                member.caller_address,
-                member.availability_zone,
-                member.state,
-                ports.board.host_loads.get(member.host),
-            )
-            for member in ports.board.members.rows()
-        ]
+        board = ports.board
+        hosts = entry.hosts_of(board.members.rows(), board.host_loads.get)
         ttl = ports.entry_ttl_seconds
         return responses.JSONResponse(
             {
--- a/src/persimmonpass/api/status.py
+++ b/src/persimmonpass/api/status.py
@@ -12,10 +12,9 @@
 from persimmonpass.api import ports as operator_ports
 from persimmonpass.controllers import explain
 from persimmonpass import events
+from persimmonpass import metrics
 from persimmonpass import verdicts
 
-PROMETHEUS = 'text/plain; version=0.0.4'
-
 
 def routes(
     ports: operator_ports.OperatorPorts, check: object_routes.Check
@@ -49,7 +48,7 @@
 
     async def show_metrics(request: requests.Request) -> responses.Response:
         return responses.Response(
-            ports.counters.render(), media_type=PROMETHEUS
+            ports.counters.render(), media_type=metrics.CONTENT_TYPE
         )
 
     async def show_health(request: requests.Request) -> responses.Response:
--- a/src/persimmonpass/cli/gateway.py
+++ b/src/persimmonpass/cli/gateway.py
@@ -22,13 +22,7 @@
 
 
 @click.command(help='Run one host of the fleet on the platform.')
-@click.option(
-    '--settings',
-    'path',
-    envvar=settings.PATH_VARIABLE,
-    required=True,
-    help='Settings file that the platform wrote.',
-)
+@programs.settings_option
 @click.option(
     '--trace',
     type=product_settings.TRACE,
--- a/src/persimmonpass/cli/programs.py
+++ b/src/persimmonpass/cli/programs.py
@@ -8,9 +8,18 @@
 import click
 
 from persimmonpass import exceptions
+from persimmonpass.platform import settings
 
 EXIT_USAGE = 2
 
+settings_option = click.option(
+    '--settings',
+    'path',
+    envvar=settings.PATH_VARIABLE,
+    required=True,
+    help='Settings file that the platform wrote.',
+)
+
 
 class Start(typing.NamedTuple):
     """What a launcher did before the program was imported.
--- a/src/persimmonpass/cli/storage.py
+++ b/src/persimmonpass/cli/storage.py
@@ -22,13 +22,7 @@
 
 
 @click.command(help='Run one storage host of the fleet on the platform.')
-@click.option(
-    '--settings',
-    'path',
-    envvar=settings.PATH_VARIABLE,
-    required=True,
-    help='Settings file that the platform wrote.',
-)
+@programs.settings_option
 @click.pass_obj
 def command(start: programs.Start, path: str) -> None:
     """Read the settings and run the storage host."""
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -38,6 +38,11 @@
         """The path without its query."""
         return self.path.partition(b'?')[0].decode('latin-1')
 
+    @property
+    def query(self) -> bytes:
+        """What follows the path, without the question mark."""
+        return self.path.partition(b'?')[2]
+
     @property
     def fingerprint(self) -> str:
         """The same for each attempt of the same request."""
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -48,6 +48,17 @@
 MAX_CONNECTIONS = 200
 
 
+class _Chosen(typing.NamedTuple):
+    """The core, for one version of the table of members.
+
+    :ivar live: hosts that could be of it
+    """
+
+    version: int
+    live: int
+    core: list[str]
+
+
 class Gateway:
     """One gateway."""
 
@@ -69,6 +80,7 @@
         self._spans = tracing.Tracing(options.host, options.trace)
         self.board = blackboard.Blackboard()
         self.metrics = gateway_metrics.GatewayMetrics()
+        self._chosen = _Chosen(-1, 0, [])
         self._sockets = {
             name: (bound or {}).get(address) or servers.listen(address)
             for name, address in (
@@ -348,13 +360,21 @@
         )
         return [me, *others]
 
+    def _choose(self) -> _Chosen:
+        """Return the core; it is asked for at each change of a count."""
+        version = self.board.members.version
+        if version != self._chosen.version:
+            hosts = self._live_hosts()
+            self._chosen = _Chosen(version, len(hosts), core.choose(hosts))
+        return self._chosen
+
     def _core(self) -> list[str]:
-        return core.choose(self._live_hosts())
+        return self._choose().core
 
     def _audience(self) -> collections.abc.Collection[str] | None:
         """Return the hosts that hear at once what runs where."""
-        hosts = self._live_hosts()
-        return core.choose(hosts) if len(hosts) > core.CORE_HOSTS else None
+        chosen = self._choose()
+        return chosen.core if chosen.live > core.CORE_HOSTS else None
 
     def _follow(
         self,
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -19,6 +19,7 @@
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass import gateway_ports
+from persimmonpass import metrics
 from persimmonpass.policy import entry
 from persimmonpass import routes
 from persimmonpass import verdicts
@@ -144,17 +145,9 @@
 
     def _give_entry(self, zone: str) -> gateway_ports.Entry | None:
         """Return the hosts that callers should use."""
-        hosts = [
-            entry.EntryHost(
-                member.host,
-                member.caller_address,
-                member.availability_zone,
-                member.state,
-                self._ports.board.host_loads.get(member.host),
-            )
-            for member in self._ports.board.members.rows()
-            if member.caller_address
-        ]
+        board = self._ports.board
+        rows = [row for row in board.members.rows() if row.caller_address]
+        hosts = entry.hosts_of(rows, board.host_loads.get)
         chosen = set(self._ports.core())
         alive = [
             one for one in hosts if one.host in chosen and one.state == 'alive'
@@ -178,7 +171,7 @@
                 'type': 'http.response.start',
                 'status': 200,
                 'headers': [
-                    (b'content-type', b'text/plain; version=0.0.4'),
+                    (b'content-type', metrics.CONTENT_TYPE.encode()),
                     (b'content-length', str(len(body)).encode()),
                 ],
             }
--- a/src/persimmonpass/metrics.py
+++ b/src/persimmonpass/metrics.py
@@ -6,6 +6,7 @@
 
 from persimmonpass import budget
 
+CONTENT_TYPE = 'text/plain; version=0.0.4'
 LATENCY_BUCKETS_SECONDS = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.3, 2.5, 5.0, 10.0, 30.0,
 )  # fmt: skip
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -102,7 +102,7 @@
         return
     if path.startswith(ITEMS_PREFIX):
         job_id = urllib.parse.unquote(path[len(ITEMS_PREFIX) :])
-        item_id = _query(call).get('id', '')
+        item_id = _query(call.query).get('id', '')
         found = await ports.read_body(job_id, item_id)
         if isinstance(found, result.Err):
             await caller.refuse(found.err_value)
@@ -144,7 +144,7 @@
         return
     headers = {name.lower(): value for name, value in call.headers}
     try:
-        after = int(_query(call).get('after', '0'))
+        after = int(_query(call.query).get('after', '0'))
         wait = float(headers.get(WAIT_MS, b'0')) / _MILLISECONDS
     except ValueError:
         await caller.answer(400)
@@ -191,10 +191,8 @@
         if scope['path'] != RESOLVE_PATH:
             await caller.answer(404)
             return
-        query = dict(
-            urllib.parse.parse_qsl(scope['query_string'].decode('latin-1'))
-        )
-        entry = give_entry(query.get('zone', ''))
+        zone = _query(scope['query_string']).get('zone', '')
+        entry = give_entry(zone)
         if entry is None:
             await caller.answer(503)
             return
@@ -223,6 +221,5 @@
             return b''.join(parts)
 
 
-def _query(call: exchange.Call) -> _Query:
-    text = call.path.partition(b'?')[2].decode('latin-1')
-    return dict(urllib.parse.parse_qsl(text))
+def _query(text: bytes) -> _Query:
+    return dict(urllib.parse.parse_qsl(text.decode('latin-1')))
--- a/src/persimmonpass/platform/settings.py
+++ b/src/persimmonpass/platform/settings.py
@@ -37,7 +37,6 @@
     listen: dict[str, str] = {}
     port_range: list[int] = []
     seeds: list[str] = []
-    serves: list[str] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
--- a/src/persimmonpass/policy/entry.py
+++ b/src/persimmonpass/policy/entry.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+from persimmonpass import blackboard
+
 MAX_ADDRESSES = 32
 
 
@@ -20,6 +22,26 @@
     load: int | None
 
 
+def hosts_of(
+    members: collections.abc.Iterable[blackboard.Member],
+    loads: collections.abc.Callable[[str], int | None],
+) -> list[EntryHost]:
+    """Return the members as hosts that may take callers.
+
+    :param loads: host -> requests in progress, ``None`` if unknown
+    """
+    return [
+        EntryHost(
+            member.host,
+            member.caller_address,
+            member.availability_zone,
+            member.state,
+            loads(member.host),
+        )
+        for member in members
+    ]
+
+
 PREFERRED_STATES = ('alive', 'suspect', 'leaving')
 
 
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -18,7 +18,6 @@
 # Hosts and targets are a millisecond apart; a lost opening packet comes
 # again after a second, by which time another target has begun.
 CONNECT_TIMEOUT_SECONDS = 0.3
-MAX_KEPT_CONNECTIONS = 32
 # Below the idle time after which common servers close a connection.
 KEPT_SECONDS = 1.8
 BAD_GATEWAY = 502
@@ -52,7 +51,7 @@
         self._kept = pools.TargetPools(
             httpx.Limits(
                 max_connections=None,
-                max_keepalive_connections=MAX_KEPT_CONNECTIONS,
+                max_keepalive_connections=pools.MAX_KEPT_CONNECTIONS,
                 keepalive_expiry=KEPT_SECONDS,
             ),
             context,
