Follow a kind by its last change, not by the store's counter

Cause: the store counts changes of all kinds together. A watcher whose watch ends without a change has the counter of that moment, which jobs raise several times a second; the others, who were told of it, took themselves to be behind and each asked the store.

Change: a watcher also tells up to which version it knows of changes of the kind. A copy that is not behind that one is complete up to the watcher's version.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -47,11 +47,14 @@
 
     :ivar at: when it said so, in seconds
     :ivar fresh_at: when its copy was known to be complete
+    :ivar changed_at: version up to which it knows of changes; there is none
+        from there to its version
     """
 
     version: int
     at: float
     fresh_at: float
+    changed_at: int
 
 
 class Mirror:
@@ -90,6 +93,8 @@
         self._keepers = keepers
         self._fresh_at: float | None = None
         self._listed = False
+        # The store's counter rises with other kinds too.
+        self._changed_at = 0
         self._heard: dict[str, _Heard] = {}
         self._behind_since: float | None = None
         self._overtaken_since: float | None = None
@@ -155,7 +160,13 @@
                 if self._is_overtaken() and self._scope is not None:
                     self._scope.cancel()
                 self._tell_keepers(
-                    METHOD_FRESH, [self._kind, self.version, self.age_seconds]
+                    METHOD_FRESH,
+                    [
+                        self._kind,
+                        self.version,
+                        self.age_seconds,
+                        self._changed_at,
+                    ],
                 )
 
     async def _read(
@@ -206,11 +217,11 @@
         ]
         if not heard:
             return False
-        newest = max(one.version for one in heard)
-        if newest <= self.version:
+        if max(one.changed_at for one in heard) <= self.version:
             self._behind_since = None
+            self.version = max(self.version, *(one.version for one in heard))
             self._fresh_at = max(
-                self._fresh_at or 0.0, max(one.fresh_at for one in heard)
+                self._fresh_at or 0.0, *(one.fresh_at for one in heard)
             )
             return True
         if self._behind_since is None:
@@ -221,7 +232,7 @@
         """Return whether peers have long seen more than this copy has."""
         now = anyio.current_time()
         recent = [
-            one.version
+            one.changed_at
             for one in self._heard.values()
             if now - one.at < SILENCE_SECONDS
         ]
@@ -232,10 +243,12 @@
             self._overtaken_since = now
         return now - self._overtaken_since >= 2 * FRESH_SECONDS
 
-    def hear(self, peer: str, version: int, age: float) -> None:
+    def hear(
+        self, peer: str, version: int, age: float, changed_at: int
+    ) -> None:
         """Take how fresh a watcher's copy is."""
         now = anyio.current_time()
-        self._heard[peer] = _Heard(version, now, now - age)
+        self._heard[peer] = _Heard(version, now, now - age, changed_at)
 
     def take_news(
         self, before: int, version: int, changed: list[records.Record]
@@ -274,6 +287,8 @@
                         known._replace(version=found.version, deleted=True)
                     )
         before, self.version = self.version, found.version
+        if whole or found.records:
+            self._changed_at = found.version
         if changed:
             self._on_change(changed)
         # One host sends the records, which may be large; the other watchers
@@ -311,9 +326,11 @@
     async def take_fresh(
         peer: str, payload: typing.Any
     ) -> result.Result[typing.Any, verdicts.Failure]:
-        kind, version, age = payload
+        kind, version, age, *later = payload
         if kind in mirrors:
-            mirrors[kind].hear(peer, version, age)
+            # An earlier release does not say when its copy changed.
+            changed_at = later[0] if later else version
+            mirrors[kind].hear(peer, version, age, changed_at)
         return result.Ok(None)
 
     return {METHOD_NEWS: take_news, METHOD_FRESH: take_fresh}
--- a/tests/record_fakes.py
+++ b/tests/record_fakes.py
@@ -176,4 +176,6 @@
                 if found and not self.silent_watches:
                     return result.Ok(records.Snapshot(self.version, found))
                 await self._changed.wait()
+        if not self.silent_watches:
+            version = max(version, self.version)
         return result.Ok(records.Snapshot(version, []))
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -108,6 +108,54 @@
 
         self.follow(hosts, test)
 
+    @expand([('before its watch has ended', 0.4), ('seldom', 3.0)])
+    def test_changes_of_other_kinds_cost_no_calls(self, _, pause):
+        """They raise the store's counter, which the watchers tell."""
+        hosts = Hosts([f'host-{number}' for number in range(8)])
+
+        async def test():
+            await anyio.sleep(5)
+            hosts.memory.calls.clear()
+            for number in range(round(30 / pause)):
+                hosts.memory.put('others', f'o-{number}', {})
+                await anyio.sleep(pause)
+            most = mirror.WATCHERS * 30 / mirror.WATCH_SECONDS
+            self.assertLessEqual(hosts.memory.calls['watch'], 1.1 * most)
+            hosts.memory.put(KIND, 'a', {})
+            await anyio.sleep(0.5)
+            for name in hosts.mirrors:
+                self.assertEqual({'a'}, hosts.names(name))
+
+        self.follow(hosts, test)
+
+    def test_missed_news_are_read(self):
+        """Also where other kinds changed after what was missed."""
+        hosts = Hosts(['one', 'two', 'three', 'four'])
+
+        async def test():
+            await anyio.sleep(5)
+            watchers = {
+                name
+                for name, copy in hosts.mirrors.items()
+                if copy._is_watcher()
+            }
+            missing = min(set(hosts.mirrors) - watchers)
+            take = hosts.network.handlers[missing][mirror.METHOD_NEWS]
+
+            async def lose(peer, payload):
+                """Drop it."""
+
+            hosts.network.handlers[missing][mirror.METHOD_NEWS] = lose
+            hosts.memory.put(KIND, 'a', {})
+            for number in range(10):
+                await anyio.sleep(0.1)
+                hosts.memory.put('others', f'o-{number}', {})
+            hosts.network.handlers[missing][mirror.METHOD_NEWS] = take
+            await anyio.sleep(0.2)
+            self.assertEqual({'a'}, hosts.names(missing))
+
+        self.follow(hosts, test)
+
     def test_silent_watch_is_found_out(self):
         """A list brings what dead watches do not, within their time."""
         hosts = Hosts(['one'])
