Repeat an idle host's counts seldom outside the core

Change: a host outside the core where nothing runs or waits repeats itself every two seconds; test_repeats (failing first for the idle one). Tried with it and reverted: a start waits up to 0.8 s for the word of a watcher before it watches the store itself, which would save some 60 calls at the start of 20 hosts. A target that left in that time still got requests (test_leaving_target_gets_nothing, 3 rows).

--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -53,13 +53,19 @@
     """
 
     def __init__(
-        self, peers: peer_port.PeerPort, audience: Audience | None = None
+        self,
+        peers: peer_port.PeerPort,
+        audience: Audience | None = None,
+        host: str = '',
     ) -> None:
         """Start with nothing in progress.
 
         :param audience: hosts that hear of changes at once, ``None`` for
             all; the others hear the whole every two seconds
+        :param host: this one; outside the audience it repeats itself as
+            seldom while nothing runs here
         """
+        self._host = host
         self._audience = audience
         self.changed: list[collections.abc.Callable[[], None]] = []
         self._peers = peers
@@ -177,6 +183,9 @@
         waiting = {name: list(one) for name, one in self._waiting.items()}
         payload = [whole, rows, waiting]
         audience = self._audience() if self._audience else None
+        outside = audience is not None and self._host not in audience
+        if whole and outside and not (far or rows or waiting):
+            return
         peer_port.broadcast(
             self._peers, METHOD_OCCUPANCY, payload, None if far else audience
         )
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -249,7 +249,9 @@
                 options.seed_peers,
             ),
         )
-        self._occupied = occupancy.Occupancy(port, self._audience)
+        self._occupied = occupancy.Occupancy(
+            port, self._audience, options.host
+        )
         self._role = work_role.WorkRole(
             options.host,
             self.board,
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -423,6 +423,33 @@
 
         fakes.run(test)
 
+    @expand(
+        [
+            # host, whether something runs there, notices in ten seconds
+            ('inside, idle', 'one', False, 20),
+            ('outside, idle', 'two', False, 5),
+            ('outside, busy', 'two', True, 20),
+        ]
+    )
+    def test_repeats(self, _, host, busy, repeats):
+        async def test():
+            network = fakes.Network()
+            network.handlers['peer'] = {}
+            async with anyio.create_task_group() as tasks:
+                port = network.port(host)
+                made = occupancy.Occupancy(port, lambda: ['one', 'peer'], host)
+                tasks.start_soon(made.run)
+                await anyio.sleep(occupancy.REPEAT_SECONDS / 2)
+                if busy:
+                    made.add_online('t', 1)
+                await anyio.sleep(occupancy.REPEAT_SECONDS)
+                network.notices.clear()
+                await anyio.sleep(10)
+                self.assertAlmostEqual(repeats, len(network.notices), delta=1)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
     def test_a_count_costs_the_same_in_a_large_fleet(self):
         """It is read for each target whenever anything changes anywhere."""
         seconds = {}
