--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -93,10 +93,10 @@
             self._batch[target] + self._peers_batch[target],
         )
 
-    def hears(self, peer: str) -> bool:
-        """Return whether a peer told anything lately."""
-        at = self._heard.get(peer)
-        return at is not None and anyio.current_time() - at < SILENCE_SECONDS
+    def audible(self) -> set[str]:
+        """Return the peers that told anything lately."""
+        since = anyio.current_time() - SILENCE_SECONDS
+        return {peer for peer, at in self._heard.items() if at > since}
 
     @property
     def waiting_in_all(self) -> int:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -257,7 +257,7 @@
             self.board,
             port,
             lambda: self.is_ready,
-            self._occupied.hears,
+            self._occupied.audible,
             self._core,
         )
         self._crashes = crash_watch.CrashWatch(options.host, port)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -330,7 +330,7 @@
                 board,
                 self.network.port(name, tasks),
                 lambda name=name: name not in self.down,
-                lambda other: other not in self.frozen,
+                lambda: set(self.names) - self.frozen,
             )
             self.network.handlers[name] = role.handlers
             self.roles[name] = role
