--- a/src/persimmonpass/controllers/catalog.py
+++ b/src/persimmonpass/controllers/catalog.py
@@ -58,7 +58,7 @@
                 continue
             found = self._ports.read_configuration(record)
             if found is None:
-                self._reject(record)
+                records.note_unreadable(self._host, record)
                 continue
             known = self._board.routes.get(ROUTES_KEY)
             if known is not None and known.version >= found.version:
@@ -80,7 +80,7 @@
                 continue
             found = self._ports.read_target(record)
             if found is None:
-                self._reject(record)
+                records.note_unreadable(self._host, record)
                 continue
             self._lingering.pop(record.name, None)
             known = self._board.targets.get(record.name)
@@ -134,11 +134,3 @@
             )
         else:
             self._board.targets.remove(record.name)
-
-    def _reject(self, record: records.Record) -> None:
-        events.log(
-            events.ENTRY_UNREADABLE,
-            host=self._host,
-            record=record.name,
-            revision=record.version,
-        )
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -73,12 +73,7 @@
                 continue
             change = work.read(record)
             if change is None:
-                events.log(
-                    events.ENTRY_UNREADABLE,
-                    host=self._host,
-                    record=record.name,
-                    revision=record.version,
-                )
+                records.note_unreadable(self._host, record)
                 continue
             state = self.jobs.get(change.job_id)
             if state is None:
--- a/src/persimmonpass/records.py
+++ b/src/persimmonpass/records.py
@@ -157,3 +157,13 @@
 def _split(key: str) -> tuple[str, str]:
     kind, _, name = key.partition('/')
     return kind, name
+
+
+def note_unreadable(host: str, record: Record) -> None:
+    """Log that an object could not be read."""
+    events.log(
+        events.ENTRY_UNREADABLE,
+        host=host,
+        record=record.name,
+        revision=record.version,
+    )
