Say that there is no more result only where no change is missing

A copy that was complete within 2.6 s may say that there is no more, but one that a watcher has told of a change may lack it for as long as its own call takes, over a slow link more than the second in which hosts have to agree. Change: a copy that has lacked a change for 0.4 s answers 503 with a time, and says so (copy_behind_seconds). Test failing first.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -109,6 +109,13 @@
             return float('inf')
         return anyio.current_time() - self._fresh_at
 
+    @property
+    def behind_seconds(self) -> float:
+        """Time since a watcher told of a change that this copy lacks."""
+        if self._behind_since is None:
+            return 0.0
+        return anyio.current_time() - self._behind_since
+
     @property
     def is_kept(self) -> bool:
         """Whether this host keeps a copy."""
@@ -133,7 +140,6 @@
                 self._take(found.ok_value, whole=not self._listed)
                 self._note_fresh(began, found.ok_value)
                 self._listed = True
-                self._behind_since = None
                 pause = RETRY_SECONDS
                 if found.ok_value.records:
                     await anyio.sleep(GATHER_SECONDS)
@@ -213,15 +219,13 @@
         if not heard:
             return False
         if max(one.changed_at for one in heard) <= self.version:
-            self._behind_since = None
             self.version = max(self.version, *(one.version for one in heard))
             self._fresh_at = max(
                 self._fresh_at or 0.0, *(one.fresh_at for one in heard)
             )
+            self._judge_behind()
             return True
-        if self._behind_since is None:
-            self._behind_since = now
-        return now - self._behind_since < NEWS_SLACK_SECONDS
+        return self.behind_seconds < NEWS_SLACK_SECONDS
 
     def _is_overtaken(self) -> bool:
         """Return whether peers have long seen more than this copy has."""
@@ -244,6 +248,15 @@
         """Take how fresh a watcher's copy is."""
         now = anyio.current_time()
         self._heard[peer] = _Heard(version, now, now - age, changed_at)
+        self._judge_behind()
+
+    def _judge_behind(self) -> None:
+        """Note whether a watcher has told of a change that this copy lacks."""
+        told = [one.changed_at for one in self._heard.values()]
+        if max(told, default=0) <= self.version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = anyio.current_time()
 
     def take_news(
         self, before: int, version: int, changed: list[records.Record]
@@ -284,6 +297,7 @@
         before, self.version = self.version, found.version
         if whole or found.records:
             self._changed_at = found.version
+        self._judge_behind()
         if changed:
             self._on_change(changed)
         # One host sends the records, which may be large; the other watchers
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -16,6 +16,9 @@
 # A copy that was complete within this time may say that there is no more:
 # a watch that hears nothing returns sooner.
 FRESH_SECONDS = 2.6
+# One that has lacked a change for longer may not: a position that was read
+# somewhere is seen by all within a second.
+BEHIND_SECONDS = 0.4
 # When a job's write is sent again while its answer is out, since it began.
 # A calm store answers in milliseconds, and the caller's objective is some
 # hundreds of them.
@@ -351,7 +354,11 @@
         return job is not None and len(state.results) >= len(job.items)
 
     def _is_fresh(self) -> bool:
-        return self._copy().age_seconds <= FRESH_SECONDS
+        copy = self._copy()
+        return (
+            copy.age_seconds <= FRESH_SECONDS
+            and copy.behind_seconds <= BEHIND_SECONDS
+        )
 
     def _uncertain(self, job_id: str, cause: str) -> verdicts.Failure:
         events.log(
@@ -360,6 +367,7 @@
             job=job_id,
             cause=cause,
             copy_age_seconds=round(min(self._copy().age_seconds, 1e6), 2),
+            copy_behind_seconds=round(self._copy().behind_seconds, 2),
         )
         return verdicts.Failure(
             verdicts.Verdict.NOT_RUN,
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -219,6 +219,32 @@
 
         fakes.run(test)
 
+    def test_copy_that_is_behind_does_not_say_that_there_is_no_more(self):
+        """Others may have read what it still lacks."""
+
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            host = Host(memory)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(host.copy.run)
+                deadline = anyio.current_time() + 4
+                await host.log.accept(make_job(), LIMIT, deadline)
+                await anyio.sleep(2)
+                self.assertTrue((await host.log.read('j', 0, 0.0)).is_ok())
+                memory.silent_watches = True
+                memory.put(work.KIND, 'e.other', {})
+                host.copy.hear('peer', memory.version, 0.0, memory.version)
+                await anyio.sleep(0.5)
+                found = await host.log.read('j', 0, 0.0)
+                self.assertEqual(503, found.err_value.status)
+                memory.silent_watches = False
+                memory.put(work.KIND, 'e.another', {})
+                await anyio.sleep(0.2)
+                self.assertTrue((await host.log.read('j', 0, 0.0)).is_ok())
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
     def test_old_copy_does_not_say_that_there_is_no_more(self):
         async def test():
             host = Host(record_fakes.MemoryRecords())
