Let large hosts of the core watch, not any of it

Cause: watchers were drawn from the core by hash. Ten of the 16 hosts of the core of athi's grown site have links of 30 Mbit/s; the first watcher sends news of jobs and results, some 290 KB a second (worked out), to 15 others, 35 Mbit/s. Change: the core's order decides, largest hosts first; the first one, which runs batch, comes last. Test failing first (row of four hosts).

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -79,8 +79,8 @@
     ) -> None:
         """Make an empty copy.
 
-        :param candidates: hosts that may watch; all that are reached if it
-            is left out
+        :param candidates: hosts that may watch, the best one first; all that
+            are reached if it is left out
         :param keepers: hosts that keep a copy; all if it is left out
         """
         self.records: dict[str, records.Record] = {}
@@ -198,11 +198,11 @@
 
         :param count: number of hosts that count as such
         """
-        hosts = [self._host, *self._peers.connected()]
-        if self._candidates is not None:
-            allowed = set(self._candidates())
-            hosts = [host for host in hosts if host in allowed]
-        ranked = shards.ranked(WATCH_KEY, hosts)
+        hosts = {self._host, *self._peers.connected()}
+        if self._candidates is None:
+            ranked = list(shards.ranked(WATCH_KEY, hosts))
+        else:
+            ranked = [host for host in self._candidates() if host in hosts]
         return self._host in ranked[:count]
 
     def _follows(self) -> bool:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -217,7 +217,7 @@
                 self._relay.port,
                 port,
                 take,
-                self._core,
+                lambda: core.watch_order(self._core()),
                 self._audience if kind == work.KIND else None,
             )
             for kind, take in kinds.items()
--- a/src/persimmonpass/policy/core.py
+++ b/src/persimmonpass/policy/core.py
@@ -51,6 +51,19 @@
     return [ranked[index].host for index in chosen]
 
 
+def watch_order(
+    chosen: collections.abc.Sequence[str],
+) -> list[str]:
+    """Return the hosts of the core in the order in which they watch.
+
+    What a watcher hears it sends to all of the core, some tens of Mbit/s in
+    a large fleet. That needs a large host, and the first one runs batch.
+
+    :param chosen: the core, the largest hosts first
+    """
+    return [*chosen[1:], *chosen[:1]]
+
+
 def links(
     me: str,
     hosts: collections.abc.Collection[CoreHost],
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -29,7 +29,8 @@
 class Hosts:
     """Mirrors of one kind on some hosts that tell each other."""
 
-    def __init__(self, names):
+    def __init__(self, names, candidates=None):
+        self.candidates = candidates
         self.memory = record_fakes.MemoryRecords()
         self.network = fakes.Network()
         self.seen = {name: [] for name in names}
@@ -40,7 +41,9 @@
         for name, seen in self.seen.items():
             port = self.network.port(name, tasks)
             relay = store_relay.StoreRelay(name, self.memory.port, port)
-            copy = mirror.Mirror(name, KIND, relay.port, port, seen.extend)
+            copy = mirror.Mirror(
+                name, KIND, relay.port, port, seen.extend, self.candidates
+            )
             self.network.handlers[name] = relay.handlers | mirror.handlers(
                 {KIND: copy}
             )
@@ -156,6 +159,23 @@
 
         self.follow(hosts, test)
 
+    @expand([(None, ['two', 'one']), ('two', ['one', 'four'])])
+    def test_first_candidates_watch(self, down, expected):
+        order = ['two', 'one', 'four']
+        hosts = Hosts(['one', 'two', 'three', 'four'], lambda: order)
+
+        async def test():
+            await anyio.sleep(1)
+            hosts.network.handlers.pop(down, None)
+            watchers = {
+                name
+                for name, copy in hosts.mirrors.items()
+                if name != down and copy._is_watcher()
+            }
+            self.assertEqual(set(expected), watchers)
+
+        self.follow(hosts, test)
+
     def test_silent_watch_is_found_out(self):
         """A list brings what dead watches do not, within their time."""
         hosts = Hosts(['one'])
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -61,6 +61,10 @@
 
 
 class TestCore(unittest.TestCase):
+    @expand([([], []), (['a'], ['a']), (['a', 'b', 'c'], ['b', 'c', 'a'])])
+    def test_the_first_one_watches_last(self, chosen, expected):
+        self.assertEqual(expected, core.watch_order(chosen))
+
     @expand(
         [('small', 6, 6), ('as large as the core', 16, 16), ('large', 70, 16)]
     )
