--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -17,6 +17,8 @@
 TTL = 5.0
 LIMIT = 60.0
 KEPT = TTL + drain.ANSWER_MARGIN_SECONDS
+# An answer of a peer that has taken note is back within milliseconds.
+CONFIRM_SECONDS = 1.0
 
 
 class Peers:
@@ -213,6 +215,15 @@
         self.other.send(signal.SIGSTOP)
         self.old.send(signal.SIGTERM)
         processes.wait_until(lambda: self.old.find_event('drain_started'))
+        # A peer that has not confirmed yet would be named too.
+        entry = f'{self.fleet.hosts[2].caller}/v1/entry'
+        address = self.old.caller.removeprefix('http://')
+        processes.wait_until(
+            lambda: (
+                address not in processes.CLIENT.get(entry).json()['addresses']
+            )
+        )
+        time.sleep(CONFIRM_SECONDS)
         self.old.send(signal.SIGTERM)
         processes.wait_until(lambda: self.old.process.poll() is not None)
         said = self.old.find_event('drain_unconfirmed')
