Decide in one place who is meant, who takes a duty, and which hosts are linked

Found on reading the whole change again; behaviour stays as it is. - "None or one of these hosts" stood in the mirror, the access to jobs, the counts and the broadcast, with its type twice: port.Audience and port.includes. - The order of candidates for a duty stood in the mirror and in the role of the runner: shards.preferred. - The core was chosen a second time for each change of a member, for the links: core.links takes the chosen one. The hosts chosen from were the same, as every row that lives has an address in the same view. - Two ways to put a notice on a link became one; the news of broken targets, which only takes note, is a Notice like the others. - The access to jobs asked twice whether a call was an accept. The tests of work and of the access to jobs share one maker of jobs.

--- a/src/persimmonpass/controllers/crash_watch.py
+++ b/src/persimmonpass/controllers/crash_watch.py
@@ -8,11 +8,9 @@
 import typing
 
 import anyio
-import result
 
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
-from persimmonpass import verdicts
 
 METHOD_BROKE = 'crash.broke'
 # Two breaks may be two targets that crashed for other reasons.
@@ -34,7 +32,7 @@
     @property
     def handlers(self) -> peer_port.Handlers:
         """Handlers of peers' notices."""
-        return {METHOD_BROKE: self._take}
+        return {METHOD_BROKE: peer_port.Notice(self._take)}
 
     def is_convicted(self, fingerprint: str) -> bool:
         """Return whether a request must not run again."""
@@ -65,9 +63,6 @@
                 targets=sorted(lost),
             )
 
-    async def _take(
-        self, peer: str, payload: typing.Any
-    ) -> result.Result[typing.Any, verdicts.Failure]:
+    def _take(self, peer: str, payload: typing.Any) -> None:
         fingerprint, target = payload
         self._keep(fingerprint, target)
-        return result.Ok(None)
--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -40,7 +40,6 @@
 # A watcher may have seen more than its news, which are on their way.
 NEWS_SLACK_SECONDS = 0.15
 
-Keepers = collections.abc.Callable[[], collections.abc.Collection[str] | None]
 OnChange = collections.abc.Callable[[list[records.Record]], None]
 
 
@@ -75,13 +74,13 @@
         peers: peer_port.PeerPort,
         on_change: OnChange,
         candidates: collections.abc.Callable[[], list[str]] | None = None,
-        keepers: Keepers | None = None,
+        keepers: peer_port.Audience = peer_port.everyone,
     ) -> None:
         """Make an empty copy.
 
         :param candidates: hosts that may watch, the best one first; all that
             are reached if it is left out
-        :param keepers: hosts that keep a copy; all if it is left out
+        :param keepers: hosts that keep a copy
         """
         self.records: dict[str, records.Record] = {}
         self.ready = anyio.Event()
@@ -119,8 +118,7 @@
     @property
     def is_kept(self) -> bool:
         """Whether this host keeps a copy."""
-        keepers = self._keepers() if self._keepers else None
-        return keepers is None or self._host in keepers
+        return peer_port.includes(self._keepers(), self._host)
 
     async def run(self) -> None:
         """Follow the kind for ever."""
@@ -199,10 +197,8 @@
         :param count: number of hosts that count as such
         """
         hosts = {self._host, *self._peers.connected()}
-        if self._candidates is None:
-            ranked = list(shards.ranked(WATCH_KEY, hosts))
-        else:
-            ranked = [host for host in self._candidates() if host in hosts]
+        candidates = self._candidates() if self._candidates else None
+        ranked = shards.preferred(WATCH_KEY, hosts, candidates)
         return self._host in ranked[:count]
 
     def _follows(self) -> bool:
@@ -308,7 +304,7 @@
                 self._peers,
                 METHOD_NEWS,
                 [self._kind, before, self.version, rows],
-                self._keepers() if self._keepers else None,
+                self._keepers(),
             )
         self.ready.set()
 
--- a/src/persimmonpass/controllers/occupancy.py
+++ b/src/persimmonpass/controllers/occupancy.py
@@ -26,9 +26,6 @@
 SILENCE_SECONDS = 1.2
 
 
-Audience = collections.abc.Callable[[], collections.abc.Collection[str] | None]
-
-
 class Counts(typing.NamedTuple):
     """What runs at a target."""
 
@@ -55,13 +52,13 @@
     def __init__(
         self,
         peers: peer_port.PeerPort,
-        audience: Audience | None = None,
+        audience: peer_port.Audience = peer_port.everyone,
         host: str = '',
     ) -> None:
         """Start with nothing in progress.
 
-        :param audience: hosts that hear of changes at once, ``None`` for
-            all; the others hear the whole every two seconds
+        :param audience: hosts that hear of changes at once; the others hear
+            the whole every two seconds
         :param host: this one; outside the audience it repeats itself as
             seldom while nothing runs here
         """
@@ -182,8 +179,8 @@
         self._dirty = set()
         waiting = {name: list(one) for name, one in self._waiting.items()}
         payload = [whole, rows, waiting]
-        audience = self._audience() if self._audience else None
-        outside = audience is not None and self._host not in audience
+        audience = self._audience()
+        outside = not peer_port.includes(audience, self._host)
         if whole and outside and not (far or rows or waiting):
             return
         peer_port.broadcast(
--- a/src/persimmonpass/controllers/work_access.py
+++ b/src/persimmonpass/controllers/work_access.py
@@ -11,7 +11,6 @@
 import msgspec
 import result
 
-from persimmonpass.controllers import mirror
 from persimmonpass.controllers import work_log
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
@@ -31,8 +30,6 @@
 ANSWER_SECONDS = 2.0
 # What an answer needs on its way from a keeper.
 LINK_SECONDS = 0.1
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
 
 Answer = result.Result[typing.Any, verdicts.Failure]
 
@@ -45,11 +42,11 @@
         host: str,
         log: work_log.WorkLog,
         peers: peer_port.PeerPort,
-        keepers: mirror.Keepers,
+        keepers: peer_port.Audience,
     ) -> None:
         """Make the access.
 
-        :param keepers: hosts that follow the jobs, ``None`` for all
+        :param keepers: hosts that follow the jobs
         """
         self._host = host
         self._log = log
@@ -120,8 +117,7 @@
         )
 
     def _is_keeper(self) -> bool:
-        keepers = self._keepers()
-        return keepers is None or self._host in keepers
+        return peer_port.includes(self._keepers(), self._host)
 
     async def _ask(
         self,
@@ -133,7 +129,7 @@
         """Ask keepers in turn until one answers.
 
         Asking twice does no harm: a job is taken once under its id. After a
-        call without an answer a later refusal says nothing of the first one.
+        call without an answer a later refusal does not say that no job runs.
 
         :param make: seconds that the keeper has -> what is sent
         """
@@ -154,11 +150,12 @@
             failure = answered.err_value
             self._note(method, job_id, keeper, failure)
             if failure.event != events.PEER_UNREACHABLE:
-                if unknown and method == METHOD_ACCEPT:
+                if unknown:
                     break
                 return answered
-            unknown |= failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
-        return result.Err(_unanswered(unknown and method == METHOD_ACCEPT))
+            if method == METHOD_ACCEPT:
+                unknown |= failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
+        return result.Err(_unanswered(unknown))
 
     def _note(
         self, method: str, job_id: str, keeper: str, failure: verdicts.Failure
@@ -205,6 +202,6 @@
         verdicts.Verdict.MAY_HAVE_RUN if unknown else verdicts.Verdict.NOT_RUN,
         events.JOB_CALL_FAILED,
         'no host that follows the jobs answered',
-        GATEWAY_TIMEOUT if unknown else UNAVAILABLE,
+        work_log.GATEWAY_TIMEOUT if unknown else work_log.UNAVAILABLE,
         work_log.RETRY_AFTER_SECONDS,
     )
--- a/src/persimmonpass/controllers/work_log.py
+++ b/src/persimmonpass/controllers/work_log.py
@@ -35,6 +35,7 @@
 ANSWER_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.4
 MAX_PAGE_BYTES = 900_000
+UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
 
@@ -153,10 +154,12 @@
             if left <= ANSWER_SECONDS:
                 # A write that may still take effect promises nothing.
                 return self._refused(
-                    job, GATEWAY_TIMEOUT if unknown else 503, failure.message
+                    job,
+                    GATEWAY_TIMEOUT if unknown else UNAVAILABLE,
+                    failure.message,
                 )
             if not unknown and now >= refuse_at:
-                return self._refused(job, 503, failure.message)
+                return self._refused(job, UNAVAILABLE, failure.message)
             await anyio.sleep(min(pause, left / 2))
             pause = min(2 * pause, MAX_RETRY_SECONDS)
 
@@ -373,7 +376,7 @@
             verdicts.Verdict.NOT_RUN,
             events.JOB_READ_UNCERTAIN,
             cause,
-            503,
+            UNAVAILABLE,
             RETRY_AFTER_SECONDS,
         )
 
--- a/src/persimmonpass/controllers/work_role.py
+++ b/src/persimmonpass/controllers/work_role.py
@@ -161,16 +161,12 @@
 
     def _is_first(self) -> bool:
         reached = [host for host in self._reached() if host != self._resigned]
-        if self._candidates is not None:
-            if self._host not in self._candidates():
-                return False
-        return self._ranked([*reached, self._host])[0] == self._host
+        return self._ranked([*reached, self._host])[:1] == [self._host]
 
     def _ranked(self, hosts: collections.abc.Collection[str]) -> list[str]:
         """Return hosts in the order in which they run batch."""
-        if self._candidates is None:
-            return list(shards.ranked(RUNNER_KEY, hosts))
-        return [host for host in self._candidates() if host in hosts]
+        candidates = self._candidates() if self._candidates else None
+        return list(shards.preferred(RUNNER_KEY, hosts, candidates))
 
     def _take(self, peer: str, payload: typing.Any) -> None:
         term, host, holds = payload
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -33,6 +33,7 @@
 from persimmonpass import gateway_settings
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
+from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import core
 from persimmonpass import records
 from persimmonpass import servers
@@ -218,7 +219,7 @@
                 port,
                 take,
                 lambda: core.watch_order(self._core()),
-                self._audience if kind == work.KIND else None,
+                self._audience if kind == work.KIND else peer_port.everyone,
             )
             for kind, take in kinds.items()
         }
@@ -395,13 +396,11 @@
         kept: collections.abc.Collection[str],
     ) -> None:
         """Keep links to the core too; the core keeps them to all."""
-        me = self._options.host
-        known = [
-            one
-            for one in self._live_hosts()
-            if one.host == me or one.host in addresses
-        ]
-        self._peers.follow(addresses, core.links(me, known, kept))
+        live = {one.host for one in self._live_hosts()}
+        links = core.links(
+            self._options.host, self._core(), live & addresses.keys(), kept
+        )
+        self._peers.follow(addresses, links)
 
     async def _tell_copies(self) -> None:
         await mirror.tell(self._mirrors, self._peers.port)
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -171,10 +171,7 @@
         ]
 
     def _notify(self, host: str, method: str, payload: typing.Any) -> bool:
-        link = self._links.get(host)
-        if link is None or not link.up:
-            return False
-        return _enqueue(link, _encode_notice(method, payload))
+        return self._pass_on(host, _encode_notice(method, payload))
 
     def _tell(
         self,
@@ -184,9 +181,12 @@
     ) -> None:
         data = _encode_notice(method, payload)
         for host in hosts:
-            link = self._links.get(host)
-            if link is not None and link.up:
-                _enqueue(link, data)
+            self._pass_on(host, data)
+
+    def _pass_on(self, host: str, data: bytes) -> bool:
+        """Return whether a link was up that takes a notice."""
+        link = self._links.get(host)
+        return link is not None and link.up and _enqueue(link, data)
 
     async def _call(
         self,
--- a/src/persimmonpass/peers/port.py
+++ b/src/persimmonpass/peers/port.py
@@ -30,6 +30,8 @@
 
 
 Handlers = dict[str, Handler | Notice]
+# Hosts that are meant, ``None`` for all.
+Audience = collections.abc.Callable[[], collections.abc.Collection[str] | None]
 
 
 class Traffic:
@@ -80,6 +82,17 @@
     ]
 
 
+def everyone() -> None:
+    """Return the audience of all hosts."""
+
+
+def includes(
+    audience: collections.abc.Collection[str] | None, host: str
+) -> bool:
+    """Return whether a host is meant."""
+    return audience is None or host in audience
+
+
 def broadcast(
     port: PeerPort,
     method: str,
@@ -90,9 +103,7 @@
 
     :param audience: hosts that are meant, ``None`` for all
     """
-    hosts = port.connected()
-    if audience is not None:
-        hosts = [host for host in hosts if host in audience]
+    hosts = [host for host in port.connected() if includes(audience, host)]
     port.tell(hosts, method, payload)
 
 
--- a/src/persimmonpass/policy/core.py
+++ b/src/persimmonpass/policy/core.py
@@ -66,14 +66,15 @@
 
 def links(
     me: str,
-    hosts: collections.abc.Collection[CoreHost],
+    chosen: collections.abc.Collection[str],
+    hosts: collections.abc.Set[str],
     kept: collections.abc.Collection[str],
 ) -> set[str]:
     """Return the hosts to which a host keeps links.
 
-    :param hosts: those that live, this one too
+    :param chosen: the core
+    :param hosts: those that live and can be called
     :param kept: what it would keep in any case
     """
-    core = choose(hosts)
-    wanted = {one.host for one in hosts} if me in core else set(core)
+    wanted = hosts if me in chosen else hosts & set(chosen)
     return (set(kept) | wanted) - {me}
--- a/src/persimmonpass/policy/shards.py
+++ b/src/persimmonpass/policy/shards.py
@@ -25,6 +25,21 @@
     )
 
 
+def preferred(
+    key: str,
+    hosts: collections.abc.Collection[str],
+    order: typing.Sequence[str] | None,
+) -> typing.Sequence[str]:
+    """Return hosts in the order in which they take a duty.
+
+    :param order: those that may have it, the best one first; ``None`` for the
+        order in which all of them own the key
+    """
+    if order is None:
+        return ranked(key, hosts)
+    return [host for host in order if host in hosts]
+
+
 def shard(account: str, key: str, shards: int) -> int:
     """Return the number of the ledger that holds an idempotency key.
 
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -75,8 +75,9 @@
         ]
         chosen = core.choose(hosts)
         self.assertEqual(size, len(chosen))
-        for host, _, _ in hosts:
-            links = core.links(host, hosts, ())
+        names = {one.host for one in hosts}
+        for host in names:
+            links = core.links(host, chosen, names, ())
             self.assertLessEqual(set(chosen) - {host}, links)
             self.assertEqual(host in chosen, len(links) == count - 1)
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -29,7 +29,9 @@
 
 def make_job(job_id='j', count=3, tokens=10):
     items = [
-        work.Item(f'{job_id}-{number}', '/jobs/x', [], 'eA==', tokens)
+        work.Item(
+            f'{job_id}-{number}', '/jobs/x', [('a', 'b')], 'eA==', tokens
+        )
         for number in range(count)
     ]
     return work.Job(job_id, 'jobs', 'h', 0.0, items)
--- a/tests/test_work_access.py
+++ b/tests/test_work_access.py
@@ -14,7 +14,9 @@
 from persimmonpass import work
 from tests import fakes
 from tests import record_fakes
+from tests import test_work
 
+make_job = test_work.make_job
 expand = parameterized.parameterized.expand
 KEEPERS = ('near-0', 'near-1')
 FAR = 'far'
@@ -31,14 +33,6 @@
 CALLER_SECONDS = 4.0
 
 
-def make_job(job_id='j', count=3):
-    items = [
-        work.Item(f'{job_id}-{number}', '/jobs/x', [('a', 'b')], 'eA==', 10)
-        for number in range(count)
-    ]
-    return work.Job(job_id, 'jobs', 'h', 0.0, items)
-
-
 class Hosts:
     """Hosts of which some keep the jobs."""
 
