Start the soak's hosts on ports that no connection takes

A host that was started again said "cannot listen: [Errno 98] Address already in use" and was gone. Its ports came from those that the system gives to connections, and the other test modules open thousands of these while a host is down. Shown: the launcher says the same words for a port that a connection has. Change: ports below that range, each tried before it is used; the checks stay.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -32,6 +32,8 @@
 # So many answers make a run worth its checks, however fast the machine is.
 ANSWERS = 21
 ACCEPTED = 3
+# Below those that systems give to connections.
+PORTS = range(20_000, 30_000)
 STATUS_NOT_RUN = frozenset((408, 421, 429, 503))
 LAUNCHER = str(processes.ROOT / 'deploy' / 'launch.py')
 # Runs the launcher and stops it at a call that the start makes.
@@ -110,27 +112,27 @@
 
 
 def _free_addresses():
-    """Return free addresses; the two ports of the range follow each other."""
+    """Return free addresses; the two ports of the range follow each other.
+
+    A host that is started again needs them once more. Ports that the system
+    gives to connections would be taken by any other test meanwhile.
+    """
     while True:
+        ports = random.sample(PORTS, 3)
+        front, entry, peer = ports
         with contextlib.ExitStack() as stack:
-            held = [
-                stack.enter_context(
-                    contextlib.closing(servers.listen('127.0.0.1:0'))
-                )
-                for _ in range(3)
-            ]
-            front, entry, peer = map(servers.address_of, held)
-            port = int(peer.rpartition(':')[2])
             try:
-                servers.listen(f'127.0.0.1:{port + 1}').close()
-            except (OSError, OverflowError):
+                for port in (*ports, peer + 1):
+                    held = servers.listen(f'127.0.0.1:{port}')
+                    stack.enter_context(contextlib.closing(held))
+            except OSError:
                 continue
-            return {
-                'front': front,
-                'entry': entry,
-                'peer': port,
-                'metrics': port + 1,
-            }
+        return {
+            'front': f'127.0.0.1:{front}',
+            'entry': f'127.0.0.1:{entry}',
+            'peer': peer,
+            'metrics': peer + 1,
+        }
 
 
 class Load:
