Let hosts outside the core sleep, and watch the store one after the other

Cause: at 165 hosts each host woke some 190 times a second while nothing changed: three mirrors polled ten times a second and hashed all links, the runner of items stepped at every count of a peer, full counts and claims went to all hosts, and a receive on an anyio memory stream cost 0.2 ms. When the watchers' copies were a little old, all hosts called the store at once; a process with 60 hosts never settled. Hosts outside the core send half of the heartbeats. Collections of garbage are off during the imports. A host that starts waits for the list of members before it copies jobs.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -6,6 +6,7 @@
 meanwhile wait in the backlog instead of being refused.
 """
 
+import gc
 import importlib
 import pathlib
 import signal
@@ -60,7 +61,12 @@
             print(f'error: cannot listen: {error}', file=sys.stderr)
             sys.exit(2)
     sys.path.insert(0, str(root / 'src'))
+    # Nothing that an import makes is garbage. Collections during the imports,
+    # and later ones that scan what they made, would only cost processor time.
+    gc.disable()
     program = importlib.import_module(PROGRAMS[name])
+    gc.freeze()
+    gc.enable()
     program.main(bound, stop_signals)
 
 
--- a/src/persimmonpass/controllers/batch_role.py
+++ b/src/persimmonpass/controllers/batch_role.py
@@ -99,6 +99,11 @@
         """The source of the item texts that this host writes."""
         return item_text.Source(self._own_term, self._host)
 
+    @property
+    def is_candidate(self) -> bool:
+        """Whether this host may become the batch runner."""
+        return self._candidates is None or self._host in self._candidates()
+
     def successors(self) -> list[str]:
         """Return the reachable peers in the order in which they take over."""
         return self._in_order(self._reachable_hosts())
@@ -110,7 +115,9 @@
         """
         was_runner = self.is_runner
         now = anyio.current_time()
-        if not self._may_run():
+        if not (was_runner or self.is_candidate):
+            self._settled_at = None
+        elif not self._may_run():
             if was_runner:
                 self._resign()
             self._settled_at = None
@@ -147,7 +154,8 @@
     def _broadcast_claim(self, now: float, is_claimed: bool) -> None:
         self._claim_sent_at = now
         payload = [self._claim.term, self._host, is_claimed]
-        peer_port.broadcast(self._peers, METHOD_CLAIM, payload)
+        audience = self._candidates() if self._candidates else None
+        peer_port.broadcast(self._peers, METHOD_CLAIM, payload, audience)
 
     def _other_hosts(self) -> list[str]:
         if self._candidates is not None:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -40,6 +40,7 @@
 from persimmonpass.peers import listener
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import core
+from persimmonpass.policy import membership as membership_policy
 from persimmonpass import records
 from persimmonpass import servers
 from persimmonpass.targets import opaque
@@ -53,6 +54,7 @@
 # this long before the host is killed.
 STOP_MARGIN_SECONDS = 0.8
 MAX_STORE_CONNECTIONS = 200
+MEMBERS_WAIT_SECONDS = 0.5
 
 
 class _CoreChoice(typing.NamedTuple):
@@ -152,6 +154,7 @@
     async def run(self) -> None:
         """Serve until a drain, which :meth:`drain` starts, has ended."""
         options = self._options
+        self._started_at = anyio.current_time()
         limits = httpx.Limits(
             max_connections=MAX_STORE_CONNECTIONS, keepalive_expiry=10.0
         )
@@ -244,9 +247,10 @@
                 port,
                 apply,
                 lambda: core.watch_order(self._core()),
-                self._replica_hosts
+                self._job_copy_hosts
                 if kind == job_records.KIND
                 else peer_port.all_hosts,
+                self._first_report_seconds,
             )
             for kind, apply in kinds.items()
         }
@@ -275,6 +279,7 @@
                 lambda host, digest: None,
                 ENTRY_TTL_FACTOR * gateway_front.ENTRY_TTL_SECONDS,
                 options.seed_peers,
+                self._heartbeats_per_tick,
             ),
         )
         self._occupied = occupancy.Occupancy(
@@ -430,6 +435,27 @@
         chosen = self._choose_core()
         return chosen.core if chosen.live_count > core.CORE_HOSTS else None
 
+    def _job_copy_hosts(self) -> collections.abc.Collection[str] | None:
+        """Return the hosts that copy the records of jobs.
+
+        A host that has just started waits for the list of members, as it may
+        be outside the core.
+        """
+        elapsed = anyio.current_time() - self._started_at
+        if elapsed < MEMBERS_WAIT_SECONDS and not self._membership.has_listed:
+            return ()
+        return self._replica_hosts()
+
+    def _first_report_seconds(self) -> float:
+        if self._replica_hosts() is None:
+            return mirror.FIRST_REPORT_SECONDS
+        return mirror.LARGE_FLEET_FIRST_REPORT_SECONDS
+
+    def _heartbeats_per_tick(self) -> int:
+        if peer_port.includes(self._replica_hosts(), self._options.host):
+            return membership_policy.HEARTBEATS_PER_TICK
+        return core.OUTSIDE_HEARTBEATS
+
     def _update_links(
         self,
         addresses: collections.abc.Mapping[str, str],
--- a/src/persimmonpass/policy/core.py
+++ b/src/persimmonpass/policy/core.py
@@ -18,6 +18,9 @@
 # keeps a link to every host. A request costs a host about 0.03 s of processor
 # time, including batch.
 CORE_HOSTS = 16
+# Heartbeats that a host outside the core sends at each tick of membership. The
+# core hosts send more of them, to all hosts.
+OUTSIDE_HEARTBEATS = 1
 
 
 class CoreHost(typing.NamedTuple):
