Wake hosts without work less often, and make fewer store calls for jobs

Cause: a host outside the core still woke 107 times a second: reports of nothing, probes of targets it never used, and mirrors that took a copy for old though other hosts stand in first. Change: these tasks wait for an event; every second report of the watchers goes to the core only; the second watcher pauses longer after changes; a new host writes its registration before it reads it.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -10,6 +10,7 @@
 """
 
 import collections.abc
+import itertools
 import typing
 
 import anyio
@@ -47,8 +48,10 @@
 FIRST_REPORT_SECONDS = 0.1
 LARGE_FLEET_FIRST_REPORT_SECONDS = 1.0
 # Changes come in groups. After one, the watch pauses so that the next call
-# returns the rest of the group at once.
-COALESCE_SECONDS = 0.08
+# returns the rest of the group at once. Only the first watcher sends changes to
+# peers, and the second one shows when the first misses some.
+COALESCE_SECONDS = 0.12
+SECOND_COALESCE_SECONDS = 0.5
 # A dead connection is detected after this time. It must leave room for a list
 # call within the time in which a change must be in force.
 WATCH_TIMEOUT_SECONDS = 1.5
@@ -87,6 +90,8 @@
     :ivar records: records by name
     :ivar ready: set once the copy has been filled
     :ivar version: the store's counter up to which the copy is complete
+    :ivar read_started: callbacks that are called when this host starts to call
+        the store instead of following the watchers
     """
 
     def __init__(
@@ -138,6 +143,7 @@
         # Whether this host calls the store instead of following the watchers.
         self._reads_store = False
         self._became_behind = anyio.Event()
+        self.read_started: list[collections.abc.Callable[[], None]] = []
 
     @property
     def age_seconds(self) -> float:
@@ -153,6 +159,11 @@
             return 0.0
         return anyio.current_time() - self._behind_since
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether this host calls the store instead of following others."""
+        return self._reads_store
+
     @property
     def is_replica_host(self) -> bool:
         """Whether this host is one of those that keep a copy."""
@@ -165,6 +176,7 @@
             if not self.is_replica_host:
                 # Changes are missed meanwhile, so a list call comes next.
                 self._listed = False
+                self._reads_store = False
                 await anyio.sleep(POLL_SECONDS)
                 continue
             if self._listed and self._can_follow():
@@ -174,7 +186,10 @@
             # The first answer comes at once, so that this host can report a
             # copy before the next ones call the store too.
             is_first = not (self._reads_store or self._is_watcher())
-            self._reads_store = True
+            if not self._reads_store:
+                self._reads_store = True
+                for callback in self.read_started:
+                    callback()
             began = anyio.current_time()
             found = await self._read(
                 0.0 if is_first else WATCH_TIMEOUT_SECONDS
@@ -187,7 +202,11 @@
                     self._listed_at = anyio.current_time()
                 pause = RETRY_SECONDS
                 if found.ok_value.records:
-                    await anyio.sleep(COALESCE_SECONDS)
+                    await anyio.sleep(
+                        COALESCE_SECONDS
+                        if self._sends_updates()
+                        else SECOND_COALESCE_SECONDS
+                    )
                 continue
             if found.err_value.event == events.STORE_HISTORY_LOST:
                 events.log(
@@ -219,7 +238,7 @@
         fresh_at = max((copy.fresh_at for copy in copies), default=0.0)
         until = min(
             reported_at + WATCHER_TIMEOUT_SECONDS,
-            fresh_at + MAX_COPY_AGE_SECONDS,
+            fresh_at + self._patience_seconds(),
         )
         until = max(until, self._listed_at + self._first_report_seconds())
         wait = max(POLL_SECONDS, until - anyio.current_time())
@@ -293,6 +312,11 @@
         """
         return len(self._hosts_before()) < count
 
+    def _patience_seconds(self) -> float:
+        """Return up to which age the watchers' copies are relied on."""
+        steps = max(0, len(self._hosts_before()) - WATCHERS)
+        return MAX_COPY_AGE_SECONDS + FALLBACK_STEP_SECONDS * steps
+
     def _can_follow(self) -> bool:
         """Return whether the watchers keep this copy up to date.
 
@@ -321,8 +345,7 @@
         if not copies or now - reported_at >= timeout:
             return False
         fresh_at = max(copy.fresh_at for copy in copies)
-        patience = MAX_COPY_AGE_SECONDS + FALLBACK_STEP_SECONDS * steps
-        if now - fresh_at >= patience:
+        if now - fresh_at >= self._patience_seconds():
             return False
         return self.behind_seconds < UPDATE_GRACE_SECONDS
 
@@ -474,19 +497,36 @@
 
 
 async def broadcast_freshness(
-    mirrors: collections.abc.Mapping[str, Mirror], peers: peer_port.PeerPort
+    mirrors: collections.abc.Mapping[str, Mirror],
+    peers: peer_port.PeerPort,
+    nearby: peer_port.Audience = peer_port.all_hosts,
 ) -> None:
     """Report the state of the watched copies to peers until cancelled.
 
+    A host that follows the watchers has nothing to report, and sleeps.
+
     :param mirrors: copies by kind
     :param peers: calls to the other hosts
+    :param nearby: returns the hosts that get each report; the others get
+        every second one
     """
-    while True:
-        await anyio.sleep(FRESHNESS_INTERVAL_SECONDS)
+    read_started = anyio.Event()
+
+    def wake() -> None:
+        read_started.set()
+
+    for copy in mirrors.values():
+        copy.read_started.append(wake)
+    for number in itertools.count():
         reported = [copy.make_freshness_row() for copy in mirrors.values()]
         rows = [row for row in reported if row is not None]
         if rows:
-            peer_port.broadcast(peers, METHOD_FRESHNESS, rows)
+            audience = nearby() if number % 2 else None
+            peer_port.broadcast(peers, METHOD_FRESHNESS, rows, audience)
+        if not any(copy.reads_store for copy in mirrors.values()):
+            read_started = anyio.Event()
+            await read_started.wait()
+        await anyio.sleep(FRESHNESS_INTERVAL_SECONDS)
 
 
 def handlers(
--- a/src/persimmonpass/controllers/registration.py
+++ b/src/persimmonpass/controllers/registration.py
@@ -58,8 +58,14 @@
         """Write the row and return its version, the incarnation.
 
         Each write is conditional on the version that was read before. A
-        delayed write of an earlier run therefore fails after this one.
+        delayed write of an earlier run therefore fails after this one. A new
+        host has no row, so that its first write comes before any read.
         """
+        if not self._version:
+            data = cbor2.dumps(list(self._row()))
+            written = await self._port.put(self._key, data, store.CREATE)
+            if isinstance(written, result.Ok):
+                return written.ok_value
         while True:
             found = await self._port.get(self._key)
             if isinstance(found, result.Ok):
--- a/src/persimmonpass/controllers/target_stats.py
+++ b/src/persimmonpass/controllers/target_stats.py
@@ -58,6 +58,7 @@
         self._records: dict[str, _Record] = {}
         self._typical_seconds = 0.0
         self._service_seconds = 0.8
+        self._has_records = anyio.Event()
 
     @property
     def first_event_seconds(self) -> float:
@@ -166,17 +167,29 @@
     async def run(self) -> None:
         """Probe unreachable targets until cancelled."""
         while True:
+            if not self._records:
+                self._has_records = anyio.Event()
+                await self._has_records.wait()
             await anyio.sleep(PROBE_INTERVAL_SECONDS)
             listed = {row.name for row in self._board.targets.rows()}
             for name in set(self._records) - listed:
                 del self._records[name]
-            async with anyio.create_task_group() as tasks:
-                for name, record in self._records.items():
-                    if record.unreachable:
-                        tasks.start_soon(self._probe, name, record)
+            await self._probe_unreachable()
             for callback in self.changed:
                 callback()
 
+    async def _probe_unreachable(self) -> None:
+        unreachable = [
+            (name, record)
+            for name, record in self._records.items()
+            if record.unreachable
+        ]
+        if not unreachable:
+            return
+        async with anyio.create_task_group() as tasks:
+            for name, record in unreachable:
+                tasks.start_soon(self._probe, name, record)
+
     async def _probe(self, name: str, record: _Record) -> None:
         row = self._board.targets.get(name)
         if row is None:
@@ -207,4 +220,5 @@
         record.blocked_until = max(record.blocked_until, until)
 
     def _get(self, target: str) -> _Record:
+        self._has_records.set()
         return self._records.setdefault(target, _Record())
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -475,7 +475,9 @@
         self._peers.update_links(addresses, links)
 
     async def _broadcast_freshness(self) -> None:
-        await mirror.broadcast_freshness(self._mirrors, self._peers.port)
+        await mirror.broadcast_freshness(
+            self._mirrors, self._peers.port, self._replica_hosts
+        )
 
     async def _announce_ready(self) -> None:
         await self._mirrors[self._platform.configuration_kind].ready.wait()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Membership under faults, on a paused clock."""
 
+import collections
 import itertools
 import unittest
 
@@ -34,6 +35,10 @@
         self.configs = {}
         self.seeds = ()
         self.runs = itertools.count()
+        self.link_updates = collections.Counter()
+
+    def _count_link_update(self, host):
+        self.link_updates[host] += 1
 
     async def start(self, *hosts, settle=DETECT_SECONDS):
         for host in hosts:
@@ -56,7 +61,7 @@
             membership.MembershipPorts(
                 self.store.port,
                 self.network.port(host),
-                lambda addresses, persistent: None,
+                lambda addresses, persistent: self._count_link_update(host),
                 budget.Budget(1000.0),
                 lambda: self.loads.get(host, 0),
                 lambda: self.configs[host].digest,
@@ -339,6 +344,14 @@
 class TestSize(unittest.TestCase):
     """The policy alone, at the fleet sizes that it is designed for."""
 
+    @on_fleet
+    async def test_start_of_a_fleet_updates_links_seldom(self, fleet):
+        """Each host learns of all others, in far fewer updates of links."""
+        hosts = [f'h{n}' for n in range(60)]
+        await fleet.start(*hosts)
+        self.assertEqual({'alive'}, fleet.states('h0'))
+        self.assertLess(max(fleet.link_updates.values()), len(hosts) / 3)
+
     @parameterized.parameterized.expand(
         # hosts, longest time until all know of a dead host, in seconds
         [(3, 6.0), (32, 10.0), (900, 15.0)]
