Drop a request whose caller closes the connection within its body

Cause: the adapter took a body that was cut short for an empty one. The request went on to a target with an empty body, and as the message that the caller had gone was used up, the attempt was not cancelled either. Change: a body that is cut short ends the request without an answer. Result: two of the five rows of TestCallerApp fail on the code before.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -48,8 +48,8 @@
 FIRST_REPORT_SECONDS = 0.1
 LARGE_FLEET_FIRST_REPORT_SECONDS = 1.0
 # Changes come in groups. After one, the watch pauses so that the next call
-# returns the rest of the group at once. Only the first watcher sends changes to
-# peers, and the second one shows when the first misses some.
+# returns the rest of the group at once. Only the first watcher sends changes
+# to peers, and the second one shows when the first misses some.
 COALESCE_SECONDS = 0.12
 SECOND_COALESCE_SECONDS = 0.5
 # A dead connection is detected after this time. It must leave room for a list
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import enum
 import typing
 import urllib.parse
 
@@ -31,6 +32,17 @@
 _Query = dict[str, str]
 
 
+class _BodyError(enum.Enum):
+    """Why the body of a request cannot be read.
+
+    :cvar CUT: the caller closed the connection before the end of the body
+    :cvar TOO_LONG: the body is longer than allowed
+    """
+
+    CUT = 'cut'
+    TOO_LONG = 'too long'
+
+
 class _Caller:
     """Sends the answer to one request.
 
@@ -83,10 +95,13 @@
         if scope['type'] != 'http':
             return
         caller = _Caller(send)
-        body = await _read_body(receive, ports.max_body_bytes())
-        if body is None:
+        found = await _read_body(receive, ports.max_body_bytes())
+        if found is _BodyError.CUT:
+            return
+        if found is _BodyError.TOO_LONG:
             await caller.answer(413)
             return
+        body = typing.cast(bytes, found)
         path: bytes = scope['raw_path']
         if scope['query_string']:
             path += b'?' + scope['query_string']
@@ -224,8 +239,8 @@
     return app
 
 
-async def _read_body(receive: types.Receive, limit: int) -> bytes | None:
-    """Return a request's body, or ``None`` if it is too long.
+async def _read_body(receive: types.Receive, limit: int) -> bytes | _BodyError:
+    """Return a request's body, or why it cannot be read.
 
     :param limit: largest size in bytes
     """
@@ -234,11 +249,11 @@
     while True:
         message = await receive()
         if message['type'] != 'http.request':
-            return b''
+            return _BodyError.CUT
         part = typing.cast(bytes, message.get('body', b''))
         size += len(part)
         if size > limit:
-            return None
+            return _BodyError.TOO_LONG
         parts.append(part)
         if not message.get('more_body', False):
             return b''.join(parts)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -7,11 +7,15 @@
 import sys
 import tempfile
 import unittest
+from unittest import mock
 
+import anyio
 import parameterized
+import result
 
 from persimmonpass import blackboard
 from persimmonpass.cli import gateway as command
+from persimmonpass import events
 from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import job_records
@@ -23,6 +27,8 @@
 from persimmonpass.platform import wire
 from persimmonpass import records
 from persimmonpass import routes
+from persimmonpass import verdicts
+from tests import fakes
 from tests import platform_fakes
 from tests import processes
 
@@ -51,6 +57,7 @@
     r'|sloMs|storeRevision|waitMs|hasMore|Expect-Instance'
     r'|Not-Executed|Deadline-Ms|dead_letter|Response-Signature|Token-Usage'
     r'|not-executed|expect-instance|request-id|deadline-ms|wait-ms'
+    r'|Server-Leaving|server-leaving'
 )
 
 
@@ -190,6 +197,66 @@
         self.assertEqual(expected, head.is_stream)
 
 
+class TestCallerApp(unittest.TestCase):
+    @expand(
+        [
+            # parts of the body, whether the caller stays, served body, status
+            ('whole', [b'ab', b'c'], True, b'abc', None),
+            ('empty', [], True, b'', None),
+            ('too long', [b'abcd', b'efgh'], True, None, 413),
+            ('cut after a part', [b'ab'], False, None, None),
+            ('cut before the first part', [], False, None, None),
+        ]
+    )
+    def test_body(self, _, parts, caller_stays, served_body, status):
+        """A request whose body is cut short must not reach a target."""
+        messages = [
+            {'type': 'http.request', 'body': part, 'more_body': True}
+            for part in parts
+        ]
+        if caller_stays:
+            messages.append({'type': 'http.request', 'body': b''})
+        else:
+            messages.append({'type': 'http.disconnect'})
+        served = []
+        sent = []
+
+        async def receive():
+            if messages:
+                return messages.pop(0)
+            await anyio.sleep_forever()
+
+        async def send(message):
+            sent.append(message)
+
+        async def find_route(found_call):
+            served.append(found_call.body)
+            return result.Err(
+                verdicts.Failure(
+                    verdicts.Verdict.NOT_RUN, events.ROUTE_MISSING, '', 404
+                )
+            )
+
+        ports = mock.Mock(find_route=find_route, max_body_bytes=lambda: 6)
+        scope = {
+            'type': 'http',
+            'method': 'POST',
+            'raw_path': b'/a',
+            'query_string': b'',
+            'headers': [(b'host', b'h'), (b'request-id', b'r')],
+        }
+
+        async def test():
+            with anyio.fail_after(5):
+                await app.make_caller_app(ports)(scope, receive, send)
+
+        fakes.run(test)
+        self.assertEqual([] if served_body is None else [served_body], served)
+        statuses = [m['status'] for m in sent if 'status' in m]
+        if served_body is None:
+            self.assertEqual([] if status is None else [status], statuses)
+
+
 class TestEvents(unittest.TestCase):
     @expand(
         [
