Wait for the copy before the store is asked for a job

Cause: callers read a job right after its acceptance, at any host. Change: the host waits a quarter second for the job to arrive with its copy.

--- a/src/persimmonpass/controllers/job_log.py
+++ b/src/persimmonpass/controllers/job_log.py
@@ -23,6 +23,9 @@
 # Nor may it do so if the copy has lacked a known change for longer than this.
 # A result that was read at one host must be visible at all within a second.
 MAX_BEHIND_SECONDS = 0.4
+# A job that was accepted at another host a moment ago arrives with the copy in
+# this time. Only then is the store asked for it.
+COPY_WAIT_SECONDS = 0.25
 # Delays after which the record of a job is sent, counted from the first send,
 # as long as no answer has come. The store normally answers within
 # milliseconds, and the caller's objective is a few hundred milliseconds.
@@ -80,6 +83,7 @@
         self._copy = copy
         self._job_count = 0
         self._accepting: dict[str, tuple[str, int]] = {}
+        self._applied = anyio.Event()
 
     def apply(self, changed: list[records.Record]) -> None:
         """Apply records that were created, changed or deleted."""
@@ -102,6 +106,8 @@
         self._notify()
 
     def _notify(self) -> None:
+        self._applied.set()
+        self._applied = anyio.Event()
         for callback in self.changed:
             callback()
 
@@ -382,6 +388,9 @@
     async def _find(
         self, job_id: str
     ) -> result.Result[job_state.JobState, verdicts.Failure]:
+        with anyio.move_on_after(COPY_WAIT_SECONDS):
+            while not self._has_job(job_id):
+                await self._applied.wait()
         state = self.jobs.get(job_id)
         if state is not None and state.job is not None:
             return result.Ok(state)
@@ -402,6 +411,10 @@
             self._report_uncertain(job_id, found.err_value.message)
         )
 
+    def _has_job(self, job_id: str) -> bool:
+        state = self.jobs.get(job_id)
+        return state is not None and state.job is not None
+
     def _is_complete(self, state: job_state.JobState) -> bool:
         job = state.job
         return job is not None and len(state.results) >= len(job.items)
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -242,6 +242,37 @@
 
         fakes.run(test)
 
+    @expand(
+        [
+            # when the job arrives with the copy, calls of the store, known
+            ('with the copy', 0.1, 0, True),
+            ('too late', 5.0, 1, False),
+        ]
+    )
+    def test_job_accepted_elsewhere_a_moment_ago(self, _, delay, calls, known):
+        """A caller reads the job at a host that does not have it yet."""
+
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            host = Host(memory)
+            await Host(memory, 'other').log.accept(
+                make_job(), MAX_WAITING_TOKENS, anyio.current_time() + 4
+            )
+            async with anyio.create_task_group() as tasks:
+
+                async def copy_later():
+                    await anyio.sleep(delay)
+                    for row in memory.rows.values():
+                        host.copy.apply_record(row)
+
+                tasks.start_soon(copy_later)
+                found = await host.log.body('j', 'j-0')
+                self.assertEqual(known, found.is_ok())
+                self.assertEqual(calls, memory.calls['get'])
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
     def test_copy_that_lacks_a_change_does_not_report_an_empty_page(self):
         """Another host may have served a result that this copy lacks."""
 
