--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -22,8 +22,8 @@
 ITEM_TIMEOUT_SECONDS = 60.0
 EVENT_GAP_TIMEOUT_SECONDS = 1.0
 FIRST_EVENT_TIMEOUT_SECONDS = 2.0
-# Nobody waits for a single event of an item. Those that arrive within this time
-# are read together, since a read costs the same for one event as for several.
+# Nobody waits for a single event of an item. Those that arrive within this
+# time are read together, since a read costs the same for one as for several.
 READ_INTERVAL_SECONDS = 0.1
 RETRY_SECONDS = 0.1
 REFUSED_RETRY_SECONDS = 0.3
