Send the batch runner's claims to all hosts of a small fleet

Cause: claims went to the hosts that the runner knows as live; a host that has just started is not yet one of them and could claim the role itself. Found by reading. Change: in a small fleet all linked hosts get the claims, in a large one the core. Copies that miss a notice are read again after 0.25 s instead of 0.4 s, which is when their reads become uncertain. Result: tests.test_job_log and tests.test_fleet_knowledge pass; a row shows that only core hosts claim.

--- a/src/persimmonpass/controllers/batch_role.py
+++ b/src/persimmonpass/controllers/batch_role.py
@@ -52,6 +52,7 @@
         may_run: collections.abc.Callable[[], bool],
         recent_peers: collections.abc.Callable[[], collections.abc.Set[str]],
         candidates: collections.abc.Callable[[], list[str]] | None = None,
+        audience: peer_port.Audience = peer_port.all_hosts,
     ) -> None:
         """Create the role.
 
@@ -61,6 +62,8 @@
             that hangs or is cut off appears connected for seconds.
         :param candidates: returns the hosts that may be the batch runner, the
             preferred one first; defaults to all live hosts
+        :param audience: returns the hosts that claims are sent to. A host
+            that has just started must get them before it claims the role.
         """
         self.is_runner = False
         self._host = host
@@ -69,6 +72,7 @@
         self._may_run = may_run
         self._recent_peers = recent_peers
         self._candidates = candidates
+        self._audience = audience
         self._claim = Claim(0, '')
         self._claim_received_at = -CLAIM_EXPIRY_SECONDS
         self._claim_sent_at = -CLAIM_INTERVAL_SECONDS
@@ -154,8 +158,9 @@
     def _broadcast_claim(self, now: float, is_claimed: bool) -> None:
         self._claim_sent_at = now
         payload = [self._claim.term, self._host, is_claimed]
-        audience = self._candidates() if self._candidates else None
-        peer_port.broadcast(self._peers, METHOD_CLAIM, payload, audience)
+        peer_port.broadcast(
+            self._peers, METHOD_CLAIM, payload, self._audience()
+        )
 
     def _other_hosts(self) -> list[str]:
         if self._candidates is not None:
--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -62,7 +62,7 @@
 FALLBACK_MAX_RETRY_SECONDS = 2.4
 # A watcher may report a version before its notice of the changes arrives, as
 # it sends them to one host after the other.
-UPDATE_GRACE_SECONDS = 0.4
+UPDATE_GRACE_SECONDS = 0.25
 
 OnChange = collections.abc.Callable[[list[records.Record]], None]
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -292,6 +292,7 @@
             lambda: self.is_ready,
             self._occupied.recent_peers,
             self._core,
+            self._replica_hosts,
         )
         self._crashes = crash_watch.CrashWatch(options.host, port)
         self._target_stats = target_stats.TargetStats(options.host, self.board)
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -399,9 +399,10 @@
 class Roles:
     """Batch roles of several hosts on a fake network."""
 
-    def __init__(self, names):
+    def __init__(self, names, core=None):
         self.network = fakes.Network()
         self.names = names
+        self.core = core
         self.roles = {}
         self.down = set()
         self.frozen = set()
@@ -419,6 +420,8 @@
                 self.network.port(name, tasks),
                 lambda name=name: name not in self.down,
                 lambda: set(self.names) - self.frozen,
+                None if self.core is None else lambda: list(self.core),
+                lambda: self.core,
             )
             self.network.handlers[name] = role.handlers
             self.roles[name] = role
@@ -441,8 +444,8 @@
 
 
 class TestRole(unittest.TestCase):
-    def run_with_roles(self, test, count=4):
-        roles = Roles([f'host-{number}' for number in range(count)])
+    def run_with_roles(self, test, count=4, core=None):
+        roles = Roles([f'host-{number}' for number in range(count)], core)
 
         async def run():
             async with anyio.create_task_group() as tasks:
@@ -499,6 +502,22 @@
 
         self.run_with_roles(test)
 
+    def test_only_core_hosts_claim_and_get_claims(self):
+        core_hosts = ['host-2', 'host-1']
+
+        async def test(roles):
+            self.assertEqual(core_hosts[:1], roles.runners())
+            receivers = {row[1] for row in roles.network.notices}
+            self.assertEqual({'host-1'}, receivers)
+            roles.down.add('host-2')
+            await anyio.sleep(2)
+            self.assertEqual(core_hosts[1:], roles.runners())
+            roles.down.add('host-1')
+            await anyio.sleep(2)
+            self.assertEqual([], roles.runners())
+
+        self.run_with_roles(test, core=core_hosts)
+
     def test_conflicting_claims_leave_one_runner(self):
         async def test(roles):
             for role in roles.roles.values():
