Continue a failed removal of a job, and limit whole events too

A removal that failed after the job's own record left the job's other records for good, as no host could find them any more. The limit of an event's size was checked only for an event that was not complete. Change: the host keeps the names that remain and continues at its next check; an event that is too long is refused also when it arrives in one chunk. Result: test_failed_removal_is_continued and a row of test_event_that_is_too_long fail on the code before. A host that ends in between still leaves the records: open.

--- a/src/persimmonpass/controllers/job_cleanup.py
+++ b/src/persimmonpass/controllers/job_cleanup.py
@@ -43,12 +43,16 @@
         self._jobs = jobs
         self._retention_seconds = keep_seconds + MARGIN_SECONDS
         self._is_runner = is_runner
+        # Records that remain of a job whose own record has been removed.
+        self._remaining: dict[str, list[str]] = {}
 
     async def run(self) -> None:
         """Remove expired jobs until cancelled."""
         while True:
             await anyio.sleep(CHECK_SECONDS)
             if self._is_runner():
+                for job_id in list(self._remaining):
+                    await self._remove_records(job_id)
                 for job_id in self._find_expired()[:MAX_REMOVALS_PER_CHECK]:
                     await self._remove(job_id)
 
@@ -80,14 +84,22 @@
         ]
         if state.ended:
             names.append(job_records.end_name(job_id))
-        for name in names:
-            removed = await self._port.delete(job_records.KIND, name)
-            if isinstance(removed, result.Err):
-                # The next check continues, here or at another host.
+        self._remaining[job_id] = names
+        await self._remove_records(job_id)
+
+    async def _remove_records(self, job_id: str) -> None:
+        names = self._remaining[job_id]
+        count = len(names)
+        while names:
+            removed = await self._port.delete(job_records.KIND, names[0])
+            if isinstance(removed, result.Err) and (
+                removed.err_value.event != events.STORE_NOT_FOUND
+            ):
+                # The next check continues. Without the job's own record, no
+                # host could find the others again.
                 return
+            del names[0]
+        del self._remaining[job_id]
         events.log(
-            events.JOB_REMOVED,
-            host=self._host,
-            job=job_id,
-            records=len(names),
+            events.JOB_REMOVED, host=self._host, job=job_id, records=count
         )
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -159,9 +159,10 @@
         :raises ValueError: if an event is longer than allowed
         """
         *complete, partial = (self._partial + data).split(EVENT_END)
-        if len(partial) > MAX_EVENT_BYTES:
+        longest = max(map(len, (*complete, partial)))
+        if longest > MAX_EVENT_BYTES:
             raise ValueError(
-                f'event too long: got {len(partial)} bytes, the limit is '
+                f'event too long: got {longest} bytes, the limit is '
                 f'{MAX_EVENT_BYTES}'
             )
         self._partial = partial
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -22,6 +22,7 @@
 from persimmonpass import job_records
 from persimmonpass import job_state
 from persimmonpass import records
+from persimmonpass import store
 from tests import fakes
 from tests import record_fakes
 
@@ -563,6 +564,42 @@
 
         fakes.run(test)
 
+    def test_failed_removal_is_continued(self):
+        """The store fails after the job's own record has been removed."""
+
+        async def test():
+            memory = record_fakes.MemoryRecords()
+            host = Host(memory)
+            delete = memory.port.delete
+            failures = [None, 'outage', 'outage']
+
+            async def delete_with_outage(*args):
+                if failures and failures.pop(0):
+                    return result.Err(store.unavailable('outage'))
+                return await delete(*args)
+
+            cleanup = job_cleanup.JobCleanup(
+                'host',
+                memory.port._replace(delete=delete_with_outage),
+                host.log.jobs,
+                120.0,
+                lambda: True,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(host.copy.run)
+                deadline = anyio.current_time() + 4
+                job = make_job()._replace(accepted_at=time.time())
+                await host.log.accept(job, MAX_WAITING_TOKENS, deadline)
+                names = [item.id for item in job.items]
+                await host.log.commit('j', [done(name) for name in names])
+                tasks.start_soon(cleanup.run)
+                await anyio.sleep(300)
+                self.assertEqual([], failures)
+                self.assertEqual({}, memory.rows)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(test)
+
 
 class TestRecords(unittest.TestCase):
     def test_round_trip(self):
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -279,10 +279,11 @@
         )
         self.assertEqual(has_partial_event, reader.has_partial_event)
 
-    def test_event_that_is_too_long(self):
+    @expand([('partial', b''), ('whole in one chunk', b'\n\n')])
+    def test_event_that_is_too_long(self, _, end):
         reader = exchange.EventReader()
         with self.assertRaises(ValueError):
-            reader.feed(b'x' * (exchange.MAX_EVENT_BYTES + 1))
+            reader.feed(b'x' * (exchange.MAX_EVENT_BYTES + 1) + end)
 
 
 class TestConfiguration(unittest.TestCase):
