Move the decision who calls the store into the policies

Change: policy.watching holds the order, the patience and the limits, with a table of tests; the mirror keeps state and calls. Behaviour is unchanged.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -18,30 +18,16 @@
 
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
-from persimmonpass.policy import shards
+from persimmonpass.policy import watching
 from persimmonpass import records
 from persimmonpass import verdicts
 
 METHOD_UPDATES = 'mirror.news'
 METHOD_FRESHNESS = 'mirror.fresh'
-# Number of hosts that watch the store. There are two because one may lose its
-# connection to the store without anyone noticing. They watch all kinds, so
-# that one notice can report on all of them.
-WATCHERS = 2
-WATCH_KEY = 'watch'
 FRESHNESS_INTERVAL_SECONDS = 0.25
-# A host relies on the watchers as long as the copy of one of them was known
-# to be complete within this time.
-MAX_COPY_AGE_SECONDS = 2.0
-# A host that has sent no notice for this long no longer counts as a watcher.
-WATCHER_TIMEOUT_SECONDS = 0.8
 # Hosts without a copy check this often whether they have to keep one. Hosts
 # that lack a change check this often whether it has arrived.
 POLL_SECONDS = 0.1
-# Of two successive hosts in the order of preference, the second one waits this
-# much longer before it calls the store in place of the watchers.
-FALLBACK_STEP_SECONDS = 0.25
-MAX_SILENCE_STEPS = 3
 # After its first list call a gateway waits this long for reports: it has no
 # links yet and would take itself for a watcher. Before it has listed the other
 # hosts, it does not know the size of the fleet.
@@ -67,23 +53,6 @@
 OnChange = collections.abc.Callable[[list[records.Record]], None]
 
 
-class _PeerCopy(typing.NamedTuple):
-    """State of a watcher's copy, as the watcher reported it.
-
-    :ivar version: the store's counter up to which the copy is complete
-    :ivar received_at: local clock when the report arrived, in seconds
-    :ivar fresh_at: local clock when the copy was last known to be complete,
-        in seconds
-    :ivar last_change_version: version of the last change of this kind; nothing
-        changed between it and ``version``
-    """
-
-    version: int
-    received_at: float
-    fresh_at: float
-    last_change_version: int
-
-
 class Mirror:
     """This host's copy of the records of a kind.
 
@@ -136,7 +105,7 @@
         self._listed_at = 0.0
         # The store's counter also rises with changes of other kinds.
         self._last_change_version = 0
-        self._peer_copies: dict[str, _PeerCopy] = {}
+        self._peer_copies: dict[str, watching.PeerCopy] = {}
         self._behind_since: float | None = None
         self._overtaken_since: float | None = None
         self._scope: anyio.CancelScope | None = None
@@ -233,12 +202,8 @@
             await anyio.sleep(POLL_SECONDS)
             return
         self._became_behind = anyio.Event()
-        copies = self._peer_copies.values()
-        reported_at = max((copy.received_at for copy in copies), default=0.0)
-        fresh_at = max((copy.fresh_at for copy in copies), default=0.0)
-        until = min(
-            reported_at + WATCHER_TIMEOUT_SECONDS,
-            fresh_at + self._patience_seconds(),
+        until = watching.next_check_at(
+            self._peer_copies, len(self._hosts_before())
         )
         until = max(until, self._listed_at + self._first_report_seconds())
         wait = max(POLL_SECONDS, until - anyio.current_time())
@@ -297,67 +262,32 @@
         self._fresh_at = max(fresh_at, self._fresh_at or fresh_at)
 
     def _hosts_before(self) -> list[str]:
-        """Return the connected hosts that are to call the store first."""
-        hosts = {self._host, *self._peers.connected()}
-        candidates = self._candidates() if self._candidates else None
-        ranked = list(shards.preferred(WATCH_KEY, hosts, candidates))
-        if self._host in ranked:
-            return ranked[: ranked.index(self._host)]
-        return ranked
-
-    def _is_watcher(self, count: int = WATCHERS) -> bool:
-        """Return whether this host is one of the watchers.
-
-        :param count: number of watchers
-        """
-        return len(self._hosts_before()) < count
+        """Return the hosts that are to call the store first."""
+        return watching.hosts_before(
+            self._host,
+            self._peers.connected(),
+            self._candidates() if self._candidates else None,
+        )
 
-    def _patience_seconds(self) -> float:
-        """Return up to which age the watchers' copies are relied on."""
-        steps = max(0, len(self._hosts_before()) - WATCHERS)
-        return MAX_COPY_AGE_SECONDS + FALLBACK_STEP_SECONDS * steps
+    def _is_watcher(self) -> bool:
+        """Return whether this host is one of the watchers."""
+        return len(self._hosts_before()) < watching.WATCHERS
 
     def _can_follow(self) -> bool:
-        """Return whether the watchers keep this copy up to date.
-
-        Silence is answered sooner than reports of an old copy: watchers that
-        report are alive, and probably no host reaches the store. A host that
-        calls the store itself follows only hosts before it, as otherwise two
-        of them would follow each other.
-        """
+        """Return whether other hosts keep this copy up to date."""
         now = anyio.current_time()
-        if now - self._listed_at < self._first_report_seconds():
-            return self.behind_seconds < UPDATE_GRACE_SECONDS
-        hosts_before = self._hosts_before()
-        steps = len(hosts_before) - WATCHERS
-        if steps < 0:
-            return False
-        copies = [
-            copy
-            for host, copy in self._peer_copies.items()
-            if not self._reads_store or host in hosts_before
-        ]
-        silent_steps = min(steps, MAX_SILENCE_STEPS)
-        timeout = (
-            WATCHER_TIMEOUT_SECONDS + FALLBACK_STEP_SECONDS * silent_steps
-        )
-        reported_at = max((copy.received_at for copy in copies), default=0.0)
-        if not copies or now - reported_at >= timeout:
-            return False
-        fresh_at = max(copy.fresh_at for copy in copies)
-        if now - fresh_at >= self._patience_seconds():
+        is_new = now - self._listed_at < self._first_report_seconds()
+        if not is_new and not watching.can_follow(
+            self._peer_copies,
+            self._hosts_before(),
+            now,
+            reads_store=self._reads_store,
+        ):
             return False
         return self.behind_seconds < UPDATE_GRACE_SECONDS
 
-    def _current_copies(self) -> dict[str, _PeerCopy]:
-        """Return the peers' copies that can be relied on, by host."""
-        now = anyio.current_time()
-        return {
-            host: copy
-            for host, copy in self._peer_copies.items()
-            if now - copy.received_at < WATCHER_TIMEOUT_SECONDS
-            and now - copy.fresh_at < MAX_COPY_AGE_SECONDS
-        }
+    def _current_copies(self) -> dict[str, watching.PeerCopy]:
+        return watching.current(self._peer_copies, anyio.current_time())
 
     def _sends_updates(self) -> bool:
         """Return whether this host sends the changes that it reads to peers.
@@ -392,7 +322,7 @@
         recent = [
             peer.last_change_version
             for peer in self._peer_copies.values()
-            if now - peer.received_at < WATCHER_TIMEOUT_SECONDS
+            if now - peer.received_at < watching.WATCHER_TIMEOUT_SECONDS
         ]
         if max(recent, default=0) <= self.version:
             self._overtaken_since = None
@@ -412,7 +342,7 @@
         :param last_change_version: version of the last change that it knows
         """
         now = anyio.current_time()
-        self._peer_copies[peer] = _PeerCopy(
+        self._peer_copies[peer] = watching.PeerCopy(
             version, now, now - age, last_change_version
         )
         self._update_behind()
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -16,6 +16,7 @@
 from persimmonpass.controllers import target_stats
 from persimmonpass import events
 from persimmonpass.platform import objects
+from persimmonpass.policy import watching
 from persimmonpass import records
 from persimmonpass import verdicts
 from tests import fakes
@@ -111,7 +112,7 @@
             await anyio.sleep(5)
             hosts.memory.calls.clear()
             await anyio.sleep(30)
-            most = mirror.WATCHERS * 30 / mirror.WATCH_TIMEOUT_SECONDS
+            most = watching.WATCHERS * 30 / mirror.WATCH_TIMEOUT_SECONDS
             self.assertLessEqual(hosts.memory.calls['watch'], 1.1 * most)
             ages = [copy.age_seconds for copy in hosts.mirrors.values()]
             self.assertLess(max(ages), 2 * mirror.WATCH_TIMEOUT_SECONDS)
@@ -136,7 +137,7 @@
             if seconds > 5:
                 attempts *= len(names) / 4
             calls = hosts.memory.calls.total()
-            self.assertLess(calls, 3 * mirror.WATCHERS * attempts)
+            self.assertLess(calls, 3 * watching.WATCHERS * attempts)
             hosts.memory.put(KIND, 'b', {})
             await anyio.sleep(1)
             for name in names:
@@ -180,7 +181,7 @@
             for number in range(round(30 / pause)):
                 hosts.memory.put('others', f'o-{number}', {})
                 await anyio.sleep(pause)
-            most = mirror.WATCHERS * 30 / mirror.WATCH_TIMEOUT_SECONDS
+            most = watching.WATCHERS * 30 / mirror.WATCH_TIMEOUT_SECONDS
             self.assertLessEqual(hosts.memory.calls['watch'], 1.1 * most)
             hosts.memory.put(KIND, 'a', {})
             await anyio.sleep(0.5)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,6 +10,7 @@
 from persimmonpass.policy import core
 from persimmonpass.policy import queueing
 from persimmonpass.policy import request_placement
+from persimmonpass.policy import watching
 from tests import batch_load
 
 expand = parameterized.parameterized.expand
@@ -135,6 +136,60 @@
         )
 
 
+def peer_copy(received_ago, fresh_ago, now=100.0):
+    return watching.PeerCopy(5, now - received_ago, now - fresh_ago, 5)
+
+
+class TestWatching(unittest.TestCase):
+    @expand(
+        [
+            ('first candidate', 'b', ['a', 'c'], ['b', 'a'], []),
+            ('second candidate', 'a', ['b', 'c'], ['b', 'a'], ['b']),
+            ('first one not connected', 'a', ['c'], ['b', 'a'], []),
+            ('no candidate', 'c', ['a', 'b'], ['b', 'a'], ['b', 'a']),
+        ]
+    )
+    def test_hosts_before(self, _, host, connected, candidates, expected):
+        self.assertEqual(
+            expected, watching.hosts_before(host, connected, candidates)
+        )
+
+    @expand(
+        [
+            # hosts before it, (received, fresh) seconds ago by host,
+            # whether the host calls the store, result
+            ('a watcher', 1, {'w': (0.1, 0.1)}, False, False),
+            ('no report', 2, {}, False, False),
+            ('fresh copy', 2, {'w': (0.1, 1.9)}, False, True),
+            ('old copy', 2, {'w': (0.1, 2.0)}, False, False),
+            ('old copy, later host', 4, {'w': (0.1, 2.4)}, False, True),
+            ('older copy, later host', 4, {'w': (0.1, 2.5)}, False, False),
+            ('silence', 2, {'w': (0.9, 0.9)}, False, False),
+            ('silence, later host', 3, {'w': (0.9, 0.9)}, False, True),
+            ('long silence, last host', 20, {'w': (1.6, 1.6)}, False, False),
+            ('a host after it', 2, {'x': (0.1, 0.1)}, False, True),
+            ('the same, calls itself', 2, {'x': (0.1, 0.1)}, True, False),
+            ('a host before it, calls itself', 2, {'h-0': (0.1, 0.1)}, True,
+             True),
+        ]
+    )  # fmt: skip
+    def test_can_follow(self, _, count_before, ages, reads_store, expected):
+        copies = {host: peer_copy(*row) for host, row in ages.items()}
+        before = [f'h-{number}' for number in range(count_before)]
+        self.assertEqual(
+            expected,
+            watching.can_follow(
+                copies, before, 100.0, reads_store=reads_store
+            ),
+        )
+
+    def test_next_check_is_when_a_copy_may_be_dropped(self):
+        copies = {'w': peer_copy(0.3, 1.9), 'x': peer_copy(0.5, 0.5)}
+        self.assertAlmostEqual(100.5, watching.next_check_at(copies, 2))
+        self.assertEqual({'w', 'x'}, set(watching.current(copies, 100.0)))
+        self.assertEqual({'x'}, set(watching.current(copies, 100.2)))
+
+
 class TestQueueing(unittest.TestCase):
     @expand(
         [
