--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -88,11 +88,11 @@
         self._host = host
         self._ports = ports
         self._items: dict[tuple[str, int], item_attempt.LocalItem] = {}
-        # The items that run, and those whose result has to be stored.
+        # Those of the items that run, and those whose result has to be stored.
         self._running: dict[tuple[str, int], item_attempt.LocalItem] = {}
         self._finished: dict[tuple[str, int], item_attempt.LocalItem] = {}
         self._log_changed = False
-        self._started_at = 0.0
+        self._items_started_at = 0.0
         self._is_start_postponed = False
         self._committing: set[str] = set()
         self._role = ports.role
@@ -351,14 +351,14 @@
 
     def _start_items(self) -> None:
         now = anyio.current_time()
-        elapsed = now - self._started_at
+        elapsed = now - self._items_started_at
         self._is_start_postponed = elapsed < START_INTERVAL_SECONDS
         if self._tasks is None or self._is_start_postponed:
             return
         loads = self._loads_of_free_services()
         if not loads and elapsed < FULL_START_INTERVAL_SECONDS:
             return
-        self._started_at = now
+        self._items_started_at = now
         full_services: set[str] = set()
         for pending in self._list_pending(now):
             state = self._ports.log.jobs[pending.job]
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -54,6 +54,8 @@
 # this long before the host is killed.
 STOP_MARGIN_SECONDS = 0.8
 MAX_STORE_CONNECTIONS = 200
+# How long a host that has just started waits for the list of members, to know
+# whether it belongs to the core.
 MEMBERS_WAIT_SECONDS = 0.5
 
 
@@ -439,8 +441,7 @@
     def _job_copy_hosts(self) -> collections.abc.Collection[str] | None:
         """Return the hosts that copy the records of jobs.
 
-        A host that has just started waits for the list of members, as it may
-        be outside the core.
+        None does before it knows the members, as it may be outside the core.
         """
         elapsed = anyio.current_time() - self._started_at
         if elapsed < MEMBERS_WAIT_SECONDS and not self._membership.has_listed:
@@ -448,11 +449,13 @@
         return self._replica_hosts()
 
     def _first_report_seconds(self) -> float:
+        """Return how long a new copy waits for the watchers' reports."""
         if self._replica_hosts() is None:
             return mirror.FIRST_REPORT_SECONDS
         return mirror.LARGE_FLEET_FIRST_REPORT_SECONDS
 
     def _heartbeats_per_tick(self) -> int:
+        """Return to how many hosts this host sends heartbeats at a time."""
         if peer_port.includes(self._replica_hosts(), self._options.host):
             return membership_policy.HEARTBEATS_PER_TICK
         return core.OUTSIDE_HEARTBEATS
