--- /dev/null
+++ b/tests/test_config_spread.py
@@ -0,0 +1,90 @@
+"""How soon a version of the configuration is known on all hosts.
+
+The bounds are those of the deployments: a host whose connections were reset
+has to have all versions after 3 s in a small fleet and 4 s in a large one, and
+undisturbed hosts after 2 s and 3 s.
+"""
+
+import random
+import unittest
+
+import anyio
+import parameterized
+
+from tests import fakes
+from tests import spread_fakes
+
+expand = parameterized.parameterized.expand
+SMALL = (6, 6)
+MEDIUM = (8, 8)
+LARGE = (53, 10)
+SETTLE_SECONDS = 5.0
+
+
+class TestConfigSpread(unittest.TestCase):
+    def run_fleet(self, size, seed, test):
+        async def run():
+            random.seed(seed)
+            fleet = spread_fakes.Fleet(*size)
+            async with anyio.create_task_group() as tasks:
+                fleet.start(tasks)
+                await anyio.sleep(SETTLE_SECONDS + 3 * random.random())
+                await test(fleet)
+                tasks.cancel_scope.cancel()
+
+        fakes.run(run)
+
+    @expand(
+        [
+            ('small', SMALL, 3.0, 40),
+            ('medium', MEDIUM, 3.0, 40),
+            ('large', LARGE, 4.0, 5),
+        ]
+    )
+    def test_version_arrives_after_open_connections_go_silent(
+        self, _, size, bound_seconds, seeds
+    ):
+        late = {}
+
+        async def test(fleet):
+            fleet.silence_open_connections()
+            await anyio.sleep(0.05)
+            fleet.write(1)
+            await anyio.sleep(bound_seconds)
+            if fleet.late_hosts(1):
+                late[seed] = fleet.late_hosts(1)
+
+        for seed in range(seeds):
+            self.run_fleet(size, seed, test)
+        self.assertEqual({}, late)
+
+    @expand(
+        [
+            ('small, the watchers', SMALL, 2, 2.0, 40),
+            ('small, half', SMALL, 3, 2.0, 40),
+            ('medium, the watchers', MEDIUM, 2, 2.0, 40),
+            ('large, the watchers', LARGE, 2, 3.0, 4),
+            ('large, half of the core', LARGE, 5, 3.0, 4),
+        ]
+    )
+    def test_version_arrives_while_the_watchers_lose_the_store(
+        self, _, size, count, bound_seconds, seeds
+    ):
+        late = {}
+
+        async def test(fleet):
+            for name in fleet.names[:count]:
+                fleet.access[name].is_silent = True
+            fleet.write(1)
+            await anyio.sleep(bound_seconds)
+            undisturbed = fleet.names[count:]
+            if fleet.late_hosts(1, undisturbed):
+                late[seed] = fleet.late_hosts(1, undisturbed)
+
+        for seed in range(seeds):
+            self.run_fleet(size, seed, test)
+        self.assertEqual({}, late)
+
+
+if __name__ == '__main__':
+    unittest.main()
