Log when a host calls the store in place of the watchers

A configuration that arrives late could not be traced: nothing showed which host followed the watchers and which one called the store, or how old its copy was at that moment. PP214 has both.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -156,9 +156,7 @@
             # copy before the next ones call the store too.
             is_first = not (self._reads_store or self._is_watcher())
             if not self._reads_store:
-                self._reads_store = True
-                for callback in self.read_started:
-                    callback()
+                self._start_reading()
             began = anyio.current_time()
             found = await self._read(
                 0.0 if is_first else WATCH_TIMEOUT_SECONDS
@@ -196,6 +194,24 @@
             )
             pause = min(2 * pause, most)
 
+    def _start_reading(self) -> None:
+        self._reads_store = True
+        for callback in self.read_started:
+            callback()
+        events.log(
+            events.COPY_READ_STARTED,
+            host=self._host,
+            kind=self._kind,
+            version=self.version,
+            age_ms=(
+                None
+                if self._fresh_at is None
+                else round(1000 * self.age_seconds)
+            ),
+            behind_ms=round(1000 * self.behind_seconds),
+            hosts_before=len(self._hosts_before()),
+        )
+
     async def _wait_for_reports(self) -> None:
         """Wait until the watchers' reports are missing or show a change."""
         if self._behind_since is not None:
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -168,6 +168,13 @@
     Level.INFO,
     'Calls of this host to the store succeed again.',
 )
+COPY_READ_STARTED = Event(
+    214,
+    'copy_read_started',
+    Level.INFO,
+    'This host calls the store for changes of a kind, instead of following '
+    'the copies of other hosts.',
+)
 LEDGER_OPENED = Event(
     211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
 )
