Read the store again directly when a read is not answered

Callers saw a host handle requests by a version that had been replaced seconds before. Cause: when all open connections go silent, a watch hangs until its timeout of 2.3 s. The relay then asked two peers one after the other, over links that were silent too, for up to 3.5 s each, and called the store on a new connection only after that. Both watchers can be affected at once; the other hosts call the store themselves and were in time.

A read without an answer is now made again on a new connection while peers are asked, and a peer's answer to a read is waited for 1.0 instead of 2.0 s. Writes are unchanged. A store that refuses calls gets no more calls than before, as only reads without an answer are repeated.

--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -1,7 +1,9 @@
 """Calls the store through a peer while this host cannot reach it.
 
 A store may refuse some hosts and serve the others. Calls are then relayed by
-a peer that the store serves, with the same conditions and verdicts.
+a peer that the store serves, with the same conditions and verdicts. A read
+that is not answered is also made again directly: open connections to the store
+and to peers may all have gone silent, while new ones work.
 """
 
 import collections
@@ -25,6 +27,11 @@
 DIRECT_CALL_PAUSE_SECONDS = 0.7
 MAX_PEERS = 2
 CALL_TIMEOUT_SECONDS = 2.0
+# Reads may be made again, so that they are given up sooner than writes.
+READ_TIMEOUT_SECONDS = 1.0
+# A read that fails after this time was not answered; the store refuses calls
+# and resets connections within milliseconds.
+SILENT_SECONDS = 0.4
 LOG_INTERVAL_SECONDS = 10.0
 
 Answer = result.Result[typing.Any, verdicts.Failure]
@@ -102,26 +109,77 @@
         return call
 
     async def _call(self, name: str, args: tuple[typing.Any, ...]) -> Answer:
-        if self._can_call_directly():
-            outcome = await self._call_direct(name, args)
-            if not self._is_outage(outcome):
-                return outcome
-            is_unknown = (
-                outcome.err_value.verdict is verdicts.Verdict.MAY_HAVE_RUN
-            )
-            if is_unknown and name in _WRITES:
-                return outcome
-        else:
-            outcome = result.Err(
+        if not self._can_call_directly():
+            answered = await self._call_peers(name, args)
+            return answered or result.Err(
                 store.unavailable('store unreachable: last direct call failed')
             )
+        began = anyio.current_time()
+        outcome = await self._call_direct(name, args)
+        if not self._is_outage(outcome):
+            return outcome
+        is_write = name in _WRITES
+        verdict = outcome.err_value.verdict
+        if is_write and verdict is verdicts.Verdict.MAY_HAVE_RUN:
+            return outcome
+        elapsed = anyio.current_time() - began
+        if is_write or elapsed < _wait_seconds(name, args) + SILENT_SECONDS:
+            return await self._call_peers(name, args) or outcome
+        events.log(
+            events.STORE_SILENT,
+            host=self._host,
+            call=name,
+            kind=args[0],
+            ms=round(1000 * elapsed),
+        )
+        return await self._read_again(name, args) or outcome
+
+    async def _read_again(
+        self, name: str, args: tuple[typing.Any, ...]
+    ) -> Answer | None:
+        """Make a read again, directly and through peers at the same time.
+
+        The direct call does not wait for changes.
+
+        :returns: the first answer, ``None`` if there is none
+        """
+        first: Answer | None = None
+
+        async def call_directly() -> Answer | None:
+            again = (*args[:2], 0.0) if name == 'watch' else args
+            outcome = await self._call_direct(name, again)
+            return None if self._is_outage(outcome) else outcome
+
+        async def attempt(
+            call: collections.abc.Callable[
+                [], collections.abc.Awaitable[Answer | None]
+            ],
+        ) -> None:
+            nonlocal first
+            answered = await call()
+            if answered is not None and first is None:
+                first = answered
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(attempt, call_directly)
+            tasks.start_soon(attempt, lambda: self._call_peers(name, args))
+        return first
+
+    async def _call_peers(
+        self, name: str, args: tuple[typing.Any, ...]
+    ) -> Answer | None:
+        """Let peers make a call, one after the other.
+
+        :returns: the first answer, ``None`` if there is none
+        """
         peers = self._peers.connected()
         random.shuffle(peers)
         for peer in peers[:MAX_PEERS]:
             answered = await self._call_peer(peer, name, args)
             if answered is not None:
                 return answered
-        return outcome
+        return None
 
     def _can_call_directly(self) -> bool:
         if self._failed_at is None:
@@ -164,12 +222,13 @@
         self, peer: str, name: str, args: tuple[typing.Any, ...]
     ) -> Answer | None:
         """Return a peer's answer, or ``None`` if another peer may be asked."""
-        wait = float(args[2]) if name == 'watch' else 0.0
+        timeout = (
+            CALL_TIMEOUT_SECONDS
+            if name in _WRITES
+            else READ_TIMEOUT_SECONDS + _wait_seconds(name, args)
+        )
         answered = await self._peers.call(
-            peer,
-            METHOD_CALL,
-            [name, list(args)],
-            CALL_TIMEOUT_SECONDS + wait,
+            peer, METHOD_CALL, [name, list(args)], timeout
         )
         if isinstance(answered, result.Ok):
             return _decode(name, answered.ok_value)
@@ -208,6 +267,11 @@
         )
 
 
+def _wait_seconds(name: str, args: tuple[typing.Any, ...]) -> float:
+    """Return how long the store may wait before it answers a call."""
+    return float(args[2]) if name == 'watch' else 0.0
+
+
 def _outcome_name(outcome: Answer) -> str:
     """Return the label of a call's outcome for logs and metrics."""
     if isinstance(outcome, result.Ok):
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -175,6 +175,13 @@
     'This host calls the store for changes of a kind, instead of following '
     'the copies of other hosts.',
 )
+STORE_SILENT = Event(
+    215,
+    'store_silent',
+    Level.WARNING,
+    'A read of the store was not answered in time; it is made again on a new '
+    'connection and through peers.',
+)
 LEDGER_OPENED = Event(
     211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
 )
