--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from unittest import mock
 
 import anyio
 import httpx
@@ -16,6 +17,7 @@
 from persimmonpass import gateway
 from persimmonpass import gateway_settings
 from persimmonpass.platform import ports
+from persimmonpass.policy import core
 from persimmonpass import servers
 from tests import record_fakes
 from tests import test_store_client
@@ -202,11 +204,13 @@
     :ivar foreign: whether answers carry the id of another request
     :ivar busy: number of running requests
     :ivar leaving: whether each answer states that the server is leaving
+    :ivar version: version of its software
     """
 
     def __init__(self, name='i-1', slots=8):
         self.name = name
         self.slots = slots
+        self.version = 'v1'
         self.address = ''
         self.runs = []
         self.finished_ids = []
@@ -225,7 +229,7 @@
             'service': service,
             'address': self.address,
             'zone': 'a',
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'seq': 1,
@@ -510,6 +514,11 @@
             host.stop()
 
 
+def core_of(count):
+    """Return a context in which larger fleets have a core of a few hosts."""
+    return mock.patch.multiple(core, CORE_HOSTS=count, MAX_MESH_HOSTS=count)
+
+
 async def wait_until_connected(deployment):
     """Wait until all hosts have links to each other."""
     with anyio.fail_after(10):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,7 +4,6 @@
 import pathlib
 import tempfile
 import unittest
-from unittest import mock
 
 import anyio
 import parameterized
@@ -22,11 +21,6 @@
 OUTPUT = '\n'.join(f'x-{n}' for n in range(1, platform_fakes.TOKENS + 1))
 
 
-def _core_of(count):
-    """Return a context in which larger fleets have a core of a few hosts."""
-    return mock.patch.multiple(core, CORE_HOSTS=count, MAX_MESH_HOSTS=count)
-
-
 async def _resolve(fleet, entry):
     """Return the addresses in the entry answer of a host."""
     answer = await fleet.client.get(
@@ -342,7 +336,7 @@
                 )
                 self.assertEqual(b'x', answer.content)
 
-        with _core_of(core_hosts):
+        with platform_fakes.core_of(core_hosts):
             platform_fakes.run(test)
 
     @expand(
@@ -387,7 +381,7 @@
                 await anyio.sleep(0.5)
                 self.assertEqual(runs, len(server.runs))
 
-        with _core_of(core_hosts):
+        with platform_fakes.core_of(core_hosts):
             platform_fakes.run(test)
 
     @expand(
@@ -529,7 +523,7 @@
                     )
                     self.assertEqual(200, answer.status_code)
 
-        with _core_of(1):
+        with platform_fakes.core_of(1):
             platform_fakes.run(test)
 
     def test_entry_answers_leave_out_a_leaving_host(self):
