Log the software version of a target and the resumed attempt

The log of an incident could not tell at which software version a stream went on, nor which attempt of the caller it continued. PP515 and PP608 name the version, PP515 also the attempt in Resumes. The version is read from the entry of a target.

--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -116,6 +116,7 @@
     :ivar service: the service that the target belongs to, if the platform
         names one
     :ivar slots: requests that the target runs at once, 0 if unknown
+    :ivar software_version: version of the target's software, empty if unknown
     """
 
     name: str
@@ -127,6 +128,15 @@
     checks_fencing: bool = False
     service: str = ''
     slots: int = 0
+    software_version: str = ''
+
+    @property
+    def software(self) -> str:
+        """The target's software, equal for targets of one version.
+
+        A target of unknown version has the same software as no other one.
+        """
+        return self.software_version or f'target {self.name}'
 
 
 class Load(typing.NamedTuple):
--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -444,6 +444,7 @@
             job=key[0],
             item=job.items[key[1]].id,
             target=target.name,
+            version=target.software_version,
             after=item.text.last_id,
         )
         cause = 'stopped'
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -162,6 +162,8 @@
             host=self._host,
             key=request.call.id,
             target=target.name,
+            version=target.software_version,
+            resumes=request.call.resumes,
             online=counts.online,
             batch=counts.batch,
             pace=round(self._ports.target_stats.slowdown(target.name), 2),
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -29,6 +29,8 @@
         deadline
     :ivar resume_after: id of the last event that the caller has; ``None``
         for a stream from its start
+    :ivar resumes: id of the attempt that brought the first event of the
+        resumed stream; empty if the caller does not name it
     """
 
     id: str
@@ -39,6 +41,7 @@
     body: bytes
     deadline_seconds: float | None = None
     resume_after: int | None = None
+    resumes: str = ''
 
     @property
     def route_path(self) -> str:
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -158,6 +158,7 @@
         server.state != 'ready',
         service=server.service,
         slots=server.slots,
+        software_version=server.version,
     )
 
 
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -6,6 +6,7 @@
 REQUEST_ID = b'request-id'
 DEADLINE_MS = b'deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
+RESUMES = b'resumes'
 EXPECT_INSTANCE = b'expect-instance'
 NOT_EXECUTED = b'not-executed'
 SERVER_LEAVING = b'server-leaving'
@@ -54,6 +55,7 @@
         body,
         float(deadline) / _MILLISECONDS if deadline else None,
         int(resume) if resume else None,
+        found.get(RESUMES, b'').decode('latin-1'),
     )
 
 
