Let broken streams go on only at the software version that began them

Callers saw streams with events of two software versions of the targets, which do not fit together. Cause: the target of the host's own retry, and of a caller's next attempt, was chosen among all targets of the service. A host did not read Resumes, and knew of no stream that another host had begun.

A host now records the software of a stream before it passes on the first event. While several versions serve, it notifies the hosts that serve callers; when another version appears, it sends them what it has begun before. A host without a record asks them. If nobody knows and several versions serve, or no target of the version is left, the stream is refused at once with Retry-After. While all targets are of one version nothing is sent.

--- a/src/persimmonpass/controllers/admission_queue.py
+++ b/src/persimmonpass/controllers/admission_queue.py
@@ -20,6 +20,7 @@
 # Slots of a target that has not reported how many it has.
 DEFAULT_SLOTS = 8
 DISPATCH_INTERVAL_SECONDS = 0.05
+MISSING_VERSION_RETRY_SECONDS = 1.0
 
 
 class Capacity(typing.NamedTuple):
@@ -41,13 +42,20 @@
         service: str,
         queued: queueing.QueuedRequest,
         excluded: collections.abc.Collection[str],
+        software: str | None,
     ) -> None:
         self.service = service
         self.queued = queued
         self.excluded = excluded
+        self.software = software
         self.placed = anyio.Event()
         self.target: blackboard.Target | None = None
 
+    @property
+    def may_use_any_target(self) -> bool:
+        """Whether each target of the service may serve the request."""
+        return not self.excluded and self.software is None
+
 
 class AdmissionQueue:
     """Queue of the online requests of one host."""
@@ -96,15 +104,19 @@
         self,
         service: str,
         excluded: collections.abc.Collection[str] = (),
+        software: str | None = None,
     ) -> list[request_placement.Candidate]:
         """Return the usable targets of a service with their load.
 
         :param excluded: names of targets to leave out
+        :param software: software that the targets must have, ``None`` for any
         """
         found = []
         for row in self._board.targets.rows():
             if row.service != service or row.leaving:
                 continue
+            if software is not None and row.software != software:
+                continue
             if row.name in excluded or not self._target_stats.is_usable(
                 row.name
             ):
@@ -118,6 +130,7 @@
                     counts.online,
                     counts.batch,
                     self._target_stats.slowdown(row.name),
+                    row.software,
                 )
             )
         return found
@@ -128,6 +141,7 @@
         queued: queueing.QueuedRequest,
         deadline: float,
         excluded: collections.abc.Collection[str] = (),
+        software: str | None = None,
     ) -> result.Result[blackboard.Target, verdicts.Failure]:
         """Wait for a slot at a target.
 
@@ -138,9 +152,10 @@
         :param queued: priority and times of the request
         :param deadline: local clock at which the caller gives up, in seconds
         :param excluded: targets that have failed the request
+        :param software: software that the target must have, ``None`` for any
         :returns: the target, or a failure that says when to retry
         """
-        request = _WaitingRequest(service, queued, excluded)
+        request = _WaitingRequest(service, queued, excluded, software)
         self._requests.append(request)
         try:
             self.dispatch()
@@ -226,6 +241,10 @@
     ) -> verdicts.Failure | None:
         """Refuse a request that cannot start before its deadline."""
         left = deadline - anyio.current_time()
+        if request.software is not None and not self._has_software(request):
+            return self._refusal(
+                MISSING_VERSION_RETRY_SECONDS, 'no target of the version'
+            )
         capacity = self.capacity(request.service)
         if not capacity.targets:
             # Excluded and blocked targets may be usable within milliseconds.
@@ -248,6 +267,16 @@
             return self._refusal(wait, 'the queue is longer than the deadline')
         return self._refuse_late(request.service, deadline)
 
+    def _has_software(self, request: _WaitingRequest) -> bool:
+        """Return whether a target of the request's software may serve it."""
+        return any(
+            row.service == request.service
+            and row.software == request.software
+            and not row.leaving
+            and row.name not in request.excluded
+            for row in self._board.targets.rows()
+        )
+
     def _refusal(self, wait: float, message: str) -> verdicts.Failure:
         """Return a failure that asks the caller to retry.
 
@@ -287,15 +316,18 @@
                     request.queued, now
                 ):
                     continue
-                if request.service in full_services and not request.excluded:
+                any_target = request.may_use_any_target
+                if request.service in full_services and any_target:
                     continue
-                if not self._place(request) and not request.excluded:
+                if not self._place(request) and any_target:
                     full_services.add(request.service)
         finally:
             self._is_dispatching = False
 
     def _place(self, request: _WaitingRequest) -> bool:
-        candidates = self.candidates(request.service, request.excluded)
+        candidates = self.candidates(
+            request.service, request.excluded, request.software
+        )
         name = request_placement.choose(candidates, self._zone, random.random)
         if name is None:
             return False
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -16,12 +16,14 @@
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import crash_watch
 from persimmonpass.controllers import occupancy
+from persimmonpass.controllers import stream_origins
 from persimmonpass.controllers import target_stats
 from persimmonpass import events
 from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass.policy import queueing
+from persimmonpass.policy import stream_versions
 from persimmonpass import request_state
 from persimmonpass import routes
 from persimmonpass.targets import opaque
@@ -45,6 +47,7 @@
 MAX_REFUSALS = 6
 REFUSAL_PAUSE_SECONDS = 0.02
 NO_CONFIG_RETRY_SECONDS = 0.5
+UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
 # A request that crashes targets will not succeed soon; a long delay keeps
 # callers from retrying it.
 QUARANTINE_RETRY_SECONDS = 30.0
@@ -67,6 +70,7 @@
     target_stats: target_stats.TargetStats
     targets: opaque.TargetClient
     crashes: crash_watch.CrashWatch
+    origins: stream_origins.StreamOrigins
     metrics: gateway_metrics.GatewayMetrics
     spans: tracing.Tracing
 
@@ -115,6 +119,9 @@
                 request.caller, UNAVAILABLE, QUARANTINE_RETRY_SECONDS
             )
             return 'quarantined'
+        if request.call.resume_after is not None:
+            if not await self._find_origin(request):
+                return await self._send_failure(request)
         while request.can_run_again and request.remaining_seconds > 0:
             admitted = await self._ports.queue.acquire_slot(
                 request.service,
@@ -130,6 +137,7 @@
                 ),
                 request.answer_deadline,
                 request.excluded,
+                request.origin.software if request.origin else None,
             )
             if isinstance(admitted, result.Err):
                 request.failure = request.failure or admitted.err_value
@@ -152,6 +160,24 @@
                 break
         return await self._send_failure(request)
 
+    async def _find_origin(self, request: request_state.RequestState) -> bool:
+        """Set the software at which a resumed stream has to go on.
+
+        :returns: whether it is known and the route still allows its service
+        """
+        origin = await self._ports.origins.find(
+            request.call.resumes, request.route
+        )
+        allowed = {share.service for share in request.route.shares}
+        if origin is None or origin.service not in allowed:
+            request.failure = stream_origins.unknown_origin(
+                UNKNOWN_ORIGIN_RETRY_SECONDS
+            )
+            return False
+        request.origin = origin
+        request.service = origin.service
+        return True
+
     async def _send(
         self, request: request_state.RequestState, target: blackboard.Target
     ) -> _End:
@@ -250,7 +276,7 @@
                     self._ports.target_stats.record_first_event(
                         target.name, anyio.current_time() - sent_at
                     )
-                await self._forward_event(request, answer.head, event)
+                await self._forward_event(request, target, answer.head, event)
             next_event_by = anyio.current_time() + stall_seconds
         if reader.has_partial_event:
             raise ValueError('the stream ended within an event')
@@ -261,6 +287,7 @@
     async def _forward_event(
         self,
         request: request_state.RequestState,
+        target: blackboard.Target,
         head: exchange.ResponseHead,
         event: exchange.Event,
     ) -> None:
@@ -273,6 +300,11 @@
                 request.route.kind.value
             ).observe(now - request.last_event_at)
         request.last_event_at = now
+        if request.origin is None:
+            request.origin = stream_versions.Origin(
+                target.service, target.software
+            )
+            self._ports.origins.record(request.call.id, request.origin)
         if not request.started:
             await self._start(request, head)
             seconds = anyio.current_time() - request.started_at
--- /dev/null
+++ b/src/persimmonpass/controllers/stream_origins.py
@@ -0,0 +1,231 @@
+"""Remembers which software began the streams that callers may resume.
+
+A caller may resume a stream at any host. While targets of several software
+versions serve, each host therefore notifies its peers of the streams that it
+begins. While all targets are of one version there is nothing to send; when
+another version appears, the hosts send what they have begun before.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import anyio
+import result
+
+from persimmonpass import blackboard
+from persimmonpass import events
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import stream_versions
+from persimmonpass import routes
+from persimmonpass import verdicts
+
+METHOD_BEGAN = 'streams.began'
+METHOD_FIND = 'streams.find'
+# A caller resumes a stream within its deadline. Software that has left is
+# remembered for as long, as it may have begun the stream.
+RETENTION_SECONDS = 30.0
+MAX_STREAMS = 50_000
+# A peer that answers does so within milliseconds. The caller waits meanwhile.
+FIND_TIMEOUT_SECONDS = 0.2
+
+
+class _Began(typing.NamedTuple):
+    """A stream that began.
+
+    :ivar at: local clock at its first event, in seconds
+    :ivar is_own: whether this host served it
+    """
+
+    origin: stream_versions.Origin
+    at: float
+    is_own: bool
+
+
+class StreamOrigins:
+    """The software that began recent streams, by id of the first attempt."""
+
+    def __init__(
+        self,
+        host: str,
+        board: blackboard.Blackboard,
+        peers: peer_port.PeerPort,
+        audience: peer_port.Audience = peer_port.all_hosts,
+    ) -> None:
+        """Create an empty memory.
+
+        :param audience: returns the hosts that serve callers, which are
+            notified and asked
+        """
+        self._host = host
+        self._board = board
+        self._peers = peers
+        self._audience = audience
+        self._streams: collections.OrderedDict[str, _Began] = (
+            collections.OrderedDict()
+        )
+        # Software of the targets in one version of their table, by service.
+        self._serving: dict[str, set[str]] = {}
+        self._targets_version = -1
+        self._left_at: dict[stream_versions.Origin, float] = {}
+        self._started_at = anyio.current_time()
+
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of notices and calls from peers, by method."""
+        return {
+            METHOD_BEGAN: peer_port.NoticeHandler(self._handle_began),
+            METHOD_FIND: self._handle_find,
+        }
+
+    async def run(self) -> None:
+        """Send this host's streams when another version appears.
+
+        Runs until it is cancelled.
+        """
+        version = 0
+        while True:
+            version = await self._board.targets.wait(version)
+            self._update_serving()
+
+    def record(self, request_id: str, origin: stream_versions.Origin) -> None:
+        """Record the first event of a stream, before the caller gets it.
+
+        :param request_id: id of the caller's attempt
+        """
+        self._add(request_id, origin, is_own=True)
+        if len(self._recent_software(origin.service)) > 1:
+            self._broadcast([[request_id, *origin]])
+
+    async def find(
+        self, request_id: str, route: routes.Route
+    ) -> stream_versions.Origin | None:
+        """Return the software that began a stream.
+
+        :param request_id: id of the attempt that brought its first event
+        :param route: route of the stream
+        :returns: ``None`` if it is not known and several versions serve
+        """
+        known = self._streams.get(request_id)
+        if known is not None:
+            return known.origin
+        services = [share.service for share in route.shares]
+        sole = stream_versions.sole_origin(
+            services,
+            {name: self._recent_software(name) for name in services},
+        )
+        uptime = anyio.current_time() - self._started_at
+        if sole is not None and uptime >= RETENTION_SECONDS:
+            return sole
+        # Before a host has been up for that long, a version may have left
+        # that it has never seen.
+        return await self._ask_peers(request_id) or sole
+
+    def _recent_software(self, service: str) -> set[str]:
+        """Return the software that serves now or served until recently."""
+        self._update_serving()
+        since = anyio.current_time() - RETENTION_SECONDS
+        left = {
+            origin.software
+            for origin, left_at in self._left_at.items()
+            if origin.service == service and left_at > since
+        }
+        return self._serving.get(service, set()) | left
+
+    def _update_serving(self) -> None:
+        if self._targets_version == self._board.targets.version:
+            return
+        self._targets_version = self._board.targets.version
+        now = anyio.current_time()
+        before, self._serving = self._serving, {}
+        for row in self._board.targets.rows():
+            self._serving.setdefault(row.service, set()).add(row.software)
+        for service, known in before.items():
+            for software in known - self._serving.get(service, set()):
+                origin = stream_versions.Origin(service, software)
+                self._left_at[origin] = now
+        for service, present in self._serving.items():
+            if before.get(service) and present - before[service]:
+                self._send_own_streams(service)
+
+    def _send_own_streams(self, service: str) -> None:
+        """Notify peers of the streams that this host began recently."""
+        self._drop_old()
+        rows = [
+            [request_id, *began.origin]
+            for request_id, began in self._streams.items()
+            if began.is_own and began.origin.service == service
+        ]
+        if rows:
+            self._broadcast(rows)
+
+    def _broadcast(self, rows: list[list[str]]) -> None:
+        peer_port.broadcast(self._peers, METHOD_BEGAN, rows, self._audience())
+
+    def _add(
+        self, request_id: str, origin: stream_versions.Origin, *, is_own: bool
+    ) -> None:
+        self._drop_old()
+        self._streams[request_id] = _Began(
+            origin, anyio.current_time(), is_own
+        )
+        self._streams.move_to_end(request_id)
+
+    def _drop_old(self) -> None:
+        since = anyio.current_time() - RETENTION_SECONDS
+        while self._streams:
+            oldest = next(iter(self._streams.values()))
+            if oldest.at > since and len(self._streams) <= MAX_STREAMS:
+                break
+            self._streams.popitem(last=False)
+        for origin, left_at in list(self._left_at.items()):
+            if left_at <= since:
+                del self._left_at[origin]
+
+    async def _ask_peers(
+        self, request_id: str
+    ) -> stream_versions.Origin | None:
+        """Return what the first peer that knows a stream answers."""
+        found: stream_versions.Origin | None = None
+
+        async def ask(peer: str) -> None:
+            nonlocal found
+            answered = await self._peers.call(
+                peer, METHOD_FIND, request_id, FIND_TIMEOUT_SECONDS
+            )
+            if isinstance(answered, result.Ok) and answered.ok_value:
+                found = stream_versions.Origin(*answered.ok_value)
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            for peer in self._peers.connected():
+                if peer_port.includes(self._audience(), peer):
+                    tasks.start_soon(ask, peer)
+        if found is not None:
+            self._add(request_id, found, is_own=False)
+        return found
+
+    def _handle_began(self, peer: str, payload: typing.Any) -> None:
+        for request_id, service, software in payload:
+            origin = stream_versions.Origin(service, software)
+            self._add(request_id, origin, is_own=False)
+
+    async def _handle_find(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        known = self._streams.get(payload)
+        return result.Ok(None if known is None else list(known.origin))
+
+
+def unknown_origin(retry_after_seconds: float) -> verdicts.Failure:
+    """Return the failure of a stream whose software is not known.
+
+    :param retry_after_seconds: when the caller may try again
+    """
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.REQUEST_REFUSED,
+        'unknown which software version began the stream',
+        503,
+        retry_after_seconds,
+    )
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -29,6 +29,7 @@
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import route_proxy
 from persimmonpass.controllers import store_relay
+from persimmonpass.controllers import stream_origins
 from persimmonpass.controllers import target_stats
 from persimmonpass import events
 from persimmonpass import gateway_front
@@ -297,6 +298,9 @@
             self._replica_hosts,
         )
         self._crashes = crash_watch.CrashWatch(options.host, port)
+        self._origins = stream_origins.StreamOrigins(
+            options.host, self.board, port, self._replica_hosts
+        )
         self._target_stats = target_stats.TargetStats(options.host, self.board)
         self._queue = admission_queue.AdmissionQueue(
             options.host,
@@ -313,6 +317,7 @@
         self._handlers |= self._occupied.handlers
         self._handlers |= self._role.handlers
         self._handlers |= self._crashes.handlers
+        self._handlers |= self._origins.handlers
 
     def _build_request_controllers(self) -> None:
         """Make the controllers of online requests and batch jobs."""
@@ -325,6 +330,7 @@
                 self._target_stats,
                 self._targets,
                 self._crashes,
+                self._origins,
                 self.metrics,
                 self._spans,
             ),
@@ -386,6 +392,7 @@
             self._relay.run,
             self._membership.run,
             self._catalog.run,
+            self._origins.run,
             self._occupied.run,
             self._target_stats.run,
             self._queue.run,
--- a/src/persimmonpass/policy/request_placement.py
+++ b/src/persimmonpass/policy/request_placement.py
@@ -32,6 +32,7 @@
     :ivar batch: batch items in progress at the target
     :ivar slowdown: ratio of the target's time to a first event to the typical
         one
+    :ivar software: equal for targets of the same software version
     """
 
     name: str
@@ -40,6 +41,7 @@
     online: int
     batch: int
     slowdown: float = 1.0
+    software: str = ''
 
 
 def cost(candidate: Candidate, availability_zone: str) -> float:
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -4,6 +4,7 @@
 
 from persimmonpass import exchange
 from persimmonpass.policy import queueing
+from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass import verdicts
 
@@ -21,6 +22,8 @@
     :ivar failure: reason of the last failed attempt
     :ivar first_event_seconds: time from the arrival to the first event
     :ivar last_event_at: local clock at the last event, in seconds
+    :ivar origin: software that produced the events which the caller has;
+        ``None`` before the first event
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.failure: verdicts.Failure | None = None
         self.first_event_seconds: float | None = None
         self.last_event_at: float | None = None
+        self.origin: stream_versions.Origin | None = None
 
     @property
     def answer_deadline(self) -> float:
