Let batch items go on only at the software version that began them

Callers would read results with events of two software versions. Cause: an item that was interrupted resumed at the target with the most free slots, and the backup hosts did not know which version had begun its text.

A text now has the software that produced it, also on the backup hosts. An item resumes at a target of that software; if none has had a free slot for 1.5 s, or none is left, it starts again from its first event, which PP617 logs.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -15,6 +15,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass import job_records
+from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass.targets import opaque
 from persimmonpass import verdicts
@@ -41,6 +42,8 @@
     :ivar broken_runs: consecutive runs that broke off without an event
     :ivar not_before: when the item may run again, in seconds of the event
         loop's clock
+    :ivar waits_since: since when the item waits for a free slot at the
+        software version that began it; ``None`` if it does not wait
     :ivar target: target at which the item takes up a slot
     :ivar scope: cancels the current run; ``None`` while the item does not run
     :ivar outcome: result that has to be stored
@@ -53,6 +56,7 @@
         self.failures = 0
         self.broken_runs = 0
         self.not_before = 0.0
+        self.waits_since: float | None = None
         self.target: str | None = None
         self.scope: anyio.CancelScope | None = None
         self.outcome: job_records.ItemResult | None = None
@@ -139,7 +143,10 @@
                     key, item, job_item.id, route, head.status
                 )
             try:
-                await self._collect(item, answer)
+                origin = stream_versions.Origin(
+                    target.service, target.software
+                )
+                await self._collect(item, answer, origin)
             except (httpx.HTTPError, TimeoutError, ValueError) as error:
                 failure = verdicts.Failure(
                     verdicts.Verdict.MAY_HAVE_RUN,
@@ -160,11 +167,17 @@
         )
         return ''
 
-    async def _collect(self, item: LocalItem, answer: opaque.Answer) -> None:
+    async def _collect(
+        self,
+        item: LocalItem,
+        answer: opaque.Answer,
+        origin: stream_versions.Origin,
+    ) -> None:
         """Append the events of an answer to an item's text.
 
         Events that the text contains already are skipped.
 
+        :param origin: software of the target
         :raises ValueError: if an event is missing or incomplete
         :raises TimeoutError: if the next event does not arrive in time
         """
@@ -185,7 +198,7 @@
                             f'expected event {item.text.last_id + 1},'
                             f' got event {event.id}'
                         )
-                item.text.add(event.data.decode(), event.id)
+                item.text.add(event.data.decode(), event.id, origin)
         if reader.has_partial_event:
             raise ValueError('answer ended within an event')
 
--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -28,6 +28,7 @@
 from persimmonpass import job_records
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import batch_scheduling as policy
+from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass.targets import opaque
 
@@ -210,6 +211,7 @@
                             count,
                             item.text.last_id,
                             item.text.texts[count:],
+                            item.text.origin,
                         ]
                     )
                     sent_counts[key] = len(item.text.texts)
@@ -220,13 +222,17 @@
 
     def _handle_progress(self, peer: str, payload: typing.Any) -> None:
         """Store another host's progress, to resume its items if it fails."""
-        for job_id, number, source, count, last_id, texts in payload:
+        for job_id, number, source, count, last_id, texts, origin in payload:
             item = self._items.setdefault(
                 (job_id, number), item_attempt.LocalItem()
             )
             if item.scope is None and item.outcome is None:
                 item.text.apply(
-                    item_text.Source(*source), count, last_id, texts
+                    item_text.Source(*source),
+                    count,
+                    last_id,
+                    texts,
+                    stream_versions.Origin(*origin) if origin else None,
                 )
 
     def _drop_finished(self) -> None:
@@ -254,6 +260,7 @@
                 candidate.online,
                 candidate.batch,
                 candidate.slowdown,
+                candidate.software,
             )
             for candidate in self._ports.queue.candidates(service)
         ]
@@ -373,12 +380,16 @@
             if service in full_services or service not in loads:
                 continue
             name = policy.pick_target(loads[service])
-            target = self._ports.board.targets.get(name) if name else None
-            if target is None:
+            if name is None:
                 full_services.add(service)
                 continue
             key = (pending.job, number)
             item = self._items.setdefault(key, item_attempt.LocalItem())
+            if item.text.origin is not None:
+                name = self._pick_to_resume(key, item, service, loads[service])
+            target = self._ports.board.targets.get(name) if name else None
+            if target is None:
+                continue
             item.target = target.name
             item.scope = anyio.CancelScope()
             self._running[key] = item
@@ -390,6 +401,53 @@
                 self._run_item, key, item, state.job, route, target
             )
 
+    def _pick_to_resume(
+        self,
+        key: tuple[str, int],
+        item: item_attempt.LocalItem,
+        service: str,
+        loads: list[policy.TargetLoad],
+    ) -> str | None:
+        """Return the target at which a begun item goes on.
+
+        An item whose software has no free slot for long, or has left, starts
+        again from its first event.
+
+        :param loads: load of the usable targets, one of which has a free slot
+        :returns: ``None`` if the item has to wait
+        """
+        now = anyio.current_time()
+        if item.waits_since is None:
+            item.waits_since = now
+        origin = item.text.origin
+        is_same_service = origin is not None and origin.service == service
+        choice = policy.choose_to_resume(
+            loads,
+            origin.software if origin and is_same_service else None,
+            is_listed=is_same_service
+            and any(
+                (row.service, row.software) == origin and not row.leaving
+                for row in self._ports.board.targets.rows()
+            ),
+            waited_seconds=now - item.waits_since,
+        )
+        if choice.restarts:
+            events.log(
+                events.ITEM_RESTARTED,
+                host=self._host,
+                job=key[0],
+                item=key[1],
+                software=origin.software if origin else None,
+                events=len(item.text.texts),
+            )
+            item.text.restart()
+            # Backup hosts replace their text by the one of the new run.
+            for sent_counts in self._sent_counts.values():
+                sent_counts.pop(key, None)
+        if choice.target is not None:
+            item.waits_since = None
+        return choice.target
+
     def _loads_of_free_services(self) -> dict[str, list[policy.TargetLoad]]:
         """Return the target loads of the services with a free slot."""
         configuration = self._ports.board.routes.get(catalog.ROUTES_KEY)
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -433,6 +433,13 @@
 ITEM_STARTED = Event(
     608, 'item_started', Level.INFO, 'A batch item was assigned to a target.'
 )
+ITEM_RESTARTED = Event(
+    617,
+    'item_restarted',
+    Level.INFO,
+    'A batch item starts again from its first event, because no target of the '
+    'software version that began it has a free slot.',
+)
 ITEM_STOPPED = Event(
     609,
     'item_stopped',
--- a/src/persimmonpass/item_text.py
+++ b/src/persimmonpass/item_text.py
@@ -6,6 +6,8 @@
 
 import typing
 
+from persimmonpass.policy import stream_versions
+
 
 class Source(typing.NamedTuple):
     """The host that wrote a text, ordered by term.
@@ -32,27 +34,47 @@
     :ivar texts: data of the events
     :ivar last_id: id of the last event; ``None`` before the first
     :ivar source: the source that last wrote the text
+    :ivar origin: software that produced the events; ``None`` before the first
     """
 
     def __init__(self) -> None:
         self.texts: list[str] = []
         self.last_id: int | None = None
         self.source = NO_SOURCE
+        self.origin: stream_versions.Origin | None = None
 
     def claim(self, source: Source) -> None:
         """Start a run on this host; updates of earlier sources are refused."""
         self.source = max(self.source, source)
 
-    def add(self, text: str, event_id: int | None) -> None:
+    def restart(self) -> None:
+        """Drop all events, so that the next run begins with the first one."""
+        self.texts = []
+        self.last_id = None
+        self.origin = None
+
+    def add(
+        self,
+        text: str,
+        event_id: int | None,
+        origin: stream_versions.Origin | None = None,
+    ) -> None:
         """Append an event of a run on this host.
 
         :param text: data of the event
+        :param origin: software that produced it
         """
         self.texts.append(text)
         self.last_id = event_id
+        self.origin = origin
 
     def apply(
-        self, source: Source, count: int, last_id: int | None, texts: list[str]
+        self,
+        source: Source,
+        count: int,
+        last_id: int | None,
+        texts: list[str],
+        origin: stream_versions.Origin | None = None,
     ) -> bool:
         """Apply an update that another host sent.
 
@@ -60,6 +82,7 @@
             replaces the whole text
         :param last_id: id of the last event in ``texts``
         :param texts: data of the events
+        :param origin: software that produced all events of the text
         :returns: whether the update was applied; ``False`` if its source is
             out of date or if events before it are missing
         """
@@ -67,10 +90,15 @@
             return False
         if count == 0:
             self.texts = list(texts)
-        elif source == self.source and count <= len(self.texts):
+        elif (
+            source == self.source
+            and origin == self.origin
+            and count <= len(self.texts)
+        ):
             self.texts[count:] = texts
         else:
             return False
         self.source = source
         self.last_id = last_id
+        self.origin = origin
         return True
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -20,6 +20,9 @@
 # Ratio of the time in which an item finishes to its run time. Online traffic
 # peaks for two fifths of the time, and items are stopped meanwhile.
 FINISH_FACTOR = 2.0
+# How long an item that has begun waits for a free slot at its software version
+# before it starts again at another one. A run takes several times as long.
+MAX_RESUME_WAIT_SECONDS = 1.5
 
 
 class Pending(typing.NamedTuple):
@@ -47,6 +50,7 @@
     :ivar batch: batch items of all hosts in progress
     :ivar slowdown: ratio of the target's time to a first event to the typical
         one
+    :ivar software: equal for targets of the same software version
     """
 
     name: str
@@ -54,6 +58,18 @@
     online: int
     batch: int
     slowdown: float = 1.0
+    software: str = ''
+
+
+class ResumeChoice(typing.NamedTuple):
+    """Where an item that has begun goes on.
+
+    :ivar target: name of the target, ``None`` if the item waits
+    :ivar restarts: whether the item starts again from its first event
+    """
+
+    target: str | None
+    restarts: bool
 
 
 class Running(typing.NamedTuple):
@@ -127,6 +143,36 @@
     return best.name if best is not None and free_slots(best) > 0 else None
 
 
+def choose_to_resume(
+    loads: collections.abc.Iterable[TargetLoad],
+    software: str | None,
+    *,
+    is_listed: bool,
+    waited_seconds: float,
+) -> ResumeChoice:
+    """Return where an item that has begun goes on.
+
+    Answers a release, when targets of several software versions serve. What
+    two versions write does not fit together, so that an item goes on at the
+    version that began it or starts again. Waiting keeps its work, but a
+    version that leaves may have no slot again.
+
+    :param loads: load of the usable targets
+    :param software: software that began the item; ``None`` if its service has
+        changed since
+    :param is_listed: whether a target of that software stays
+    :param waited_seconds: how long the item has waited for such a target
+    """
+    loads = list(loads)
+    target = pick_target(load for load in loads if load.software == software)
+    if target is not None:
+        return ResumeChoice(target, False)
+    if is_listed and waited_seconds < MAX_RESUME_WAIT_SECONDS:
+        return ResumeChoice(None, False)
+    target = pick_target(loads)
+    return ResumeChoice(target, target is not None)
+
+
 def with_item_added(
     loads: collections.abc.Iterable[TargetLoad], name: str
 ) -> list[TargetLoad]:
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -10,6 +10,7 @@
 from persimmonpass.policy import core
 from persimmonpass.policy import queueing
 from persimmonpass.policy import request_placement
+from persimmonpass.policy import stream_versions
 from persimmonpass.policy import watching
 from tests import batch_load
 
@@ -302,6 +303,44 @@
         self.assertIsNone(batch_scheduling.pick_target([load('z', 8)]))
         self.assertIsNone(batch_scheduling.pick_target([]))
 
+    @expand(
+        [
+            # free slots by software, software of the item, whether a target
+            # of it stays, seconds waited, expected target and restart
+            ('same version', {'v1': 1, 'v2': 5}, 'v1', True, 0, ('v1', False)),
+            ('full, waits', {'v1': 0, 'v2': 5}, 'v1', True, 1, (None, False)),
+            ('full for long', {'v1': 0, 'v2': 5}, 'v1', True, 2, ('v2', True)),
+            ('blocked, waits', {'v2': 5}, 'v1', True, 1, (None, False)),
+            ('has left', {'v2': 5}, 'v1', False, 0, ('v2', True)),
+            ('has left, all full', {'v2': 0}, 'v1', False, 9, (None, False)),
+            ('other service', {'v2': 5}, None, False, 0, ('v2', True)),
+        ]
+    )
+    def test_choose_to_resume(
+        self, _, free, software, is_listed, waited, expected
+    ):
+        loads = [
+            batch_scheduling.TargetLoad(name, 8, 0, 7 - count, 1.0, name)
+            for name, count in free.items()
+        ]
+        choice = batch_scheduling.choose_to_resume(
+            loads, software, is_listed=is_listed, waited_seconds=waited
+        )
+        self.assertEqual(expected, choice)
+
+    @expand(
+        [
+            ('one version', {'a': {'v1'}}, 'v1'),
+            ('two versions', {'a': {'v1', 'v2'}}, None),
+            ('two services', {'a': {'v1'}, 'b': {'v1'}}, None),
+            ('of another service', {'a': {'v1'}, 'c': {'v2'}}, 'v1'),
+            ('no target', {}, None),
+        ]
+    )
+    def test_sole_origin(self, _, serving, software):
+        found = stream_versions.sole_origin(['a', 'b'], serving)
+        self.assertEqual(software, found and found.software)
+
     def test_with_item_added(self):
         loads = [load('x', 4, 2), load('y', 1, 1)]
         self.assertEqual(
--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -21,6 +21,7 @@
 from persimmonpass import item_text
 from persimmonpass import job_records
 from persimmonpass import job_state
+from persimmonpass.policy import stream_versions
 from persimmonpass import records
 from persimmonpass import store
 from tests import fakes
@@ -665,6 +666,20 @@
         self.assertEqual(expected, text.texts)
         self.assertEqual(len(expected), text.last_id)
 
+    def test_texts_of_two_software_versions_are_never_joined(self):
+        first, second = (
+            stream_versions.Origin('notes', version) for version in ('1', '2')
+        )
+        text = item_text.ItemText()
+        self.assertTrue(text.apply(OLD, 0, 1, ['a1'], first))
+        self.assertFalse(text.apply(OLD, 1, 2, ['b2'], second))
+        self.assertTrue(text.apply(OLD, 0, 2, ['b1', 'b2'], second))
+        self.assertEqual((['b1', 'b2'], second), (text.texts, text.origin))
+        text.restart()
+        self.assertEqual(
+            ([], None, None), (text.texts, text.last_id, text.origin)
+        )
+
     def test_late_update_of_an_earlier_runner_is_refused(self):
         text = item_text.ItemText()
         text.apply(OLD, 0, 1, ['a1'])
