Place an item again soon after targets crashed under it

During a burst of crashes several targets die while they run the same sound item. Cause: after three runs in a row that broke off without an event, an item waited 15 s, which is nearly all of the time until it is due, although the targets were back and had free slots.

The 15 s protected targets from items that crash them by themselves.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -15,6 +15,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass import job_records
+from persimmonpass.policy import batch_scheduling
 from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass.targets import opaque
@@ -25,10 +26,6 @@
 FIRST_EVENT_TIMEOUT_SECONDS = 2.0
 RETRY_SECONDS = 0.1
 REFUSED_RETRY_SECONDS = 0.3
-# An item whose last runs all broke off without an event may itself break the
-# targets. After this number of such runs it waits longer than other items.
-MAX_BROKEN_RUNS = 3
-BROKEN_RETRY_SECONDS = 15.0
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 SUCCESS = 200
@@ -220,8 +217,7 @@
                 if len(item.text.texts) == events_before
                 else 0
             )
-            if item.broken_runs >= MAX_BROKEN_RUNS:
-                pause = BROKEN_RETRY_SECONDS
+            pause = batch_scheduling.retry_pause(item.broken_runs)
         item.not_before = anyio.current_time() + pause
         return failure.message
 
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -23,6 +23,10 @@
 # How long an item that has begun waits for a free slot at its software version
 # before it starts again at another one. A run takes several times as long.
 MAX_RESUME_WAIT_SECONDS = 1.5
+# Pause of an item after a broken run. It doubles with each run in a row that
+# brought no event, so that an item cannot keep breaking all targets.
+BROKEN_RETRY_SECONDS = 0.1
+MAX_BROKEN_RETRY_SECONDS = 2.0
 
 
 class Pending(typing.NamedTuple):
@@ -173,6 +177,19 @@
     return ResumeChoice(target, target is not None)
 
 
+def retry_pause(broken_runs: int) -> float:
+    """Return how long an item waits after a broken run, in seconds.
+
+    Answers a burst of crashes. Targets that crash under an item say nothing
+    about the item, so that the pause stays short compared with the time until
+    the item is due.
+
+    :param broken_runs: number of runs in a row that brought no event
+    """
+    doublings = min(10, max(0, broken_runs - 1))
+    return min(MAX_BROKEN_RETRY_SECONDS, BROKEN_RETRY_SECONDS * 2.0**doublings)
+
+
 def with_item_added(
     loads: collections.abc.Iterable[TargetLoad], name: str
 ) -> list[TargetLoad]:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,6 +18,8 @@
     f'id: {number}\ndata: x-{number}\n\n'
     for number in range(1, platform_fakes.TOKENS + 1)
 )
+# After this time without a fault no item may still wait for a free slot.
+CALM_SECONDS = 5.0
 OUTPUT = '\n'.join(f'x-{n}' for n in range(1, platform_fakes.TOKENS + 1))
 
 
@@ -301,6 +303,28 @@
         platform_fakes.run(test)
 
 
+class TestCrashes(unittest.TestCase):
+    def test_item_is_placed_again_after_a_burst_of_crashes(self):
+        """Targets that crash under an item say nothing about the item."""
+
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                for server in fleet.servers:
+                    server.cut_after = 0
+                body = platform_fakes.submission(1)
+                await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+                with anyio.fail_after(10):
+                    while sum(len(s.runs) for s in fleet.servers) < 3:
+                        await anyio.sleep(0.01)
+                for server in fleet.servers:
+                    server.cut_after = None
+                with anyio.fail_after(CALM_SECONDS):
+                    page = await fleet.results('j', 1)
+                self.assertEqual('completed', page['results'][0]['state'])
+
+        platform_fakes.run(test)
+
+
 class TestJobs(unittest.TestCase):
     # In a large fleet a host outside the core forwards calls on jobs.
     @expand([('small fleet', core.MAX_MESH_HOSTS), ('large fleet', 1)])
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -341,6 +341,12 @@
         found = stream_versions.sole_origin(['a', 'b'], serving)
         self.assertEqual(software, found and found.software)
 
+    @expand([(0, 0.1), (1, 0.1), (3, 0.4), (6, 2.0), (10_000, 2.0)])
+    def test_retry_pause(self, broken_runs, seconds):
+        self.assertAlmostEqual(
+            seconds, batch_scheduling.retry_pause(broken_runs)
+        )
+
     def test_with_item_added(self):
         loads = [load('x', 4, 2), load('y', 1, 1)]
         self.assertEqual(
