Test that a version arrives after the store dropped its history

Hypothesis D of the configuration incident: watches bring nothing for a second, then their history is gone. Kept as a regression test.

--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -85,6 +85,34 @@
             self.run_fleet(size, seed, test)
         self.assertEqual({}, late)
 
+    @expand(
+        [
+            ('small', SMALL, 3.0, 20),
+            ('medium', MEDIUM, 3.0, 20),
+            ('large', LARGE, 4.0, 3),
+        ]
+    )
+    def test_version_arrives_after_history_is_dropped(
+        self, _, size, bound_seconds, seeds
+    ):
+        """Watches bring nothing for a second; then their history is gone."""
+        late = {}
+
+        async def test(fleet):
+            fleet.memory.silent_watches = True
+            await anyio.sleep(random.random())
+            fleet.write(1)
+            await anyio.sleep(1 - random.random())
+            fleet.memory.forget_history()
+            fleet.memory.silent_watches = False
+            await anyio.sleep(bound_seconds)
+            if fleet.late_hosts(1):
+                late[seed] = fleet.late_hosts(1)
+
+        for seed in range(seeds):
+            self.run_fleet(size, seed, test)
+        self.assertEqual({}, late)
+
 
 if __name__ == '__main__':
     unittest.main()
