--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -77,7 +77,7 @@
     service: str
     address: str
     zone: str = ''
-    version: str = ''
+    version: str | int | float = ''
     slots: int = 0
     state: str = 'ready'
 
@@ -154,11 +154,11 @@
         server.address,
         'engine',
         server.zone,
-        {'service': server.service, 'version': server.version},
+        {'service': server.service, 'version': str(server.version)},
         server.state != 'ready',
         service=server.service,
         slots=server.slots,
-        software_version=server.version,
+        software_version=str(server.version),
     )
 
 
@@ -173,7 +173,24 @@
 
 
 def _convert(data: records.Data, shape: type[_Shape]) -> _Shape | None:
+    """Convert an object, or return ``None`` if it is malformed.
+
+    A field that is null counts as missing, and a number may be written as
+    text or as a whole float.
+    """
     try:
-        return msgspec.convert(data, shape)
+        return msgspec.convert(_without_nulls(data), shape, strict=False)
     except msgspec.ValidationError:
         return None
+
+
+def _without_nulls(value: typing.Any) -> typing.Any:
+    if isinstance(value, dict):
+        return {
+            name: _without_nulls(field)
+            for name, field in value.items()
+            if field is not None
+        }
+    if isinstance(value, list):
+        return [_without_nulls(field) for field in value]
+    return value
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -323,6 +323,36 @@
         self.assertTrue(0.85 < picked.count('x') / 1000 < 0.95)
 
 
+class TestEncodings(unittest.TestCase):
+    """Encodings of a field that must not make the whole object unreadable."""
+
+    @expand(
+        [
+            ('null', {'split': None, 'service': 'notes'}),
+            ('null instead of a service', {
+                'service': None, 'split': [{'service': 'notes', 'weight': 1}],
+            }),
+            ('whole float', {'maxAttempts': 2.0}),
+            ('number as text', {'timeoutMs': '3000'}),
+        ]
+    )  # fmt: skip
+    def test_configuration(self, _, terms):
+        data = platform_fakes.configuration(
+            3, [platform_fakes.route('/a/', **terms)]
+        )
+        found = objects.read_configuration(records.Record('main', 1, data, {}))
+        route = found.routes[0]
+        self.assertEqual('notes', route.shares[0].service)
+        self.assertEqual((2, 3.0), (route.max_attempts, route.timeout_seconds))
+
+    @expand([('v1', 'v1'), (None, ''), (2, '2'), (1.2, '1.2')])
+    def test_software_version(self, version, expected):
+        data = {**platform_fakes.Server().entry(), 'version': version}
+        data['address'] = '10.0.0.1:80'
+        found = objects.read_target(records.Record('i-1', 1, data, {}))
+        self.assertEqual(expected, found.software_version)
+
+
 class TestJobs(unittest.TestCase):
     def test_submission_and_page_of_results(self):
         body = platform_fakes.submission(1).encode()
