Soak streams that callers resume beside targets of two versions

The soak had targets of one version, which answered without faults, and no caller resumed a stream. Targets now break off answers in turn, four callers read streams and resume them at any host, and each stream must have the events of one version, each once.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -205,12 +205,14 @@
     :ivar busy: number of running requests
     :ivar leaving: whether each answer states that the server is leaving
     :ivar version: version of its software
+    :ivar names_version: whether each event has the version as its type
     """
 
     def __init__(self, name='i-1', slots=8):
         self.name = name
         self.slots = slots
         self.version = 'v1'
+        self.names_version = False
         self.address = ''
         self.runs = []
         self.finished_ids = []
@@ -297,6 +299,8 @@
                     tasks.cancel_scope.cancel()
                     return False
                 text = f'id: {number}\ndata: {body.decode()}-{number}\n\n'
+                if self.names_version:
+                    text = f'event: {self.version}\n{text}'
                 await send(
                     {
                         'type': 'http.response.body',
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,7 +1,7 @@
 """Soak test: gateway processes that are killed, stopped and frozen.
 
 The faults follow a fixed seed. The store and the targets are stand-ins in the
-test process; no fault is injected into them.
+test process. The targets are of two software versions and break off answers.
 """
 
 import collections
@@ -25,10 +25,20 @@
 from tests import test_store_client
 
 HOSTS = 3
-TARGETS = 3
+TARGETS = 4
+STREAM_CALLERS = 4
+MAX_RESUMES = 6
+RESUME_SECONDS = 0.1
+CUT_AFTER = 2
+CUT_SECONDS = 0.3
+PAUSE_SECONDS = 0.4
 FAULTS = 6
 JOB_ITEMS = 4
 SETTLE_SECONDS = 30.0
+# Other seeds are played by hand, as in SOAK_SEEDS=10:60.
+SEEDS = range(
+    *map(int, os.environ.get('SOAK_SEEDS', '1:3').split(':', maxsplit=1))
+)
 # Minimum load of a run, independent of the speed of the machine. With fewer
 # answers the checks would show little.
 MIN_ANSWERS = 21
@@ -137,12 +147,23 @@
         }
 
 
+def _strip_versions(text):
+    return ''.join(
+        line
+        for line in text.splitlines(keepends=True)
+        if not line.startswith('event: ')
+    )
+
+
 class Load:
     """Callers that record the answers they receive.
 
     :ivar answers: status by request id, for requests that must run only once
     :ivar incomplete: bodies of successful answers that were incomplete
     :ivar accepted: ids of the jobs that were accepted
+    :ivar streams: texts of the streams that ended, by id of their first
+        attempt
+    :ivar resumed: number of streams that went on in another attempt
     :ivar stopping: set to end the load
     """
 
@@ -152,6 +173,8 @@
         self.answers = {}
         self.incomplete = []
         self.accepted = []
+        self.streams = {}
+        self.resumed = 0
         self.stopping = False
 
     async def wait_enough_answers(self):
@@ -177,9 +200,54 @@
                 continue
             if path == '/once/a':
                 self.answers[request_id] = answer.status_code
-            if answer.status_code == 200 and answer.text != expected:
+            text = _strip_versions(answer.text)
+            if answer.status_code == 200 and text != expected:
                 self.incomplete.append(answer.text)
 
+    async def read_streams(self, client, caller):
+        """Read streams, and resume at any host those that break off."""
+        number = 0
+        while not self.stopping:
+            number += 1
+            first_id = f's{caller}-{number}'
+            text = ''
+            for attempt in range(MAX_RESUMES):
+                request_id = f'{first_id}-{attempt}'
+                if not text:
+                    began_id = request_id
+                found, complete = await self._read_stream(
+                    client, request_id, text.count('\n\n'), began_id
+                )
+                self.resumed += bool(text and found)
+                text += found
+                if complete:
+                    break
+                await anyio.sleep(RESUME_SECONDS)
+            self.streams[first_id] = text
+
+    async def _read_stream(self, client, request_id, received, began_id):
+        """Return the whole events of one attempt and whether it ended."""
+        headers = {'Host': platform_fakes.HOST, 'Request-Id': request_id}
+        if received:
+            headers['Last-Event-Id'] = str(received)
+            headers['Resumes'] = began_id
+        text = ''
+        try:
+            async with client.stream(
+                'POST',
+                f'http://{self._rng.choice(self._hosts).address}/notes/s',
+                content='x',
+                headers=headers,
+                timeout=4.0,
+            ) as answer:
+                if answer.status_code != 200:
+                    return '', False
+                async for chunk in answer.aiter_text():
+                    text += chunk
+            return text, True
+        except httpx.HTTPError:
+            return text[: text.rfind('\n\n') + 2] if text else '', False
+
     async def submit_jobs(self, client):
         number = 0
         while not self.stopping:
@@ -229,6 +297,16 @@
     return code if kind == 'stop' else 0
 
 
+async def _break_answers(targets, rng, load):
+    """Let one target after the other break off its answers for a while."""
+    while not load.stopping:
+        server = rng.choice(targets)
+        server.cut_after = CUT_AFTER
+        await anyio.sleep(CUT_SECONDS)
+        server.cut_after = None
+        await anyio.sleep(PAUSE_SECONDS)
+
+
 class TestSignalsAtStart(unittest.TestCase):
     @parameterized.parameterized.expand([(0.15,), (0.4,), (1.0,)])
     def test_process_survives_reload_and_stops_cleanly(self, seconds):
@@ -280,7 +358,7 @@
 
 
 class TestSoak(unittest.TestCase):
-    @parameterized.parameterized.expand([(1,), (2,)])
+    @parameterized.parameterized.expand([(seed,) for seed in SEEDS])
     def test_guarantees_hold_under_faults(self, seed):
         rng = random.Random(seed)
 
@@ -293,8 +371,10 @@
             async with contextlib.AsyncExitStack() as stack:
                 serving = test_store_client.serving
                 address = await stack.enter_async_context(serving(store.app))
-                for server in targets:
-                    server.pace_seconds = 0.02
+                for number, server in enumerate(targets):
+                    server.pace_seconds = 0.06
+                    server.names_version = True
+                    server.version = ('v1', 'v2')[number % 2]
                     server.address = await stack.enter_async_context(
                         serving(server.app)
                     )
@@ -314,6 +394,11 @@
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(load.send_requests, client)
                     tasks.start_soon(load.submit_jobs, client)
+                    tasks.start_soon(
+                        _break_answers, targets, random.Random(seed), load
+                    )
+                    for caller in range(STREAM_CALLERS):
+                        tasks.start_soon(load.read_streams, client, caller)
                     for _ in range(FAULTS):
                         kind = rng.choice(('kill', 'stop', 'freeze', 'all'))
                         affected = (
@@ -326,6 +411,12 @@
                     await load.wait_enough_answers()
                     load.stopping = True
                 self._check_requests(load, targets)
+                self._check_streams(load)
+                print(
+                    f'seed {seed}: {len(load.streams)} streams, '
+                    f'{load.resumed} resumed',
+                    file=sys.stderr,
+                )
                 await self._check_jobs(load, hosts, client)
 
         platform_fakes.run(test)
@@ -341,6 +432,18 @@
             if status in NOT_RUN_STATUSES:
                 self.assertEqual(0, runs[request_id], request_id)
 
+    def _check_streams(self, load):
+        """Each stream has events of one version, none missing or twice."""
+        complete = platform_fakes.TOKENS
+        for first_id, text in load.streams.items():
+            lines = text.splitlines()
+            ids = [line for line in lines if line.startswith('id: ')]
+            expected = [f'id: {n}' for n in range(1, len(ids) + 1)]
+            self.assertEqual(expected, ids, first_id)
+            self.assertLessEqual(len(ids), complete, first_id)
+            versions = {line for line in lines if line.startswith('event: ')}
+            self.assertLessEqual(len(versions), 1, first_id)
+
     async def _check_jobs(self, load, hosts, client):
         self.assertGreaterEqual(len(load.accepted), MIN_ACCEPTED_JOBS)
         for job_id in load.accepted:
