Keep a sound item of persimmonpassd when targets die within its text

During a burst of crashes a sound item got the result lost_targets, a terminal failure, although it is still owed. Cause: each target that died while an item ran there counted against the item, and two of them ended it.

A target that dies after the item got on no longer counts: an item that crashes targets does so again where it resumes, and a sound one grows with each run, so that the number of runs stays bounded. Items that crash targets at the start of a run still end after two (test_item_crashes_at_most_two_targets, unchanged).

TestBurstOfCrashes: before, both cases failed with lost_targets; now the case within the text is done.

--- a/src/persimmonpass/controllers/batch_runner.py
+++ b/src/persimmonpass/controllers/batch_runner.py
@@ -221,7 +221,7 @@
             if outcome is None:
                 chunk.enqueue(pending)
         if outcome is not None and not chunk.is_closed:
-            await self._handle_outcome(target, spec, chunk, pending, outcome)
+            await self._handle_outcome(target, spec, running, outcome)
 
     async def _stream(
         self,
@@ -257,11 +257,11 @@
         self,
         target: blackboard.Target,
         spec: objects.ServiceSpec,
-        chunk: batch_chunk.Chunk,
-        pending: batch_chunk.PendingItem,
+        running: _RunningItem,
         outcome: Outcome,
     ) -> None:
         """Record the outcome of an attempt or queue the item again."""
+        chunk, pending = running.chunk, running.pending
         if isinstance(outcome, result.Ok):
             self._backoff = BACKOFF_SECONDS
             pending.attempts += 1
@@ -272,12 +272,17 @@
         if failure.verdict == verdicts.Verdict.NOT_RUN:
             chunk.enqueue(pending)
             return
-        pending.attempts += 1
-        # The item may have crashed a target that does not answer.
         report = await self._ports.engines.report(target)
-        if isinstance(report, result.Err):
+        is_lost = isinstance(report, result.Err)
+        if is_lost:
             self._is_target_lost = True
+            if running.tokens:
+                # An item that crashes targets does so again where it resumes.
+                # One that got on is sound, and its text grows each time.
+                chunk.enqueue(pending)
+                return
             pending.lost += 1
+        pending.attempts += 1
         if pending.lost >= batch_chunk.MAX_LOST_TARGETS:
             message = f'{pending.lost} targets died on it'
             self._finish(
@@ -287,7 +292,7 @@
             cause = failure.event.name
             message = failure.message
             self._finish(chunk, pending, jobs.ITEM_FAILED, message, cause)
-        elif isinstance(report, result.Err):
+        elif is_lost:
             if await chunk.commit_lost_target(pending):
                 chunk.enqueue(pending)
         else:
--- a/tests/test_batch_faults.py
+++ b/tests/test_batch_faults.py
@@ -244,6 +244,33 @@
         batch_fakes.run(scenario, targets=4)
 
 
+class TestBurstOfCrashes(unittest.TestCase):
+    """Targets that crash for other reasons than the items they run."""
+
+    @parameterized.parameterized.expand(
+        [('within its text', 1.0), ('before its first piece', 0.0)]
+    )
+    def test_sound_item_is_done_after_two_targets_died_under_it(
+        self, _, seconds
+    ):
+        async def scenario(fleet):
+            (await fleet.hosts[0].submit(1, max_tokens=400)).unwrap()
+            for _ in range(2):
+                await fleet.wait(lambda: any(fleet.engines.running.values()))
+                await anyio.sleep(seconds)
+                fleet.engines.dead.update(+fleet.engines.running)
+                await fleet.wait(
+                    lambda: not any(fleet.engines.running.values())
+                )
+            await anyio.sleep(1)
+            fleet.engines.dead.clear()
+            results, _ = await fleet.finish(1)
+            found = [(row.status, row.cause) for row in results.values()]
+            self.assertEqual([(jobs.ITEM_DONE, '')], found)
+
+        batch_fakes.run(scenario, targets=4)
+
+
 class TestSubmit(unittest.TestCase):
     """Submissions that are repeated, concurrent or refused."""
 
