--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -34,6 +34,25 @@
 
         fakes.run(run)
 
+    def check_all_in_time(self, size, seeds, bound_seconds, disturb, count=0):
+        """Check that a version that is written in a disturbance arrives.
+
+        :param disturb: disturbs a fleet and writes version 1
+        :param count: number of hosts, the first ones, that need not have it
+        """
+        late = {}
+
+        async def test(fleet):
+            await disturb(fleet)
+            await anyio.sleep(bound_seconds)
+            hosts = fleet.late_hosts(1, fleet.names[count:])
+            if hosts:
+                late[seed] = hosts
+
+        for seed in range(seeds):
+            self.run_fleet(size, seed, test)
+        self.assertEqual({}, late)
+
     @expand(
         [
             ('small', SMALL, 3.0, 40),
@@ -44,19 +63,12 @@
     def test_version_arrives_after_open_connections_go_silent(
         self, _, size, bound_seconds, seeds
     ):
-        late = {}
-
-        async def test(fleet):
+        async def disturb(fleet):
             fleet.silence_open_connections()
             await anyio.sleep(0.05)
             fleet.write(1)
-            await anyio.sleep(bound_seconds)
-            if fleet.late_hosts(1):
-                late[seed] = fleet.late_hosts(1)
 
-        for seed in range(seeds):
-            self.run_fleet(size, seed, test)
-        self.assertEqual({}, late)
+        self.check_all_in_time(size, seeds, bound_seconds, disturb)
 
     @expand(
         [
@@ -70,20 +82,12 @@
     def test_version_arrives_while_the_watchers_lose_the_store(
         self, _, size, count, bound_seconds, seeds
     ):
-        late = {}
-
-        async def test(fleet):
+        async def disturb(fleet):
             for name in fleet.names[:count]:
                 fleet.access[name].is_silent = True
             fleet.write(1)
-            await anyio.sleep(bound_seconds)
-            undisturbed = fleet.names[count:]
-            if fleet.late_hosts(1, undisturbed):
-                late[seed] = fleet.late_hosts(1, undisturbed)
 
-        for seed in range(seeds):
-            self.run_fleet(size, seed, test)
-        self.assertEqual({}, late)
+        self.check_all_in_time(size, seeds, bound_seconds, disturb, count)
 
     @expand(
         [
@@ -96,22 +100,16 @@
         self, _, size, bound_seconds, seeds
     ):
         """Watches bring nothing for a second; then their history is gone."""
-        late = {}
 
-        async def test(fleet):
+        async def disturb(fleet):
             fleet.memory.silent_watches = True
             await anyio.sleep(random.random())
             fleet.write(1)
             await anyio.sleep(1 - random.random())
             fleet.memory.forget_history()
             fleet.memory.silent_watches = False
-            await anyio.sleep(bound_seconds)
-            if fleet.late_hosts(1):
-                late[seed] = fleet.late_hosts(1)
 
-        for seed in range(seeds):
-            self.run_fleet(size, seed, test)
-        self.assertEqual({}, late)
+        self.check_all_in_time(size, seeds, bound_seconds, disturb)
 
 
 if __name__ == '__main__':
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -67,6 +67,14 @@
 
 
 class TestStreams(unittest.TestCase):
+    async def check_goes_on(self, fleet, number, host):
+        """Resume stream ``r<number>`` and check the versions of its runs."""
+        began, resumed = f'r{number}', f's{number}'
+        answer = await resume(fleet, resumed, began, host)
+        self.assertEqual(200, answer.status_code)
+        self.assertTrue(answer.text.startswith(f'id: {CUT_AFTER + 1}\n'))
+        self.assertEqual(1, len(versions_of(fleet, began, resumed)))
+
     def test_host_resumes_a_stream_at_the_same_version(self):
         async def test():
             async with platform_fakes.fleet(
@@ -115,14 +123,8 @@
                     set_versions(fleet, 'v1', 'v2')
                     await anyio.sleep(0.3)
                     for number in range(STREAMS):
-                        began, resumed = f'r{number}', f's{number}'
-                        await break_stream(fleet, began)
-                        answer = await resume(fleet, resumed, began, host)
-                        self.assertEqual(200, answer.status_code)
-                        self.assertTrue(answer.text.startswith('id: 3\n'))
-                        self.assertEqual(
-                            1, len(versions_of(fleet, began, resumed))
-                        )
+                        await break_stream(fleet, f'r{number}')
+                        await self.check_goes_on(fleet, number, host)
 
         platform_fakes.run(test)
 
@@ -138,12 +140,7 @@
                 await fleet.start_host('two', fleet.store_address)
                 await platform_fakes.wait_until_connected(fleet)
                 for number in range(STREAMS):
-                    began, resumed = f'r{number}', f's{number}'
-                    answer = await resume(fleet, resumed, began, 'two')
-                    self.assertEqual(200, answer.status_code)
-                    self.assertEqual(
-                        1, len(versions_of(fleet, began, resumed))
-                    )
+                    await self.check_goes_on(fleet, number, 'two')
 
         platform_fakes.run(test)
 
@@ -162,12 +159,7 @@
                 with anyio.fail_after(5):
                     await fleet.stopped['one'].wait()
                 for number in range(STREAMS):
-                    began, resumed = f'r{number}', f's{number}'
-                    answer = await resume(fleet, resumed, began, 'two')
-                    self.assertEqual(200, answer.status_code)
-                    self.assertEqual(
-                        1, len(versions_of(fleet, began, resumed))
-                    )
+                    await self.check_goes_on(fleet, number, 'two')
 
         platform_fakes.run(test)
 
@@ -183,10 +175,7 @@
                 set_versions(fleet, 'v1', 'v2')
                 await anyio.sleep(0.3)
                 for number in range(STREAMS):
-                    began, resumed = f'r{number}', f's{number}'
-                    answer = await resume(fleet, resumed, began, 'two')
-                    self.assertEqual(200, answer.status_code)
-                    self.assertEqual({'v1'}, versions_of(fleet, resumed))
+                    await self.check_goes_on(fleet, number, 'two')
 
         platform_fakes.run(test)
 
