Give the hosts of a soak different ports

Cause: each host drew free ports, but a host that starts has not bound its own ones yet, so that the next one could draw them too.

Hosts now take ports in turn from a range that belongs to the run.

--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -6,10 +6,13 @@
 
 import collections
 import contextlib
+import functools
+import itertools
 import os
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -45,6 +48,7 @@
 MIN_ACCEPTED_JOBS = 3
 # Below the range from which systems assign ports to outgoing connections.
 PORTS = range(20_000, 30_000)
+PORTS_PER_RUN = 100
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 LAUNCHER = str(processes.ROOT / 'deploy' / 'launch.py')
 # Script that runs the launcher and sends it SIGTERM at a call made at start.
@@ -123,18 +127,40 @@
         self._process.wait()
 
 
+@functools.cache
+def _reserve_ports():
+    """Return ports that no other run of these tests uses meanwhile.
+
+    The ports of a host that is down are free, and a run beside this one could
+    take them. The first port of the range is kept bound.
+
+    :returns: an endless iterator of ports, each of which has a free next one,
+        and the socket that keeps the range
+    """
+    starts = list(PORTS[::PORTS_PER_RUN])
+    random.shuffle(starts)
+    for start in starts:
+        try:
+            guard = socket.create_server(('127.0.0.1', start))
+        except OSError:
+            continue
+        ports = range(start + 2, start + PORTS_PER_RUN, 2)
+        return itertools.cycle(ports), guard
+    raise RuntimeError(f'expected a free range in {PORTS}, found none')
+
+
 def _free_addresses():
     """Return free addresses; the two ports of the range are consecutive.
 
-    A restarted host binds the same addresses again. Ports from the range that
-    the system assigns to connections could be taken by another test meanwhile.
+    A restarted host binds the same addresses again. Hosts of one test get
+    different ports, as a host that starts has not bound its own ones yet.
     """
+    ports, _ = _reserve_ports()
     while True:
-        ports = random.sample(PORTS, 3)
-        front, entry, peer = ports
+        front, entry, peer = itertools.islice(ports, 3)
         with contextlib.ExitStack() as stack:
             try:
-                for port in (*ports, peer + 1):
+                for port in (front, entry, peer, peer + 1):
                     held = servers.listen(f'127.0.0.1:{port}')
                     stack.enter_context(contextlib.closing(held))
             except OSError:
