--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -181,7 +181,7 @@
 
     @expand(
         [
-            # versions of the servers, whether the entries name them
+            # versions of the servers, expected status
             ('two versions', ('v1', 'v2'), 503),
             ('one version', ('v1', 'v1'), 200),
             ('no version named', ('', ''), 503),
