--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -57,7 +57,7 @@
         [
             ('small', SMALL, 3.0, 40),
             ('medium', MEDIUM, 3.0, 40),
-            ('large', LARGE, 4.0, 5),
+            ('large', LARGE, 4.0, 10),
         ]
     )
     def test_version_arrives_after_open_connections_go_silent(
