Log lists that change a copy, ignored updates and repeated reads

The logs could not tell apart whether a host heard of a version from a list of its own or from a peer, whether it dropped what a peer sent, and where a repeated read spent its time. No logic changes.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -392,6 +392,16 @@
         """
         if self._listed and before <= self.version < version:
             self._apply(records.Snapshot(version, changed), is_complete=False)
+        elif self.version < version:
+            events.log(
+                events.UPDATES_IGNORED,
+                host=self._host,
+                kind=self._kind,
+                version=self.version,
+                before=before,
+                after=version,
+                is_listing=not self._listed,
+            )
 
     def apply_record(self, found: records.Record) -> None:
         """Add a record that this host wrote or read itself."""
@@ -432,6 +442,15 @@
             self._last_change_version = found.version
         self._update_behind()
         if changed:
+            if is_complete:
+                events.log(
+                    events.COPY_LISTED,
+                    host=self._host,
+                    kind=self._kind,
+                    before=before,
+                    version=self.version,
+                    changed=len(changed),
+                )
             self._on_change(changed)
         if found.records and not is_complete and self._sends_updates():
             rows = [list(record) for record in found.records]
--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -132,7 +132,16 @@
             kind=args[0],
             ms=round(1000 * elapsed),
         )
-        return await self._read_again(name, args) or outcome
+        answered = await self._read_again(name, args)
+        events.log(
+            events.READ_REPEATED,
+            host=self._host,
+            call=name,
+            kind=args[0],
+            ms=round(1000 * (anyio.current_time() - began - elapsed)),
+            outcome='none' if answered is None else _outcome_name(answered),
+        )
+        return answered or outcome
 
     async def _read_again(
         self, name: str, args: tuple[typing.Any, ...]
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -182,6 +182,25 @@
     'A read of the store was not answered in time; it is made again on a new '
     'connection and through peers.',
 )
+UPDATES_IGNORED = Event(
+    216,
+    'updates_ignored',
+    Level.INFO,
+    'Changes that a peer sent were not applied, because this host lacks '
+    'earlier ones.',
+)
+READ_REPEATED = Event(
+    217,
+    'read_repeated',
+    Level.INFO,
+    'A read that was not answered has been made again, with this outcome.',
+)
+COPY_LISTED = Event(
+    218,
+    'copy_listed',
+    Level.INFO,
+    'All objects of a kind were listed, which changed some of them here.',
+)
 LEDGER_OPENED = Event(
     211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
 )
