Test how soon a version arrives after silence and a dropped history

Links between hosts and to the store go silent, two idle connections of each host to the store too, while the store is slow and holds its watches; then it drops its history.

--- a/tests/record_fakes.py
+++ b/tests/record_fakes.py
@@ -16,6 +16,8 @@
     :ivar port: the store's calls
     :ivar outage: every call fails before it has an effect
     :ivar silent_watches: watches return no changes
+    :ivar holds_watches: watches are not answered until
+        :meth:`forget_history` cuts them
     :ivar faults: faults of the next writes, in order; ``None`` for a write
         without a fault
     :ivar delayed: writes whose answer was lost and which
@@ -28,6 +30,7 @@
         self.version = 1
         self.outage = False
         self.silent_watches = False
+        self.holds_watches = False
         self.faults = collections.deque()
         self.delayed = []
         self.calls = collections.Counter()
@@ -60,6 +63,7 @@
     def forget_history(self):
         """Drop the history, so that watches from older versions fail."""
         self._history_start = self.version
+        self.holds_watches = False
         self._log.clear()
         self._notify_watches()
 
@@ -166,13 +170,17 @@
             return result.Err(store.unavailable('outage'))
         changed = []
         with anyio.move_on_after(seconds):
-            while True:
+            while not self.holds_watches:
                 if version < self._history_start:
                     return result.Err(records.history_lost(kind))
                 changed = self._changes_after(kind, version)
                 if changed:
                     break
                 await self._changed.wait()
+        if self.holds_watches:
+            while self.holds_watches:
+                await self._changed.wait()
+            return result.Err(store.unavailable('the watch was cut'))
         # A change at the very end of the wait belongs to the answer.
         changed = changed or self._changes_after(kind, version)
         if not self.silent_watches:
--- a/tests/spread_fakes.py
+++ b/tests/spread_fakes.py
@@ -70,11 +70,14 @@
     """One host's calls to the store, with the timeouts of the real client.
 
     :ivar is_silent: whether calls are never answered, those in progress too
+    :ivar answer_seconds: how long the store takes to answer
     """
 
     def __init__(self, memory):
         self.is_silent = False
+        self.answer_seconds = STORE_SECONDS
         self._open = set()
+        self._silent_kept_connections = 0
         self.port = records.RecordPort(
             *(
                 self._make(name, getattr(memory.port, name))
@@ -82,8 +85,13 @@
             )
         )
 
-    def silence_open_calls(self):
-        """Let the calls in progress go unanswered; new ones are answered."""
+    def silence_open_calls(self, kept_connections=0):
+        """Let the calls in progress go unanswered.
+
+        :param kept_connections: number of idle connections, each of which
+            takes the next call and goes unanswered too
+        """
+        self._silent_kept_connections = kept_connections
         for silenced in self._open:
             silenced.set()
 
@@ -98,11 +106,14 @@
                 await anyio.sleep(CONNECT_TIMEOUT_SECONDS)
                 return result.Err(store.unavailable('no connection'))
             silenced = anyio.Event()
+            if self._silent_kept_connections:
+                self._silent_kept_connections -= 1
+                silenced.set()
             self._open.add(silenced)
             try:
                 with anyio.move_on_after(limit):
                     answer = await inner(*args)
-                    await anyio.sleep(STORE_SECONDS)
+                    await anyio.sleep(self.answer_seconds)
                     if silenced.is_set() or self.is_silent:
                         await anyio.sleep_forever()
                     return answer
@@ -180,8 +191,11 @@
         """Write a version of the configuration, as an operator."""
         self.memory.put(KIND, NAME, {'version': version})
 
-    def silence_open_connections(self):
-        """Let all open connections go silent; new ones work."""
+    def silence_open_connections(self, kept_connections=0):
+        """Let all open connections go silent; new ones work.
+
+        :param kept_connections: idle connections of each host to the store
+        """
         self._links.silent_links = {
             (host, other)
             for host in self.names
@@ -189,7 +203,12 @@
             if host != other
         }
         for access in self.access.values():
-            access.silence_open_calls()
+            access.silence_open_calls(kept_connections)
+
+    def slow_store(self, answer_seconds=STORE_SECONDS):
+        """Let the store take this long to answer each call."""
+        for access in self.access.values():
+            access.answer_seconds = answer_seconds
 
     def late_hosts(self, version, hosts=None):
         """Return those of the hosts that do not have a version yet."""
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -111,6 +111,33 @@
 
         self.check_all_in_time(size, seeds, bound_seconds, disturb)
 
+    @expand(
+        [
+            ('small', SMALL, 3.0, 20),
+            ('medium', MEDIUM, 3.0, 20),
+            ('large', LARGE, 4.0, 3),
+        ]
+    )
+    def test_version_arrives_after_silence_and_a_dropped_history(
+        self, _, size, bound_seconds, seeds
+    ):
+        """Links go silent while the store is slow and holds its watches."""
+
+        async def disturb(fleet):
+            fleet.slow_store(0.3)
+            await anyio.sleep(random.random())
+            fleet.silence_open_connections(kept_connections=2)
+            await anyio.sleep(0.3 * random.random())
+            fleet.memory.holds_watches = True
+            written_after = random.random()
+            await anyio.sleep(written_after)
+            fleet.write(1)
+            await anyio.sleep(1 - written_after)
+            fleet.memory.forget_history()
+            fleet.slow_store()
+
+        self.check_all_in_time(size, seeds, bound_seconds, disturb)
+
 
 if __name__ == '__main__':
     unittest.main()
