Send the changes that a list finds to the other hosts

Callers got 404 for a route that had been acknowledged. Cause: when the store drops its history, a host lists all objects, and the changes that the list brought were sent to nobody; each other host had to find them itself, over connections that may be silent and a store that may be slow.

The change between the copy before a list and the list is complete, so that it is sent like the answer to a watch. Both new tests failed before.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -452,16 +452,37 @@
                     changed=len(changed),
                 )
             self._on_change(changed)
-        if found.records and not is_complete and self._sends_updates():
-            rows = [list(record) for record in found.records]
-            peer_port.broadcast(
-                self._peers,
-                METHOD_UPDATES,
-                [self._kind, before, self.version, rows],
-                self._replica_hosts(),
-            )
+        if is_complete:
+            # The watchers may not know of these changes, so that this host
+            # sends them even if it is not the first one with a copy.
+            if before:
+                self._send_updates(before, changed)
+        elif self._sends_updates():
+            self._send_updates(before, found.records)
         self.ready.set()
 
+    def _send_updates(
+        self, before: int, changed: list[records.Record]
+    ) -> None:
+        """Send changes to the hosts that keep a copy.
+
+        :param before: version of this copy before the changes
+        :param changed: all records that changed since then
+        """
+        if not changed:
+            return
+        peer_port.broadcast(
+            self._peers,
+            METHOD_UPDATES,
+            [
+                self._kind,
+                before,
+                self.version,
+                [list(record) for record in changed],
+            ],
+            self._replica_hosts(),
+        )
+
 
 async def broadcast_freshness(
     mirrors: collections.abc.Mapping[str, Mirror],
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -105,6 +105,28 @@
 
         self.run_hosts(hosts, test)
 
+    @expand(
+        [
+            ('put', lambda memory: memory.put(KIND, 'b', {}), {'a', 'b'}),
+            ('removed', lambda memory: memory.remove(KIND, 'a'), set()),
+        ]
+    )
+    def test_what_a_list_finds_reaches_the_followers_at_once(
+        self, _, change, expected
+    ):
+        hosts = Hosts(['one', 'two', 'three', 'four'])
+        hosts.memory.put(KIND, 'a', {})
+
+        async def test():
+            await anyio.sleep(5)
+            change(hosts.memory)
+            hosts.memory.forget_history()
+            await anyio.sleep(0.05)
+            for name in hosts.mirrors:
+                self.assertEqual(expected, hosts.names(name))
+
+        self.run_hosts(hosts, test)
+
     def test_few_hosts_call_the_store(self):
         hosts = Hosts([f'host-{number}' for number in range(8)])
 
