Apply the changes of peers while an own list is not answered

Cause: after a host learned that its history was gone, it ignored what peers sent until its own list was answered, although its copy is complete up to a known version and changes that begin there fit. A list on a silent connection takes seconds.

The new test failed before.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -390,7 +390,7 @@
         :param version: version of its copy after them
         :param changed: the changed records
         """
-        if self._listed and before <= self.version < version:
+        if before <= self.version < version:
             self._apply(records.Snapshot(version, changed), is_complete=False)
         elif self.version < version:
             events.log(
@@ -400,7 +400,6 @@
                 version=self.version,
                 before=before,
                 after=version,
-                is_listing=not self._listed,
             )
 
     def apply_record(self, found: records.Record) -> None:
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -127,6 +127,26 @@
 
         self.run_hosts(hosts, test)
 
+    def test_peers_are_heard_while_a_list_is_not_answered(self):
+        hosts = Hosts(['one', 'two', 'three', 'four'])
+
+        async def test():
+            await anyio.sleep(5)
+            watcher = next(
+                name
+                for name, copy in hosts.mirrors.items()
+                if copy.reads_store
+            )
+            hosts.mirrors[watcher]._port = hosts.memory.port._replace(
+                list=_never_returns
+            )
+            hosts.memory.put(KIND, 'b', {})
+            hosts.memory.forget_history()
+            await anyio.sleep(0.05)
+            self.assertEqual({'b'}, hosts.names(watcher))
+
+        self.run_hosts(hosts, test)
+
     def test_few_hosts_call_the_store(self):
         hosts = Hosts([f'host-{number}' for number in range(8)])
 
