Let the store fake report history that is lost at the end of a watch

Cause: a watch of the fake whose wait ended at the moment at which history was dropped was answered without changes but with the newest version, so that the change was lost for good. It now fails as lost history, as it does a moment later.

--- a/tests/record_fakes.py
+++ b/tests/record_fakes.py
@@ -181,6 +181,8 @@
             while self.holds_watches:
                 await self._changed.wait()
             return result.Err(store.unavailable('the watch was cut'))
+        if version < self._history_start:
+            return result.Err(records.history_lost(kind))
         # A change at the very end of the wait belongs to the answer.
         changed = changed or self._changes_after(kind, version)
         if not self.silent_watches:
