Make a repeated read without waiting for changes, at all peers at once

Cause: a read of the store that was not answered was made again through peers one after the other, as a watch that waits for changes, although each peer's watch may be held up as well.

--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import functools
 import random
 import typing
 
@@ -148,14 +149,15 @@
     ) -> Answer | None:
         """Make a read again, directly and through peers at the same time.
 
-        The direct call does not wait for changes.
+        None of the calls waits for changes: a peer's watch may be held up
+        like the one that was not answered.
 
         :returns: the first answer, ``None`` if there is none
         """
         first: Answer | None = None
+        again = (*args[:2], 0.0) if name == 'watch' else args
 
         async def call_directly() -> Answer | None:
-            again = (*args[:2], 0.0) if name == 'watch' else args
             outcome = await self._call_direct(name, again)
             return None if self._is_outage(outcome) else outcome
 
@@ -172,7 +174,11 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(attempt, call_directly)
-            tasks.start_soon(attempt, lambda: self._call_peers(name, args))
+            for peer in self._pick_peers():
+                tasks.start_soon(
+                    attempt,
+                    functools.partial(self._call_peer, peer, name, again),
+                )
         return first
 
     async def _call_peers(
@@ -182,14 +188,17 @@
 
         :returns: the first answer, ``None`` if there is none
         """
-        peers = self._peers.connected()
-        random.shuffle(peers)
-        for peer in peers[:MAX_PEERS]:
+        for peer in self._pick_peers():
             answered = await self._call_peer(peer, name, args)
             if answered is not None:
                 return answered
         return None
 
+    def _pick_peers(self) -> list[str]:
+        peers = self._peers.connected()
+        random.shuffle(peers)
+        return peers[:MAX_PEERS]
+
     def _can_call_directly(self) -> bool:
         if self._failed_at is None:
             return True
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -18,6 +18,7 @@
 from persimmonpass.platform import objects
 from persimmonpass.policy import watching
 from persimmonpass import records
+from persimmonpass import store
 from persimmonpass import verdicts
 from tests import fakes
 from tests import platform_fakes
@@ -359,6 +360,36 @@
 
         fakes.run(test)
 
+    def test_repeated_read_waits_for_no_change_and_no_silent_peer(self):
+        timeout_seconds = 1.8
+        memory = record_fakes.MemoryRecords()
+        network = fakes.Network()
+
+        async def time_out(*_):
+            await anyio.sleep(timeout_seconds)
+            return result.Err(store.unavailable('timeout'))
+
+        silent = memory.port._replace(watch=time_out)
+        relays = {}
+        for name, port in (
+            ('silent', silent),
+            ('also silent', silent),
+            ('well', memory.port),
+        ):
+            relays[name] = store_relay.StoreRelay(
+                name, port, network.port(name)
+            )
+            network.handlers[name] = relays[name].handlers
+
+        async def test():
+            began = anyio.current_time()
+            watched = await relays['silent'].port.watch(KIND, 1, 1.0)
+            self.assertIsInstance(watched, result.Ok)
+            elapsed = anyio.current_time() - began
+            self.assertLess(elapsed, timeout_seconds + 0.1)
+
+        fakes.run(test)
+
     @expand([(fakes.LOST_ANSWER,), (fakes.LOST_REQUEST,)])
     def test_lost_answer_through_a_peer_is_unknown(self, fault):
         memory, relay = self.connect()
