Open new connections to the store after a read has timed out

Cause: after all connections went silent, the idle ones in the pool stayed in use. Each took one further call and let it time out, also the repeated read that is meant for a new connection.

The pool is replaced after a time-out. The new test fails with that line taken out: four requests time out instead of one.

--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -47,6 +47,7 @@
 from persimmonpass.targets import opaque
 from persimmonpass.targets import pools
 from persimmonpass import tracing
+from persimmonpass import transports
 
 RUN_ID_DIGITS = 12
 # Some callers keep an entry answer for up to three times its TTL.
@@ -161,15 +162,20 @@
         limits = httpx.Limits(
             max_connections=MAX_STORE_CONNECTIONS, keepalive_expiry=10.0
         )
+        context = pools.make_plain_http_context()
+
+        def make_store_pool() -> httpx.AsyncHTTPTransport:
+            return httpx.AsyncHTTPTransport(
+                verify=context, limits=limits, trust_env=False
+            )
+
         self._targets = opaque.TargetClient(
             self._platform.wire,
             lambda target: self._catalog.mark_leaving(target),
         )
         async with (
             httpx.AsyncClient(
-                limits=limits,
-                trust_env=False,
-                verify=pools.make_plain_http_context(),
+                transport=transports.RenewingTransport(make_store_pool)
             ) as client,
             anyio.create_task_group() as tasks,
         ):
