Send all records since the copy before a list, not only those that are new here

Nine results of a job had been read, and edge-embakasi-1 and edge-kasarani-3 had none at position 4. The host that listed was the batch runner, which knew the records that it had written itself, so that they were missing from the changes that it sent; the others took the version and lacked the records for good.

The changes are now taken from the list by their versions. The new test failed three times of three before.

--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -455,7 +455,17 @@
             # The watchers may not know of these changes, so that this host
             # sends them even if it is not the first one with a copy.
             if before:
-                self._send_updates(before, changed)
+                self._send_updates(
+                    before,
+                    [
+                        *(
+                            row
+                            for row in found.records
+                            if row.version > before
+                        ),
+                        *(row for row in changed if row.deleted),
+                    ],
+                )
         elif self._sends_updates():
             self._send_updates(before, found.records)
         self.ready.set()
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -128,6 +128,32 @@
 
         self.run_hosts(hosts, test)
 
+    def test_list_of_a_writer_brings_its_own_records_to_the_followers(self):
+        hosts = Hosts(['one', 'two', 'three', 'four'])
+
+        async def test():
+            await anyio.sleep(5)
+            writer = next(
+                copy for copy in hosts.mirrors.values() if copy.reads_store
+            )
+            for copy in hosts.mirrors.values():
+                if copy is not writer:
+                    copy._port = hosts.memory.port._replace(
+                        list=_never_returns
+                    )
+            hosts.memory.silent_watches = True
+            for name in ('b', 'c'):
+                hosts.memory.put(KIND, name, {})
+                writer.apply_record(hosts.memory.rows[KIND, name])
+            hosts.memory.put(KIND, 'd', {})
+            hosts.memory.silent_watches = False
+            hosts.memory.forget_history()
+            await anyio.sleep(2)
+            for name in hosts.mirrors:
+                self.assertEqual({'b', 'c', 'd'}, hosts.names(name))
+
+        self.run_hosts(hosts, test)
+
     def test_peers_are_heard_while_a_list_is_not_answered(self):
         hosts = Hosts(['one', 'two', 'three', 'four'])
 
