Refuse requests that share a part of a prompt which crashes targets

Cause: a request that crashes targets was known by its whole body only; requests that differ but share a part of their prompt each crashed up to two targets anew.

Each host now tells its peers of the runs that broke under a crash, with the parts that other requests may share, and of answers to suspected parts. Items wait and stay owed.

--- /dev/null
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -0,0 +1,265 @@
+"""Refuses requests with a part of a prompt that crashes targets.
+
+Each host notifies its peers of the runs that broke under a crash and of the
+answers to runs with a suspected part, so that all hosts come to the same
+decision. The refused parts are sent again and again, for hosts that have
+started since or missed a notice.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import anyio
+
+from persimmonpass import events
+from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import crash_parts as policy
+from persimmonpass.policy import shards
+
+METHOD_BROKE = 'parts.broke'
+METHOD_ANSWERED = 'parts.answered'
+METHOD_REFUSED = 'parts.refused'
+RETENTION_SECONDS = 120.0
+SPREAD_SECONDS = 1.0
+MAX_RUNS = 1_000
+MAX_PARTS = 20_000
+MAX_REFUSED = 200
+# Parts of one prompt that are looked at, and the length of an id.
+MAX_PARTS_OF_PROMPT = 16
+MAX_ID_LENGTH = 64
+
+Hosts = collections.abc.Callable[[], collections.abc.Iterable[str]]
+
+
+class _Refused:
+    """A part that is refused.
+
+    :ivar since: local clock at the decision, in seconds
+    :ivar trials: number of trials since then
+    :ivar next_trial_at: local clock at the next trial, in seconds
+    """
+
+    def __init__(self, since: float, trials: int) -> None:
+        self.since = since
+        self.trials = trials
+        self.next_trial_at = anyio.current_time() + policy.trial_pause(trials)
+
+
+class CrashParts:
+    """The parts that crash targets, and the evidence for them."""
+
+    def __init__(
+        self,
+        host: str,
+        peers: peer_port.PeerPort,
+        hosts: Hosts,
+        audience: peer_port.Audience = peer_port.all_hosts,
+    ) -> None:
+        """Create an empty table.
+
+        :param hosts: returns the hosts that serve callers; one of them tries
+            whether a refused part still crashes targets
+        :param audience: returns the hosts that are notified
+        """
+        self._host = host
+        self._peers = peers
+        self._hosts = hosts
+        self._audience = audience
+        self._runs: collections.deque[policy.BrokenRun] = collections.deque(
+            maxlen=MAX_RUNS
+        )
+        self._answered: collections.OrderedDict[str, policy.Answered] = (
+            collections.OrderedDict()
+        )
+        self._refused: dict[str, _Refused] = {}
+        self._refused_added = anyio.Event()
+
+    @property
+    def handlers(self) -> peer_port.Handlers:
+        """Handlers of notices from peers, by method."""
+        return {
+            METHOD_BROKE: peer_port.NoticeHandler(self._handle_broke),
+            METHOD_ANSWERED: peer_port.NoticeHandler(self._handle_answered),
+            METHOD_REFUSED: peer_port.NoticeHandler(self._handle_refused),
+        }
+
+    async def run(self) -> None:
+        """Send the refused parts to peers until cancelled."""
+        while True:
+            if not self._refused:
+                self._refused_added = anyio.Event()
+                await self._refused_added.wait()
+            self._broadcast(METHOD_REFUSED, self._refused_rows())
+            await anyio.sleep(SPREAD_SECONDS)
+
+    def is_refused(self, parts: collections.abc.Sequence[str]) -> bool:
+        """Return whether a request must not run now.
+
+        :param parts: ids of all parts of its prompt, in order
+        """
+        now = anyio.current_time()
+        return any(
+            now < refused.next_trial_at or not self._tries(part)
+            for part, refused in self._find_refused(parts)
+        )
+
+    def admit(self, parts: collections.abc.Sequence[str]) -> bool:
+        """Return whether a request may be sent to a target now.
+
+        If it has a refused part, sending it is the trial of that part.
+
+        :param parts: ids of all parts of its prompt, in order
+        """
+        if self.is_refused(parts):
+            return False
+        for part, refused in self._find_refused(parts):
+            refused.trials += 1
+            refused.next_trial_at = anyio.current_time() + policy.trial_pause(
+                refused.trials
+            )
+            self._broadcast(METHOD_REFUSED, self._refused_rows())
+            events.log(
+                events.PART_TRIED,
+                host=self._host,
+                part=part,
+                trials=refused.trials,
+            )
+        return True
+
+    def record_crash(
+        self,
+        request_id: str,
+        target: str,
+        parts: collections.abc.Sequence[str],
+        seconds: float,
+    ) -> None:
+        """Record that a target crashed before it answered a run.
+
+        :param target: name of the target
+        :param parts: ids of all parts of the run's prompt, in order
+        :param seconds: time from sending the run to the crash
+        """
+        shared = _shared(parts)
+        if shared:
+            row = [request_id, target, shared, seconds]
+            self._broadcast(METHOD_BROKE, row)
+            self._add_crash(request_id, target, shared, seconds)
+
+    def record_answer(self, parts: collections.abc.Sequence[str]) -> None:
+        """Record that a target has answered a run.
+
+        :param parts: ids of all parts of the run's prompt, in order
+        """
+        shared = _shared(parts)
+        suspected = [
+            part
+            for part in shared
+            if part in self._refused
+            or any(part in run.parts for run in self._runs)
+        ]
+        self._add_answer(shared)
+        if suspected:
+            self._broadcast(METHOD_ANSWERED, suspected)
+
+    def _find_refused(
+        self, parts: collections.abc.Sequence[str]
+    ) -> list[tuple[str, _Refused]]:
+        if not self._refused:
+            return []
+        return [
+            (part, self._refused[part])
+            for part in _shared(parts)
+            if part in self._refused
+        ]
+
+    def _tries(self, part: str) -> bool:
+        """Return whether this host is the one that tries a refused part."""
+        return shards.owner(part, self._hosts()) == self._host
+
+    def _broadcast(self, method: str, payload: typing.Any) -> None:
+        peer_port.broadcast(self._peers, method, payload, self._audience())
+
+    def _add_crash(
+        self,
+        request_id: str,
+        target: str,
+        shared: tuple[str, ...],
+        seconds: float,
+    ) -> None:
+        now = anyio.current_time()
+        while self._runs and self._runs[0].at < now - RETENTION_SECONDS:
+            self._runs.popleft()
+        if any(part in self._refused for part in shared):
+            return
+        self._runs.append(
+            policy.BrokenRun(request_id, target, shared, now - seconds, now)
+        )
+        cause = policy.find_cause(self._runs, self._answered)
+        if cause is not None:
+            self._refuse(cause, _Refused(now, 0))
+            self._broadcast(METHOD_REFUSED, self._refused_rows())
+
+    def _add_answer(self, shared: collections.abc.Iterable[str]) -> None:
+        now = anyio.current_time()
+        for part in shared:
+            known = self._answered.get(part)
+            runs = known.runs + 1 if known else 1
+            self._answered[part] = policy.Answered(runs, now)
+            self._answered.move_to_end(part)
+            if part in self._refused:
+                del self._refused[part]
+                events.log(events.PART_CLEARED, host=self._host, part=part)
+        while len(self._answered) > MAX_PARTS:
+            self._answered.popitem(last=False)
+
+    def _refuse(self, part: str, refused: _Refused) -> None:
+        """Refuse a part, and drop the crashes that it explains."""
+        self._refused[part] = refused
+        while len(self._refused) > MAX_REFUSED:
+            del self._refused[next(iter(self._refused))]
+        explained = [run for run in self._runs if part in run.parts]
+        for run in explained:
+            self._runs.remove(run)
+        self._refused_added.set()
+        events.log(
+            events.PART_REFUSED,
+            host=self._host,
+            part=part,
+            targets=sorted({run.target for run in explained}),
+        )
+
+    def _refused_rows(self) -> list[list[typing.Any]]:
+        """Return the refused parts for peers, with ages in seconds."""
+        now = anyio.current_time()
+        return [
+            [part, now - refused.since, refused.trials]
+            for part, refused in self._refused.items()
+        ]
+
+    def _handle_broke(self, peer: str, payload: typing.Any) -> None:
+        request_id, target, shared, seconds = payload
+        self._add_crash(request_id, target, tuple(shared), seconds)
+
+    def _handle_answered(self, peer: str, payload: typing.Any) -> None:
+        self._add_answer(payload)
+
+    def _handle_refused(self, peer: str, payload: typing.Any) -> None:
+        now = anyio.current_time()
+        for part, age, trials in payload:
+            cleared = self._answered.get(part)
+            if cleared is not None and cleared.last_at > now - age:
+                continue
+            known = self._refused.get(part)
+            if known is None:
+                self._refuse(part, _Refused(now - age, trials))
+            elif known.trials < trials:
+                self._refused[part] = _Refused(known.since, trials)
+
+
+def _shared(parts: collections.abc.Sequence[str]) -> tuple[str, ...]:
+    """Return the shared parts of a prompt, limited in number and length."""
+    return tuple(
+        part[:MAX_ID_LENGTH]
+        for part in policy.shared_parts(parts)[:MAX_PARTS_OF_PROMPT]
+    )
--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -9,6 +9,7 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import target_stats
 from persimmonpass import events
 from persimmonpass import exchange
@@ -29,6 +30,11 @@
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 SUCCESS = 200
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+# An item with a refused part stays owed; it looks this often whether the part
+# may be tried.
+REFUSED_PART_RETRY_SECONDS = 1.0
 
 
 class LocalItem:
@@ -69,10 +75,12 @@
         host: str,
         targets: opaque.TargetClient,
         stats: target_stats.TargetStats,
+        crashes: crash_parts.CrashParts,
         metrics: gateway_metrics.GatewayMetrics,
     ) -> None:
         self._host = host
         self._targets = targets
+        self._crash_parts = crashes
         self._target_stats = stats
         self._metrics = metrics
 
@@ -92,18 +100,21 @@
         :returns: why the run ended without a result; empty if it gave one
         """
         job_item = job.items[key[1]]
+        headers = _encode_headers(job_item)
         call = exchange.Call(
             job_item.id,
             'POST',
             job.host,
             job_item.path.encode(),
-            [
-                (name.encode('latin-1'), value.encode('latin-1'))
-                for name, value in job_item.headers
-            ],
+            headers,
             job_item.content,
+            prompt_parts=self._targets.read_prompt_parts(headers),
         )
         events_before = len(item.text.texts)
+        if not self._crash_parts.admit(call.prompt_parts):
+            item.not_before = anyio.current_time() + REFUSED_PART_RETRY_SECONDS
+            return 'a part of the prompt crashes targets'
+        began = anyio.current_time()
         async with self._targets.open(
             call,
             target,
@@ -114,7 +125,7 @@
         ) as opened:
             if isinstance(opened, result.Err):
                 return self._record_failure(
-                    item, target, opened.err_value, events_before
+                    call, item, target, opened.err_value, events_before, began
                 )
             answer = opened.ok_value
             head = answer.head
@@ -143,15 +154,18 @@
                 origin = stream_versions.Origin(
                     target.service, target.software
                 )
-                await self._collect(item, answer, origin)
+                await self._collect(call, item, answer, origin)
             except (httpx.HTTPError, TimeoutError, ValueError) as error:
                 failure = verdicts.Failure(
                     verdicts.Verdict.MAY_HAVE_RUN,
                     events.TARGET_FAILED,
                     type(error).__name__,
+                    GATEWAY_TIMEOUT
+                    if isinstance(error, TimeoutError)
+                    else BAD_GATEWAY,
                 )
                 return self._record_failure(
-                    item, target, failure, events_before
+                    call, item, target, failure, events_before, began
                 )
         output = '\n'.join(item.text.texts)
         self.finish(
@@ -166,6 +180,7 @@
 
     async def _collect(
         self,
+        call: exchange.Call,
         item: LocalItem,
         answer: opaque.Answer,
         origin: stream_versions.Origin,
@@ -180,6 +195,7 @@
         """
         reader = exchange.EventReader()
         limit = FIRST_EVENT_TIMEOUT_SECONDS
+        is_answered = False
         while True:
             with anyio.fail_after(limit):
                 chunk = await anext(answer.chunks, None)
@@ -196,15 +212,20 @@
                             f' got event {event.id}'
                         )
                 item.text.add(event.data.decode(), event.id, origin)
+                if not is_answered:
+                    is_answered = True
+                    self._crash_parts.record_answer(call.prompt_parts)
         if reader.has_partial_event:
             raise ValueError('answer ended within an event')
 
     def _record_failure(
         self,
+        call: exchange.Call,
         item: LocalItem,
         target: blackboard.Target,
         failure: verdicts.Failure,
         events_before: int,
+        began: float,
     ) -> str:
         not_run = failure.verdict is verdicts.Verdict.NOT_RUN
         self._target_stats.record_failure(
@@ -212,11 +233,15 @@
         )
         pause = RETRY_SECONDS
         if not not_run:
-            item.broken_runs = (
-                item.broken_runs + 1
-                if len(item.text.texts) == events_before
-                else 0
-            )
+            has_answered = len(item.text.texts) > events_before
+            if not has_answered and failure.status == BAD_GATEWAY:
+                self._crash_parts.record_crash(
+                    call.id,
+                    target.name,
+                    call.prompt_parts,
+                    anyio.current_time() - began,
+                )
+            item.broken_runs = 0 if has_answered else item.broken_runs + 1
             pause = batch_scheduling.retry_pause(item.broken_runs)
         item.not_before = anyio.current_time() + pause
         return failure.message
@@ -266,3 +291,10 @@
             cause=cause,
             events=len(item.text.texts),
         )
+
+
+def _encode_headers(item: job_records.Item) -> exchange.Headers:
+    return [
+        (name.encode('latin-1'), value.encode('latin-1'))
+        for name, value in item.headers
+    ]
--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -18,6 +18,7 @@
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
 from persimmonpass.controllers import catalog
+from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import item_attempt
 from persimmonpass.controllers import job_log
 from persimmonpass.controllers import occupancy
@@ -77,6 +78,7 @@
     occupied: occupancy.Occupancy
     target_stats: target_stats.TargetStats
     targets: opaque.TargetClient
+    crash_parts: crash_parts.CrashParts
     peers: peer_port.PeerPort
     metrics: gateway_metrics.GatewayMetrics
     role: batch_role.BatchRole
@@ -98,7 +100,11 @@
         self._committing: set[str] = set()
         self._role = ports.role
         self._attempts = item_attempt.ItemAttempts(
-            host, ports.targets, ports.target_stats, ports.metrics
+            host,
+            ports.targets,
+            ports.target_stats,
+            ports.crash_parts,
+            ports.metrics,
         )
         self._sent_counts: dict[str, dict[tuple[str, int], int]] = {}
         self._progress_sent_at = 0.0
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -14,6 +14,7 @@
 from persimmonpass import blackboard
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import catalog
+from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import crash_watch
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import stream_origins
@@ -70,6 +71,7 @@
     target_stats: target_stats.TargetStats
     targets: opaque.TargetClient
     crashes: crash_watch.CrashWatch
+    crash_parts: crash_parts.CrashParts
     origins: stream_origins.StreamOrigins
     metrics: gateway_metrics.GatewayMetrics
     spans: tracing.Tracing
@@ -114,7 +116,9 @@
             self._record_outcome(request, outcome)
 
     async def _serve(self, request: request_state.RequestState) -> str:
-        if self._ports.crashes.is_quarantined(request.call.fingerprint):
+        if self._ports.crashes.is_quarantined(
+            request.call.fingerprint
+        ) or self._ports.crash_parts.is_refused(request.call.prompt_parts):
             await exchange.refuse(
                 request.caller, UNAVAILABLE, QUARANTINE_RETRY_SECONDS
             )
@@ -146,6 +150,11 @@
                 break
             target = admitted.ok_value
             try:
+                if not self._ports.crash_parts.admit(
+                    request.call.prompt_parts
+                ):
+                    request.failure = _refused_part()
+                    break
                 with self._ports.spans.inner_span(
                     'target.send', target=target.name
                 ):
@@ -199,7 +208,7 @@
             ),
         )
         self._ports.metrics.sends.labels(request.route.kind.value).inc()
-        sent_at = anyio.current_time()
+        sent_at = request.sent_at = anyio.current_time()
         can_resend = (
             request.route.repeatable
             and request.runs + 1 < request.route.max_attempts
@@ -273,6 +282,9 @@
             for event in reader.feed(chunk):
                 if first:
                     first = False
+                    self._ports.crash_parts.record_answer(
+                        request.call.prompt_parts
+                    )
                     self._ports.target_stats.record_first_event(
                         target.name, anyio.current_time() - sent_at
                     )
@@ -325,6 +337,7 @@
             async for chunk in answer.chunks:
                 chunks.append(chunk)
         body = b''.join(chunks)
+        self._ports.crash_parts.record_answer(request.call.prompt_parts)
         request.started = True
         await request.caller.start(
             answer.head.status,
@@ -383,6 +396,12 @@
                 self._ports.crashes.record_crash(
                     request.call.fingerprint, target.name
                 )
+                self._ports.crash_parts.record_crash(
+                    request.call.id,
+                    target.name,
+                    request.call.prompt_parts,
+                    anyio.current_time() - request.sent_at,
+                )
         events.log(
             events.REQUEST_RESUMED
             if request.started
@@ -468,6 +487,16 @@
     )
 
 
+def _refused_part() -> verdicts.Failure:
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.PART_REFUSED,
+        'a part of the prompt crashes targets',
+        UNAVAILABLE,
+        QUARANTINE_RETRY_SECONDS,
+    )
+
+
 def _incomplete_answer(
     target: blackboard.Target, error: Exception
 ) -> verdicts.Failure:
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -403,6 +403,27 @@
     Level.ERROR,
     'Targets crashed while they processed this body; it is not run again.',
 )
+PART_REFUSED = Event(
+    522,
+    'part_refused',
+    Level.ERROR,
+    'Targets crashed while they began to answer requests that share this part '
+    'of their prompts; such requests are refused.',
+)
+PART_TRIED = Event(
+    523,
+    'part_tried',
+    Level.INFO,
+    'A request with a refused part is sent, to find out whether the part '
+    'still crashes targets.',
+)
+PART_CLEARED = Event(
+    524,
+    'part_cleared',
+    Level.INFO,
+    'A target answered a request with a refused part; the part is no longer '
+    'refused.',
+)
 REQUEST_IN_PROGRESS = Event(
     514,
     'request_in_progress',
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -31,6 +31,7 @@
         for a stream from its start
     :ivar resumes: id of the attempt that brought the first event of the
         resumed stream; empty if the caller does not name it
+    :ivar prompt_parts: ids of the parts of the prompt, in order
     """
 
     id: str
@@ -42,6 +43,7 @@
     deadline_seconds: float | None = None
     resume_after: int | None = None
     resumes: str = ''
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def route_path(self) -> str:
@@ -88,12 +90,15 @@
         sent to the target
     :ivar decode: takes a request and the status and headers of its answer;
         returns the decoded head of the answer
+    :ivar read_prompt_parts: takes the headers of a request; returns the ids
+        of the parts of its prompt, in order
     """
 
     encode: collections.abc.Callable[
         [Call, blackboard.Target, float, int | None], Headers
     ]
     decode: collections.abc.Callable[[Call, int, Headers], ResponseHead]
+    read_prompt_parts: collections.abc.Callable[[Headers], tuple[str, ...]]
 
 
 class CallerPort(typing.NamedTuple):
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -18,6 +18,7 @@
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
 from persimmonpass.controllers import catalog
+from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import crash_watch
 from persimmonpass.controllers import drain
 from persimmonpass.controllers import item_runner
@@ -304,6 +305,9 @@
             self._replica_hosts,
         )
         self._crashes = crash_watch.CrashWatch(options.host, port)
+        self._crash_parts = crash_parts.CrashParts(
+            options.host, port, self._core, self._replica_hosts
+        )
         self._origins = stream_origins.StreamOrigins(
             options.host, self.board, port, self._replica_hosts
         )
@@ -323,6 +327,7 @@
         self._handlers |= self._occupied.handlers
         self._handlers |= self._role.handlers
         self._handlers |= self._crashes.handlers
+        self._handlers |= self._crash_parts.handlers
         self._handlers |= self._origins.handlers
 
     def _build_request_controllers(self) -> None:
@@ -336,6 +341,7 @@
                 self._target_stats,
                 self._targets,
                 self._crashes,
+                self._crash_parts,
                 self._origins,
                 self.metrics,
                 self._spans,
@@ -350,6 +356,7 @@
                 self._occupied,
                 self._target_stats,
                 self._targets,
+                self._crash_parts,
                 self._peers.port,
                 self.metrics,
                 self._role,
@@ -398,6 +405,7 @@
             self._relay.run,
             self._membership.run,
             self._catalog.run,
+            self._crash_parts.run,
             self._origins.run,
             self._occupied.run,
             self._target_stats.run,
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -7,6 +7,7 @@
 DEADLINE_MS = b'deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
 RESUMES = b'resumes'
+PROMPT_PREFIX = b'prompt-prefix'
 EXPECT_INSTANCE = b'expect-instance'
 NOT_EXECUTED = b'not-executed'
 SERVER_LEAVING = b'server-leaving'
@@ -56,9 +57,24 @@
         float(deadline) / _MILLISECONDS if deadline else None,
         int(resume) if resume else None,
         found.get(RESUMES, b'').decode('latin-1'),
+        read_prompt_parts(headers),
     )
 
 
+def read_prompt_parts(headers: exchange.Headers) -> tuple[str, ...]:
+    """Decode the ids of the parts of a prompt.
+
+    A header that is missing or malformed names no parts.
+    """
+    for name, value in headers:
+        if name.lower() == PROMPT_PREFIX:
+            entries = value.decode('latin-1').lower().split(',')
+            pairs = [entry.strip().partition(':') for entry in entries]
+            if all(part and tokens.isdigit() for part, _, tokens in pairs):
+                return tuple(part for part, _, _ in pairs)
+    return ()
+
+
 def encode(
     call: exchange.Call,
     target: blackboard.Target,
@@ -120,4 +136,4 @@
     )
 
 
-WIRE = exchange.WirePort(encode, decode)
+WIRE = exchange.WirePort(encode, decode, read_prompt_parts)
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -14,6 +14,7 @@
 
     :ivar started_at: local clock at the arrival, in seconds
     :ivar deadline: local clock at the deadline, in seconds
+    :ivar sent_at: local clock when it was last sent to a target, in seconds
     :ivar last_id: id of the last event that was sent to the caller
     :ivar started: whether the head of the answer was sent to the caller
     :ivar runs: attempts that may have run at a target
@@ -43,6 +44,7 @@
         if call.deadline_seconds is not None:
             allowed = min(allowed, call.deadline_seconds)
         self.deadline = started_at + allowed
+        self.sent_at = started_at
         self.last_id = call.resume_after
         self.started = False
         self.runs = 0
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -74,6 +74,10 @@
             context,
         )
 
+    def read_prompt_parts(self, headers: exchange.Headers) -> tuple[str, ...]:
+        """Return the ids of the parts of a request's prompt, in order."""
+        return self._wire.read_prompt_parts(headers)
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._kept.aclose()
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -205,6 +205,9 @@
     :ivar busy: number of running requests
     :ivar leaving: whether each answer states that the server is leaving
     :ivar version: version of its software
+    :ivar deadly_part: id of the part of a prompt that crashes the server as
+        it begins to answer; ``None`` for no part
+    :ivar crashes: number of these crashes
     :ivar names_version: whether each event has the version as its type
     """
 
@@ -219,6 +222,8 @@
         self.headers = {}
         self.pace_seconds = 0.002
         self.cut_after = None
+        self.deadly_part = None
+        self.crashes = 0
         self.refuses_all = False
         self.status = 200
         self.foreign = False
@@ -277,6 +282,10 @@
                 ],
             }
         )
+        prompt = request.headers.get('prompt-prefix', '')
+        if self.deadly_part is not None and f'{self.deadly_part}:' in prompt:
+            self.crashes += 1
+            return None
         self.busy += 1
         try:
             if await self._stream(first, body, send, receive):
--- a/tests/test_item_attempt.py
+++ b/tests/test_item_attempt.py
@@ -8,6 +8,7 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import item_attempt
 from persimmonpass.controllers import target_stats
 from persimmonpass import exchange
@@ -41,6 +42,9 @@
         self._count = count
         self._pace_seconds = pace_seconds
 
+    def read_prompt_parts(self, headers):
+        return ()
+
     @contextlib.asynccontextmanager
     async def open(self, call, target, seconds, resume_after=None, **_):
         head = exchange.ResponseHead(200, [], False, False, True, True)
@@ -73,6 +77,9 @@
                 'host',
                 _Targets(count, pace),
                 target_stats.TargetStats('host', blackboard.Blackboard()),
+                crash_parts.CrashParts(
+                    'host', fakes.Network().port('host'), lambda: ['host']
+                ),
                 gateway_metrics.GatewayMetrics(),
             )
             item = item_attempt.LocalItem()
