Break off answers of targets that have no end

Cause: a host collected the body of an answer without a bound, up to the deadline, and the output of an item without any.

Answers of targets are limited to 16 MiB, bodies without events to 4 MiB and all those that a host collects at once to 16 MiB, the output of an item to 900 KB, which a value of the store can hold, and events without an id to 100 an answer. The connection is closed when a limit is passed. Heads, chunk lines and trailers were limited by the HTTP library already.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -32,6 +32,8 @@
 SUCCESS = 200
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+# A result must fit into a value of the store, which has a megabyte.
+MAX_OUTPUT_BYTES = 900_000
 # An item with a refused part stays owed; it looks this often whether the part
 # may be tried.
 REFUSED_PART_RETRY_SECONDS = 1.0
@@ -190,18 +192,27 @@
         Events that the text contains already are skipped.
 
         :param origin: software of the target
-        :raises ValueError: if an event is missing or incomplete
+        :raises ValueError: if an event is missing or incomplete, or if the
+            output is too long
         :raises TimeoutError: if the next event does not arrive in time
         """
         reader = exchange.EventReader()
         limit = FIRST_EVENT_TIMEOUT_SECONDS
         is_answered = False
+        size = sum(map(len, item.text.texts))
         while True:
             with anyio.fail_after(limit):
                 chunk = await anext(answer.chunks, None)
             limit = EVENT_GAP_TIMEOUT_SECONDS
             if chunk is None:
                 break
+            size += len(chunk)
+            if size > MAX_OUTPUT_BYTES:
+                item.text.restart()
+                raise ValueError(
+                    f'output too long: got {size} bytes, the limit is '
+                    f'{MAX_OUTPUT_BYTES}'
+                )
             for event in reader.feed(chunk):
                 if event.id is not None and item.text.last_id is not None:
                     if event.id <= item.text.last_id:
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -52,6 +52,10 @@
 # A request that crashes targets will not succeed soon; a long delay keeps
 # callers from retrying it.
 QUARANTINE_RETRY_SECONDS = 30.0
+# Length of an answer without events, and of all those that a host collects at
+# the same time. The smallest hosts have 128 MB of memory.
+MAX_BODY_BYTES = 4_194_304
+MAX_COLLECTED_BYTES = 16_777_216
 
 
 class _End(enum.Enum):
@@ -83,6 +87,7 @@
     def __init__(self, host: str, ports: RouteProxyPorts) -> None:
         self._host = host
         self._ports = ports
+        self._collected_bytes = 0
 
     def configuration(self) -> routes.Configuration | None:
         """Return the current configuration, ``None`` if there is none yet."""
@@ -331,12 +336,28 @@
     async def _forward_body(
         self, request: request_state.RequestState, answer: opaque.Answer
     ) -> None:
-        """Pass an answer to the caller once all of it has arrived."""
-        chunks: list[bytes] = []
-        with anyio.fail_after(max(0.0, request.remaining_seconds)):
-            async for chunk in answer.chunks:
-                chunks.append(chunk)
-        body = b''.join(chunks)
+        """Pass an answer to the caller once all of it has arrived.
+
+        :raises ValueError: if this host would collect too many bytes
+        """
+        body = bytearray()
+        try:
+            with anyio.fail_after(max(0.0, request.remaining_seconds)):
+                async for chunk in answer.chunks:
+                    body += chunk
+                    self._collected_bytes += len(chunk)
+                    if (
+                        len(body) > MAX_BODY_BYTES
+                        or self._collected_bytes > MAX_COLLECTED_BYTES
+                    ):
+                        raise ValueError(
+                            f'body too long: got {len(body)} bytes, '
+                            f'{self._collected_bytes} of all answers; the '
+                            f'limits are {MAX_BODY_BYTES} and '
+                            f'{MAX_COLLECTED_BYTES}'
+                        )
+        finally:
+            self._collected_bytes -= len(body)
         self._ports.crash_parts.record_answer(request.call.prompt_parts)
         request.started = True
         await request.caller.start(
@@ -346,7 +367,7 @@
                 (b'content-length', str(len(body)).encode()),
             ],
         )
-        await request.caller.send(body, False)
+        await request.caller.send(bytes(body), False)
 
     async def _start(
         self, request: request_state.RequestState, head: exchange.ResponseHead
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -14,6 +14,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 MAX_EVENT_BYTES = 1_000_000
+# Events of an answer have ids. Bytes that are no answer may contain any
+# number of blank lines, each of which would be an event.
+MAX_EVENTS_WITHOUT_ID = 100
 EVENT_END = b'\n\n'
 _EVENT_ID = b'id:'
 _EVENT_DATA = b'data:'
@@ -155,6 +158,7 @@
 
     def __init__(self) -> None:
         self._partial = b''
+        self._without_id = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -164,7 +168,8 @@
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
-        :raises ValueError: if an event is longer than allowed
+        :raises ValueError: if an event is longer than allowed, or if more
+            events than allowed have no id
         """
         *complete, partial = (self._partial + data).split(EVENT_END)
         longest = max(map(len, (*complete, partial)))
@@ -174,7 +179,17 @@
                 f'{MAX_EVENT_BYTES}'
             )
         self._partial = partial
-        return [_read_event(part + EVENT_END) for part in complete]
+        found: list[Event] = []
+        for part in complete:
+            event = _read_event(part + EVENT_END)
+            found.append(event)
+            self._without_id += event.id is None
+            if self._without_id > MAX_EVENTS_WITHOUT_ID:
+                raise ValueError(
+                    f'expected events with ids, got {self._without_id} '
+                    f'without one; {MAX_EVENTS_WITHOUT_ID} are allowed'
+                )
+        return found
 
 
 def _read_event(raw: bytes) -> Event:
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -6,13 +6,39 @@
 """
 
 import collections
+import collections.abc
 import ssl
+import typing
 
 import httpx
 
 MAX_POOLS = 20_000
 # For each target.
 MAX_KEPT_CONNECTIONS = 32
+# A faulty target may send without end. A stream of 100,000 tokens is shorter.
+MAX_ANSWER_BYTES = 16_777_216
+
+
+class _LimitedStream(httpx.AsyncByteStream):
+    """Body of an answer that is broken off at a maximum length."""
+
+    def __init__(self, stream: httpx.AsyncByteStream) -> None:
+        self._stream = stream
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        size = 0
+        async for chunk in self._stream:
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise httpx.RemoteProtocolError(
+                    f'answer too long: got {size} bytes, the limit is '
+                    f'{MAX_ANSWER_BYTES}'
+                )
+            yield chunk
+
+    async def aclose(self) -> None:
+        """Close the body and, if it has not ended, its connection."""
+        await self._stream.aclose()
 
 
 class TargetPools(httpx.AsyncBaseTransport):
@@ -34,7 +60,11 @@
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
-        """Send a request through the pool of its address."""
+        """Send a request through the pool of its address.
+
+        Reading the answer raises ``httpx.RemoteProtocolError`` if it is
+        longer than ``MAX_ANSWER_BYTES``.
+        """
         address = request.url.netloc.decode('ascii')
         pool = self._pools.get(address)
         if pool is None:
@@ -46,7 +76,11 @@
         if len(self._pools) > MAX_POOLS:
             _, oldest = self._pools.popitem(last=False)
             await oldest.aclose()
-        return await pool.handle_async_request(request)
+        response = await pool.handle_async_request(request)
+        response.stream = _LimitedStream(
+            typing.cast(httpx.AsyncByteStream, response.stream)
+        )
+        return response
 
     async def aclose(self) -> None:
         """Close all pools."""
