Recall the runs that wait at a target when their part becomes refused

Cause: a request with a part that crashes targets could wait in the queue of a target while the part became refused elsewhere, and then crash that target.

Such a run is cancelled on all hosts unless it has an event; the caller gets 502 at once, as it may have run. Items stay owed. Both new tests fail without the cancellation.

--- a/src/persimmonpass/controllers/crash_parts.py
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import typing
 
 import anyio
@@ -46,6 +47,20 @@
         self.next_trial_at = anyio.current_time() + policy.trial_pause(trials)
 
 
+class Recall:
+    """A run that is cancelled when a part of its prompt becomes refused.
+
+    :ivar scope: cancels the run
+    :ivar parts: ids of the parts of its prompt that others may share
+    :ivar is_answered: whether the run has been answered, so that it goes on
+    """
+
+    def __init__(self, parts: collections.abc.Sequence[str]) -> None:
+        self.scope = anyio.CancelScope()
+        self.parts = frozenset(_shared(parts))
+        self.is_answered = False
+
+
 class CrashParts:
     """The parts that crash targets, and the evidence for them."""
 
@@ -74,6 +89,7 @@
         )
         self._refused: dict[str, _Refused] = {}
         self._refused_added = anyio.Event()
+        self._running: set[Recall] = set()
 
     @property
     def handlers(self) -> peer_port.Handlers:
@@ -127,6 +143,22 @@
             )
         return True
 
+    @contextlib.contextmanager
+    def recallable(
+        self, parts: collections.abc.Sequence[str]
+    ) -> collections.abc.Iterator[Recall]:
+        """Cancel a run inside the context if its target would crash.
+
+        :param parts: ids of all parts of the run's prompt, in order
+        """
+        recall = Recall(parts)
+        self._running.add(recall)
+        try:
+            with recall.scope:
+                yield recall
+        finally:
+            self._running.discard(recall)
+
     def record_crash(
         self,
         request_id: str,
@@ -214,18 +246,26 @@
             self._answered.popitem(last=False)
 
     def _refuse(self, part: str, refused: _Refused) -> None:
-        """Refuse a part, and drop the crashes that it explains."""
+        """Refuse a part, recall its runs and drop the crashes it explains."""
         self._refused[part] = refused
         while len(self._refused) > MAX_REFUSED:
             del self._refused[next(iter(self._refused))]
         explained = [run for run in self._runs if part in run.parts]
-        for run in explained:
-            self._runs.remove(run)
+        for broken in explained:
+            self._runs.remove(broken)
         self._refused_added.set()
+        recalled = [
+            run
+            for run in self._running
+            if part in run.parts and not run.is_answered
+        ]
+        for run in recalled:
+            run.scope.cancel()
         events.log(
             events.PART_REFUSED,
             host=self._host,
             part=part,
+            recalled=len(recalled),
             targets=sorted({run.target for run in explained}),
         )
 
--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -112,10 +112,26 @@
             job_item.content,
             prompt_parts=self._targets.read_prompt_parts(headers),
         )
+        if self._crash_parts.admit(call.prompt_parts):
+            with self._crash_parts.recallable(call.prompt_parts) as recall:
+                return await self._run(key, item, call, route, target, recall)
+        item.not_before = anyio.current_time() + REFUSED_PART_RETRY_SECONDS
+        return 'a part of the prompt crashes targets'
+
+    async def _run(
+        self,
+        key: tuple[str, int],
+        item: LocalItem,
+        call: exchange.Call,
+        route: routes.Route,
+        target: blackboard.Target,
+        recall: crash_parts.Recall,
+    ) -> str:
+        """Run an item; see :meth:`run`.
+
+        :param recall: cancels the run while it has no event
+        """
         events_before = len(item.text.texts)
-        if not self._crash_parts.admit(call.prompt_parts):
-            item.not_before = anyio.current_time() + REFUSED_PART_RETRY_SECONDS
-            return 'a part of the prompt crashes targets'
         began = anyio.current_time()
         async with self._targets.open(
             call,
@@ -142,21 +158,19 @@
                 self.finish(
                     key,
                     item,
-                    job_records.ItemResult(
-                        job_item.id, job_records.State.FAILED
-                    ),
+                    job_records.ItemResult(call.id, job_records.State.FAILED),
                     'target reported that the item is invalid',
                 )
                 return ''
             if head.status != SUCCESS:
                 return self._record_status(
-                    key, item, job_item.id, route, head.status
+                    key, item, call.id, route, head.status
                 )
             try:
                 origin = stream_versions.Origin(
                     target.service, target.software
                 )
-                await self._collect(call, item, answer, origin)
+                await self._collect(call, item, answer, origin, recall)
             except (httpx.HTTPError, TimeoutError, ValueError) as error:
                 failure = verdicts.Failure(
                     verdicts.Verdict.MAY_HAVE_RUN,
@@ -174,7 +188,7 @@
             key,
             item,
             job_records.ItemResult(
-                job_item.id, job_records.State.COMPLETED, output
+                call.id, job_records.State.COMPLETED, output
             ),
             '',
         )
@@ -186,6 +200,7 @@
         item: LocalItem,
         answer: opaque.Answer,
         origin: stream_versions.Origin,
+        recall: crash_parts.Recall,
     ) -> None:
         """Append the events of an answer to an item's text.
 
@@ -224,7 +239,7 @@
                         )
                 item.text.add(event.data.decode(), event.id, origin)
                 if not is_answered:
-                    is_answered = True
+                    is_answered = recall.is_answered = True
                     self._crash_parts.record_answer(call.prompt_parts)
         if reader.has_partial_event:
             raise ValueError('answer ended within an event')
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -64,6 +64,7 @@
     FINISHED = 'finished'
     NOT_RUN = 'not_run'
     BROKEN = 'broken'
+    REFUSED = 'refused'
 
 
 class RouteProxyPorts(typing.NamedTuple):
@@ -155,11 +156,6 @@
                 break
             target = admitted.ok_value
             try:
-                if not self._ports.crash_parts.admit(
-                    request.call.prompt_parts
-                ):
-                    request.failure = _refused_part()
-                    break
                 with self._ports.spans.inner_span(
                     'target.send', target=target.name
                 ):
@@ -168,6 +164,8 @@
                 self._ports.target_occupancy.add_online(target.name, -1)
             if end is _End.FINISHED:
                 return 'answered'
+            if end is _End.REFUSED:
+                break
             if end is _End.BROKEN:
                 request.runs += 1
             elif request.refusals > MAX_REFUSALS:
@@ -195,7 +193,27 @@
     async def _send(
         self, request: request_state.RequestState, target: blackboard.Target
     ) -> _End:
-        """Send a request to a target and pass the answer to the caller."""
+        """Send a request to a target, unless its prompt crashes targets."""
+        parts = request.call.prompt_parts
+        if not self._ports.crash_parts.admit(parts):
+            request.failure = _refused_part()
+            return _End.REFUSED
+        with self._ports.crash_parts.recallable(parts) as recall:
+            return await self._send_recallable(request, target, recall)
+        # It was recalled, and may have run.
+        request.failure = _refused_part()
+        return _End.BROKEN
+
+    async def _send_recallable(
+        self,
+        request: request_state.RequestState,
+        target: blackboard.Target,
+        recall: crash_parts.Recall,
+    ) -> _End:
+        """Send a request to a target and pass the answer to the caller.
+
+        :param recall: cancels the run while it has no event
+        """
         counts = self._ports.target_occupancy.counts_at(target.name)
         events.log(
             events.REQUEST_SENT,
@@ -249,10 +267,10 @@
             try:
                 if head.is_stream:
                     await self._forward_events(
-                        request, target, answer, sent_at, can_resend
+                        request, target, answer, sent_at, can_resend, recall
                     )
                 else:
-                    await self._forward_body(request, answer)
+                    await self._forward_body(request, answer, recall)
             except (httpx.HTTPError, TimeoutError, ValueError) as error:
                 return self._handle_failure(
                     request, target, _incomplete_answer(target, error)
@@ -268,6 +286,7 @@
         answer: opaque.Answer,
         sent_at: float,
         can_resend: bool,
+        recall: crash_parts.Recall,
     ) -> None:
         reader = exchange.EventReader()
         route = request.route
@@ -287,6 +306,7 @@
             for event in reader.feed(chunk):
                 if first:
                     first = False
+                    recall.is_answered = True
                     self._ports.crash_parts.record_answer(
                         request.call.prompt_parts
                     )
@@ -334,7 +354,10 @@
             request.last_id = event.id
 
     async def _forward_body(
-        self, request: request_state.RequestState, answer: opaque.Answer
+        self,
+        request: request_state.RequestState,
+        answer: opaque.Answer,
+        recall: crash_parts.Recall,
     ) -> None:
         """Pass an answer to the caller once all of it has arrived.
 
@@ -358,6 +381,7 @@
                         )
         finally:
             self._collected_bytes -= len(body)
+        recall.is_answered = True
         self._ports.crash_parts.record_answer(request.call.prompt_parts)
         request.started = True
         await request.caller.start(
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -196,6 +196,8 @@
     :ivar runs: requests that were run, as id and number of the first event
     :ivar finished_ids: ids of the requests whose answers were sent completely
     :ivar headers: headers of the last request
+    :ivar wait_seconds: time before the head of an answer
+    :ivar recalled: number of requests whose caller left in that time
     :ivar pace_seconds: time between events
     :ivar cut_after: number of events after which answers break off; ``None``
         for never
@@ -220,6 +222,8 @@
         self.runs = []
         self.finished_ids = []
         self.headers = {}
+        self.wait_seconds = 0.0
+        self.recalled = 0
         self.pace_seconds = 0.002
         self.cut_after = None
         self.deadly_part = None
@@ -262,6 +266,12 @@
                 status_code=503, headers={'not-executed': '1'}
             )
             return await answer(scope, receive, send)
+        if self.wait_seconds:
+            with anyio.move_on_after(self.wait_seconds):
+                while (await receive())['type'] != 'http.disconnect':
+                    pass
+                self.recalled += 1
+                return None
         first = int(request.headers.get('last-event-id', '0')) + 1
         self.runs.append((request_id, first))
         if self.status != 200:
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -246,6 +246,27 @@
 
         self.run_hosts(test)
 
+    def test_runs_without_an_answer_are_recalled(self):
+        async def test(hosts):
+            ends = {}
+
+            async def run(name, parts, is_answered=False):
+                with hosts.tables['two'].recallable(parts) as recall:
+                    recall.is_answered = is_answered
+                    await anyio.sleep(30)
+                ends[name] = recall.scope.cancelled_caught
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run, 'waits', ('s', BAD, 'own'))
+                tasks.start_soon(run, 'answered', ('s', BAD, 'own'), True)
+                tasks.start_soon(run, 'other', ('s', 'fine', BAD))
+                await hosts.crash()
+            self.assertEqual(
+                {'waits': True, 'answered': False, 'other': False}, ends
+            )
+
+        self.run_hosts(test)
+
     def test_tables_are_bounded(self):
         async def test(hosts):
             table = hosts.tables['one']
@@ -345,6 +366,37 @@
 
         platform_fakes.run(test)
 
+    def test_request_that_waits_at_a_target_is_recalled(self):
+        async def test():
+            async with platform_fakes.fleet(('one', 'two')) as fleet:
+                for server in fleet.servers:
+                    server.wait_seconds = 2.0
+                answers = []
+
+                async def send():
+                    headers = {
+                        'Request-Id': 'r',
+                        'Prompt-Prefix': f'a1:100,{BAD}:9,c:5',
+                    }
+                    answers.append(
+                        await fleet.post('/once/a', host='two', **headers)
+                    )
+
+                table = fleet.hosts['one']._crash_parts
+                with anyio.fail_after(1.5):
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(send)
+                        await anyio.sleep(0.2)
+                        for number in range(3):
+                            table.record_crash(
+                                f'q{number}', f't{number}', (BAD, 'own'), 0.01
+                            )
+                            await anyio.sleep(0.05)
+                self.assertEqual([502], [a.status_code for a in answers])
+                self.assertEqual(1, sum(s.recalled for s in fleet.servers))
+
+        platform_fakes.run(test)
+
     def test_item_with_a_refused_part_stays_owed(self):
         async def test():
             async with platform_fakes.fleet(count=6) as fleet:
