Make reads after a silent one directly too, beside the peers

The pause after a failed direct call is meant for a store that refuses this host. After a read without an answer, reads are now made on a new connection and at peers at once.

The new test failed before.

--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -69,6 +69,9 @@
         self._peers = peers
         self._failed_at: float | None = None
         self._last_failure_at: float | None = None
+        # Whether the last direct call that failed was not answered, so that
+        # one on a new connection may be.
+        self._was_silent = False
         self._calls: collections.Counter[str] = collections.Counter()
         self.port = records.RecordPort(
             *(self._make(name) for name in records.RecordPort._fields)
@@ -110,8 +113,12 @@
         return call
 
     async def _call(self, name: str, args: tuple[typing.Any, ...]) -> Answer:
+        is_write = name in _WRITES
         if not self._can_call_directly():
-            answered = await self._call_peers(name, args)
+            if self._was_silent and not is_write:
+                answered = await self._read_again(name, args)
+            else:
+                answered = await self._call_peers(name, args)
             return answered or result.Err(
                 store.unavailable('store unreachable: last direct call failed')
             )
@@ -119,12 +126,13 @@
         outcome = await self._call_direct(name, args)
         if not self._is_outage(outcome):
             return outcome
-        is_write = name in _WRITES
         verdict = outcome.err_value.verdict
         if is_write and verdict is verdicts.Verdict.MAY_HAVE_RUN:
             return outcome
         elapsed = anyio.current_time() - began
-        if is_write or elapsed < _wait_seconds(name, args) + SILENT_SECONDS:
+        limit = _wait_seconds(name, args) + SILENT_SECONDS
+        self._was_silent = elapsed >= limit
+        if is_write or not self._was_silent:
             return await self._call_peers(name, args) or outcome
         events.log(
             events.STORE_SILENT,
--- a/tests/spread_fakes.py
+++ b/tests/spread_fakes.py
@@ -117,6 +117,8 @@
                     if silenced.is_set() or self.is_silent:
                         await anyio.sleep_forever()
                     return answer
+                # The client opens new connections after a time-out.
+                self._silent_kept_connections = 0
                 return result.Err(store.unavailable('timeout'))
             finally:
                 self._open.discard(silenced)
--- a/tests/test_fleet_knowledge.py
+++ b/tests/test_fleet_knowledge.py
@@ -386,6 +386,35 @@
 
         fakes.run(test)
 
+    def test_read_after_a_silent_one_is_also_made_directly(self):
+        """A peer answered the repeated read; later no peer answers."""
+        memory = record_fakes.MemoryRecords()
+        network = fakes.Network()
+
+        async def time_out(*_):
+            await anyio.sleep(0.8)
+            return result.Err(store.unavailable('timeout'))
+
+        relays = {}
+        for name, port in (
+            ('silent', memory.port._replace(watch=time_out)),
+            ('peer', memory.port._replace(list=time_out)),
+        ):
+            relays[name] = store_relay.StoreRelay(
+                name, port, network.port(name)
+            )
+            network.handlers[name] = relays[name].handlers
+
+        async def test():
+            port = relays['silent'].port
+            watched = await port.watch(KIND, 1, 0.0)
+            self.assertIsInstance(watched, result.Ok)
+            began = anyio.current_time()
+            self.assertIsInstance(await port.list(KIND), result.Ok)
+            self.assertLess(anyio.current_time() - began, 0.1)
+
+        fakes.run(test)
+
     def test_repeated_read_waits_for_no_change_and_no_silent_peer(self):
         timeout_seconds = 1.8
         memory = record_fakes.MemoryRecords()
