Drop a refused part that nobody sends any more

A refused part that no request had any more stayed in the table, and in the notices of each second, for good. It is dropped after half an hour; the test fails without that.

--- a/src/persimmonpass/controllers/crash_parts.py
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -23,6 +23,8 @@
 METHOD_REFUSED = 'parts.refused'
 RETENTION_SECONDS = 120.0
 SPREAD_SECONDS = 1.0
+# A part that nobody sends any more is refused for this long at most.
+REFUSED_SECONDS = 1800.0
 MAX_RUNS = 1_000
 MAX_PARTS = 20_000
 MAX_REFUSED = 200
@@ -106,6 +108,7 @@
             if not self._refused:
                 self._refused_added = anyio.Event()
                 await self._refused_added.wait()
+            self._drop_old()
             self._broadcast(METHOD_REFUSED, self._refused_rows())
             await anyio.sleep(SPREAD_SECONDS)
 
@@ -269,6 +272,12 @@
             targets=sorted({run.target for run in explained}),
         )
 
+    def _drop_old(self) -> None:
+        oldest = anyio.current_time() - REFUSED_SECONDS
+        for part, refused in list(self._refused.items()):
+            if refused.since < oldest:
+                del self._refused[part]
+
     def _refused_rows(self) -> list[list[typing.Any]]:
         """Return the refused parts for peers, with ages in seconds."""
         now = anyio.current_time()
@@ -290,6 +299,8 @@
             cleared = self._answered.get(part)
             if cleared is not None and cleared.last_at > now - age:
                 continue
+            if age >= REFUSED_SECONDS:
+                continue
             known = self._refused.get(part)
             if known is None:
                 self._refuse(part, _Refused(now - age, trials))
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -230,6 +230,18 @@
 
         self.run_hosts(test)
 
+    def test_refusal_of_a_part_that_nobody_sends_ends(self):
+        async def test(hosts):
+            await hosts.crash()
+            await anyio.sleep(crash_parts.REFUSED_SECONDS + 2)
+            self.assertEqual(set(), hosts.refusing())
+            self.assertEqual(
+                [{}] * len(HOSTS),
+                [table._refused for table in hosts.tables.values()],
+            )
+
+        self.run_hosts(test)
+
     def test_two_parts_are_refused_at_the_same_time(self):
         async def test(hosts):
             await hosts.crash()
