--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -145,44 +145,60 @@
                 return self._record_failure(
                     call, item, target, opened.err_value, events_before, began
                 )
-            answer = opened.ok_value
-            head = answer.head
-            if head.is_misdirected:
-                self._target_stats.record_replaced(target.name)
-                return 'another target has the address'
-            if head.not_run:
-                item.not_before = anyio.current_time() + REFUSED_RETRY_SECONDS
-                self._target_stats.record_failure(target.name, 'refused')
-                return 'refused'
-            if head.status == UNPROCESSABLE:
-                self.finish(
-                    key,
-                    item,
-                    job_records.ItemResult(call.id, job_records.State.FAILED),
-                    'target reported that the item is invalid',
-                )
-                return ''
-            if head.status != SUCCESS:
-                return self._record_status(
-                    key, item, call.id, route, head.status
-                )
-            try:
-                origin = stream_versions.Origin(
-                    target.service, target.software
-                )
-                await self._collect(call, item, answer, origin, recall)
-            except (httpx.HTTPError, TimeoutError, ValueError) as error:
-                failure = verdicts.Failure(
-                    verdicts.Verdict.MAY_HAVE_RUN,
-                    events.TARGET_FAILED,
-                    type(error).__name__,
-                    GATEWAY_TIMEOUT
-                    if isinstance(error, TimeoutError)
-                    else BAD_GATEWAY,
-                )
-                return self._record_failure(
-                    call, item, target, failure, events_before, began
-                )
+            return await self._take_answer(
+                key, item, call, route, target, opened.ok_value, recall, began
+            )
+
+    async def _take_answer(
+        self,
+        key: tuple[str, int],
+        item: LocalItem,
+        call: exchange.Call,
+        route: routes.Route,
+        target: blackboard.Target,
+        answer: opaque.Answer,
+        recall: crash_parts.Recall,
+        began: float,
+    ) -> str:
+        """Collect an answer whose head has arrived; see :meth:`run`.
+
+        :param recall: cancels the run while it has no event
+        :param began: local clock when the run was sent, in seconds
+        """
+        events_before = len(item.text.texts)
+        head = answer.head
+        if head.is_misdirected:
+            self._target_stats.record_replaced(target.name)
+            return 'another target has the address'
+        if head.not_run:
+            item.not_before = anyio.current_time() + REFUSED_RETRY_SECONDS
+            self._target_stats.record_failure(target.name, 'refused')
+            return 'refused'
+        if head.status == UNPROCESSABLE:
+            self.finish(
+                key,
+                item,
+                job_records.ItemResult(call.id, job_records.State.FAILED),
+                'target reported that the item is invalid',
+            )
+            return ''
+        if head.status != SUCCESS:
+            return self._record_status(key, item, call.id, route, head.status)
+        try:
+            origin = stream_versions.Origin(target.service, target.software)
+            await self._collect(call, item, answer, origin, recall)
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
+            failure = verdicts.Failure(
+                verdicts.Verdict.MAY_HAVE_RUN,
+                events.TARGET_FAILED,
+                type(error).__name__,
+                GATEWAY_TIMEOUT
+                if isinstance(error, TimeoutError)
+                else BAD_GATEWAY,
+            )
+            return self._record_failure(
+                call, item, target, failure, events_before, began
+            )
         output = '\n'.join(item.text.texts)
         self.finish(
             key,
--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -418,24 +418,7 @@
         """
         if found.version < self.version:
             return
-        changed: list[records.Record] = []
-        for record in found.records:
-            known = self.records.get(record.name)
-            if record.deleted:
-                if known is not None and known.version < record.version:
-                    del self.records[record.name]
-                    changed.append(record)
-            elif known is None or known.version < record.version:
-                self.records[record.name] = record
-                changed.append(record)
-        if is_complete:
-            listed = {record.name for record in found.records}
-            for name, known in list(self.records.items()):
-                if name not in listed and known.version <= found.version:
-                    del self.records[name]
-                    changed.append(
-                        known._replace(version=found.version, deleted=True)
-                    )
+        changed = self._merge(found, is_complete=is_complete)
         before, self.version = self.version, found.version
         if is_complete or found.records:
             self._last_change_version = found.version
@@ -470,6 +453,35 @@
             self._send_updates(before, found.records)
         self.ready.set()
 
+    def _merge(
+        self, found: records.Snapshot, *, is_complete: bool
+    ) -> list[records.Record]:
+        """Merge a snapshot into the records.
+
+        :param found: see :meth:`_apply`
+        :param is_complete: see :meth:`_apply`
+        :returns: the records that changed, deleted ones included
+        """
+        changed: list[records.Record] = []
+        for record in found.records:
+            known = self.records.get(record.name)
+            if record.deleted:
+                if known is not None and known.version < record.version:
+                    del self.records[record.name]
+                    changed.append(record)
+            elif known is None or known.version < record.version:
+                self.records[record.name] = record
+                changed.append(record)
+        if is_complete:
+            listed = {record.name for record in found.records}
+            for name, known in list(self.records.items()):
+                if name not in listed and known.version <= found.version:
+                    del self.records[name]
+                    changed.append(
+                        known._replace(version=found.version, deleted=True)
+                    )
+        return changed
+
     def _send_updates(
         self, before: int, changed: list[records.Record]
     ) -> None:
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -231,7 +231,7 @@
             ),
         )
         self._ports.metrics.sends.labels(request.route.kind.value).inc()
-        sent_at = request.sent_at = anyio.current_time()
+        request.sent_at = anyio.current_time()
         can_resend = (
             request.route.repeatable
             and request.runs + 1 < request.route.max_attempts
@@ -249,33 +249,49 @@
         ) as opened:
             if isinstance(opened, result.Err):
                 return self._handle_failure(request, target, opened.err_value)
-            answer = opened.ok_value
-            head = answer.head
-            if head.is_misdirected:
-                self._ports.target_stats.record_replaced(target.name)
-                request.excluded.add(target.name)
-                request.refusals += 1
-                return _End.NOT_RUN
-            if head.not_run:
-                return await self._handle_refusal(request, target, head)
-            if head.status >= MIN_SERVER_ERROR and can_resend:
-                # The target ran the request, but the request is repeatable.
-                # The answer of another target is used instead.
-                return self._handle_failure(
-                    request, target, _server_error(target, head.status)
-                )
-            try:
-                if head.is_stream:
-                    await self._forward_events(
-                        request, target, answer, sent_at, can_resend, recall
-                    )
-                else:
-                    await self._forward_body(request, answer, recall)
-            except (httpx.HTTPError, TimeoutError, ValueError) as error:
-                return self._handle_failure(
-                    request, target, _incomplete_answer(target, error)
+            return await self._pass_answer(
+                request, target, opened.ok_value, can_resend, recall
+            )
+
+    async def _pass_answer(
+        self,
+        request: request_state.RequestState,
+        target: blackboard.Target,
+        answer: opaque.Answer,
+        can_resend: bool,
+        recall: crash_parts.Recall,
+    ) -> _End:
+        """Pass an answer whose head has arrived to the caller.
+
+        :param can_resend: whether another target may answer instead
+        :param recall: cancels the run while it has no event
+        """
+        head = answer.head
+        if head.is_misdirected:
+            self._ports.target_stats.record_replaced(target.name)
+            request.excluded.add(target.name)
+            request.refusals += 1
+            return _End.NOT_RUN
+        if head.not_run:
+            return await self._handle_refusal(request, target, head)
+        if head.status >= MIN_SERVER_ERROR and can_resend:
+            # The target ran the request, but the request is repeatable.
+            # The answer of another target is used instead.
+            return self._handle_failure(
+                request, target, _server_error(target, head.status)
+            )
+        try:
+            if head.is_stream:
+                await self._forward_events(
+                    request, target, answer, can_resend, recall
                 )
-        seconds = anyio.current_time() - sent_at
+            else:
+                await self._forward_body(request, answer, recall)
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
+            return self._handle_failure(
+                request, target, _incomplete_answer(target, error)
+            )
+        seconds = anyio.current_time() - request.sent_at
         self._ports.target_stats.record_completion(target.name, seconds)
         return _End.FINISHED
 
@@ -284,7 +300,6 @@
         request: request_state.RequestState,
         target: blackboard.Target,
         answer: opaque.Answer,
-        sent_at: float,
         can_resend: bool,
         recall: crash_parts.Recall,
     ) -> None:
@@ -292,7 +307,7 @@
         route = request.route
         stall_seconds = max(MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds)
         first = True
-        next_event_by = sent_at + FIRST_EVENT_SECONDS
+        next_event_by = request.sent_at + FIRST_EVENT_SECONDS
         while True:
             until = (
                 min(next_event_by, request.deadline)
@@ -311,7 +326,7 @@
                         request.call.prompt_parts
                     )
                     self._ports.target_stats.record_first_event(
-                        target.name, anyio.current_time() - sent_at
+                        target.name, anyio.current_time() - request.sent_at
                     )
                 await self._forward_event(request, target, answer.head, event)
             next_event_by = anyio.current_time() + stall_seconds
