--- a/src/persimmonpass/controllers/crash_parts.py
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -4,6 +4,9 @@
 answers to runs with a suspected part, so that all hosts come to the same
 decision. The refused parts are sent again and again, for hosts that have
 started since or missed a notice.
+
+``persimmonpass-gateway`` uses this module; :mod:`controllers.crash_watch`
+finds single requests that crash targets.
 """
 
 import collections
