Authenticate callers of the gateway by the keys of client accounts

Cause: configurations with accounts were served as if they had none: the caller's key was passed on to targets and unknown keys were served.

Change: the adapter decodes accounts, limits and public routes; requests need a known key, targets get the account's name instead of the key. Deployments without accounts keep their headers.

--- a/src/persimmonpass/auth.py
+++ b/src/persimmonpass/auth.py
@@ -5,6 +5,7 @@
 
 import result
 
+from persimmonpass import accounts
 from persimmonpass import blackboard
 from persimmonpass.controllers import config
 from persimmonpass import events
@@ -13,7 +14,6 @@
 
 # In ascending order; a role includes the rights of those before it.
 ROLES = ('viewer', 'operator', 'admin')
-BEARER_PREFIX = 'Bearer '
 # Name of the admin whose token digest is in the daemon's settings.
 SETTINGS_ADMIN = 'settings-admin'
 
@@ -54,11 +54,12 @@
 ) -> result.Result[str, verdicts.Failure]:
     """Return the SHA-256 digest of the bearer token of a request."""
     value = headers.get('authorization', '')
-    if not value.startswith(BEARER_PREFIX):
+    digest = accounts.read_key_digest([value.encode()])
+    if not digest:
         return result.Err(
             unauthorized('Authorization: expected "Bearer TOKEN"')
         )
-    return result.Ok(objects.token_digest(value.removeprefix(BEARER_PREFIX)))
+    return result.Ok(digest)
 
 
 def find_account(
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -35,6 +35,11 @@
     :ivar resumes: id of the attempt that brought the first event of the
         resumed stream; empty if the caller does not name it
     :ivar prompt_parts: ids of the parts of the prompt, in order
+    :ivar key_digest: digest of the caller's key; empty if it sent none, or
+        none that can be valid
+    :ivar account: name of the caller's account; empty for none
+    :ivar has_accounts: whether callers have accounts, so that the headers
+        about accounts are set for the target instead of being passed on
     """
 
     id: str
@@ -47,6 +52,9 @@
     resume_after: int | None = None
     resumes: str = ''
     prompt_parts: tuple[str, ...] = ()
+    key_digest: str = ''
+    account: str = ''
+    has_accounts: bool = False
 
     @property
     def route_path(self) -> str:
@@ -99,6 +107,8 @@
         returns the decoded head of the answer
     :ivar read_prompt_parts: takes the headers of a request; returns the ids
         of the parts of its prompt, in order
+    :ivar read_account: takes the stored headers of an item; returns the name
+        of the account that it belongs to, empty for none
     """
 
     encode: collections.abc.Callable[
@@ -106,6 +116,9 @@
     ]
     decode: collections.abc.Callable[[Call, int, Headers], ResponseHead]
     read_prompt_parts: collections.abc.Callable[[Headers], tuple[str, ...]]
+    read_account: collections.abc.Callable[
+        [collections.abc.Iterable[tuple[str, str]]], str
+    ] = lambda headers: ''
 
 
 class CallerPort(typing.NamedTuple):
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -34,6 +34,7 @@
 from persimmonpass import verdicts
 
 MAX_ADDRESSES = 64
+UNAUTHORIZED = 401
 # Short, so that callers stop using a stopping host within its grace period.
 ENTRY_TTL_SECONDS = 1.0
 # How long a request waits for the first configuration and targets at a host
@@ -95,6 +96,7 @@
             gateway_ports.GatewayPorts(
                 self._max_body_bytes,
                 self._find_route,
+                self._authenticate,
                 self._ports.route_proxy.serve,
                 self._accept_job,
                 self._ports.access.read,
@@ -126,15 +128,7 @@
             await self._ports.initialized.wait()
         known = self._ports.route_proxy.configuration()
         if known is None:
-            return result.Err(
-                verdicts.Failure(
-                    verdicts.Verdict.NOT_RUN,
-                    events.REQUEST_REFUSED,
-                    'no configuration has been received yet',
-                    route_proxy.UNAVAILABLE,
-                    route_proxy.NO_CONFIG_RETRY_SECONDS,
-                )
-            )
+            return result.Err(_no_configuration())
         route = routes.find(known.routes, call.host, call.route_path)
         if route is not None:
             return result.Ok(route)
@@ -155,6 +149,24 @@
             )
         )
 
+    async def _authenticate(
+        self, call: exchange.Call, route: routes.Route | None
+    ) -> result.Result[exchange.Call, verdicts.Failure]:
+        """Find the account of a request by its key.
+
+        :param route: route of the request, ``None`` for a call on a job
+        """
+        known = self._ports.route_proxy.configuration()
+        if known is None:
+            return result.Err(_no_configuration())
+        if known.client_accounts is None:
+            return result.Ok(call)
+        account = known.client_accounts.by_key.get(call.key_digest)
+        if account is None and not (route is not None and route.is_public):
+            return result.Err(_unknown_key())
+        name = account.name if account is not None else ''
+        return result.Ok(call._replace(account=name, has_accounts=True))
+
     async def _accept_job(
         self, job: job_records.Job, route: routes.Route, seconds: float | None
     ) -> result.Result[None, verdicts.Failure]:
@@ -228,6 +240,25 @@
                 age.set(copy.age_seconds)
 
 
+def _no_configuration() -> verdicts.Failure:
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.REQUEST_REFUSED,
+        'no configuration has been received yet',
+        route_proxy.UNAVAILABLE,
+        route_proxy.NO_CONFIG_RETRY_SECONDS,
+    )
+
+
+def _unknown_key() -> verdicts.Failure:
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.REQUEST_UNAUTHORIZED,
+        'Authorization: expected a key of a client account',
+        UNAUTHORIZED,
+    )
+
+
 def _deadline(seconds: float | None) -> float:
     allowed = DEFAULT_JOB_CALL_SECONDS if seconds is None else seconds
     return anyio.current_time() + allowed
--- a/src/persimmonpass/gateway_ports.py
+++ b/src/persimmonpass/gateway_ports.py
@@ -42,6 +42,9 @@
     :ivar max_body_bytes: returns the largest body that is allowed at present
     :ivar find_route: takes a request; returns its route, or a failure if
         there is none
+    :ivar authenticate: takes a request and its route, ``None`` for a call on a
+        job; returns the request with its account, or a failure if it has no
+        valid key and needs one
     :ivar serve: takes a request, its route and its caller; sends the answer
     :ivar accept_job: takes a job, its route and the seconds that the caller
         waits or ``None``; stores the job
@@ -58,6 +61,10 @@
         [exchange.Call],
         _Async[result.Result[routes.Route, verdicts.Failure]],
     ]
+    authenticate: collections.abc.Callable[
+        [exchange.Call, routes.Route | None],
+        _Async[result.Result[exchange.Call, verdicts.Failure]],
+    ]
     serve: collections.abc.Callable[
         [exchange.Call, routes.Route, exchange.CallerPort], _Async[None]
     ]
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -123,6 +123,12 @@
     ports: gateway_ports.GatewayPorts, call: exchange.Call, caller: _Caller
 ) -> None:
     path = call.route_path
+    if path.startswith((JOBS_PREFIX, ITEMS_PREFIX)):
+        known = await ports.authenticate(call, None)
+        if isinstance(known, result.Err):
+            await caller.refuse(known.err_value)
+            return
+        call = known.ok_value
     if path.startswith(JOBS_PREFIX):
         await _serve_job(ports, call, caller, path[len(JOBS_PREFIX) :])
         return
@@ -140,6 +146,11 @@
         await caller.refuse(found_route.err_value)
         return
     route = found_route.ok_value
+    authenticated = await ports.authenticate(call, route)
+    if isinstance(authenticated, result.Err):
+        await caller.refuse(authenticated.err_value)
+        return
+    call = authenticated.ok_value
     if route.kind is not routes.Kind.JOB:
         await ports.serve(call, route, caller.port)
         return
--- a/src/persimmonpass/platform/jobs.py
+++ b/src/persimmonpass/platform/jobs.py
@@ -6,6 +6,7 @@
 
 from persimmonpass import exchange
 from persimmonpass import job_records
+from persimmonpass.platform import wire
 from persimmonpass import routes
 
 _STATES = {
@@ -64,7 +65,7 @@
             job_records.Item(
                 item.id,
                 item.path,
-                list(item.headers.items()),
+                wire.item_headers(call, item.headers),
                 item.body,
                 item.tokens,
             )
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -1,10 +1,13 @@
 """Decodes objects that operators and servers write to the platform's store."""
 
+import math
 import typing
 
 import msgspec
 
+from persimmonpass import accounts
 from persimmonpass import blackboard
+from persimmonpass import objects
 from persimmonpass import records
 from persimmonpass import routes
 
@@ -49,6 +52,7 @@
     run_target_ms: float = 0.0
     retention_s: float = 0.0
     max_count: int = 0
+    public: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -66,11 +70,27 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class _Tenant(msgspec.Struct, rename='camel'):
+    """A client account.
+
+    :ivar api_keys: keys in plain text, as operators write them
+    :ivar key_digests: digests of the keys, as hosts keep the record
+    """
+
+    name: str
+    api_keys: list[str] = []
+    key_digests: list[str] = []
+    priority: int | None = None
+    rate_per_s: typing.Any = None
+    burst: typing.Any = None
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[typing.Any] | None = None
 
 
 class _Server(msgspec.Struct, rename='camel'):
@@ -116,9 +136,70 @@
             config.limits.max_body_bytes,
             config.limits.idle_timeout_ms / _MILLISECONDS,
         ),
+        _read_accounts(config.tenants),
+    )
+
+
+def without_keys(data: records.Data) -> records.Data:
+    """Return the data of a configuration with digests in place of keys.
+
+    Hosts keep and exchange records in this form only.
+
+    :param data: data of the record, as it was read
+    """
+    tenants = data.get('tenants')
+    if not isinstance(tenants, list):
+        return data
+    return {**data, 'tenants': [_without_keys(row) for row in tenants]}
+
+
+def _without_keys(tenant: typing.Any) -> typing.Any:
+    if not isinstance(tenant, dict) or 'apiKeys' not in tenant:
+        return tenant
+    kept = {name: row for name, row in tenant.items() if name != 'apiKeys'}
+    keys = tenant['apiKeys'] if isinstance(tenant['apiKeys'], list) else []
+    digests = [objects.token_digest(key) for key in keys if _is_key(key)]
+    return {**kept, 'keyDigests': digests}
+
+
+def _is_key(key: typing.Any) -> bool:
+    return isinstance(key, str) and bool(key)
+
+
+def _read_accounts(
+    tenants: list[typing.Any] | None,
+) -> accounts.Accounts | None:
+    """Decode the client accounts; one that is malformed is left out."""
+    if tenants is None:
+        return None
+    decoded = [_convert(row, _Tenant) for row in tenants]
+    return accounts.make_table(
+        accounts.Account(
+            tenant.name,
+            frozenset(
+                [
+                    *tenant.key_digests,
+                    *map(objects.token_digest, filter(None, tenant.api_keys)),
+                ]
+            ),
+            tenant.priority,
+            _read_limit(tenant.rate_per_s),
+            _read_limit(tenant.burst),
+        )
+        for tenant in decoded
+        if tenant is not None and tenant.name
     )
 
 
+def _read_limit(value: typing.Any) -> float:
+    """Return a limit; 0, which is none, for one that is not a number."""
+    try:
+        number = float(value)
+    except (TypeError, ValueError):
+        return 0.0
+    return number if math.isfinite(number) and number > 0 else 0.0
+
+
 def _read_route(route: _Route) -> routes.Route:
     shares = tuple(
         routes.Share(split.service, split.weight) for split in route.split
@@ -138,6 +219,7 @@
         route.run_target_ms / _MILLISECONDS,
         route.retention_s,
         route.max_count,
+        route.public,
     )
 
 
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -1,7 +1,9 @@
 """Wire format of requests and answers, as callers and servers use it."""
 
+import collections.abc
 import math
 
+from persimmonpass import accounts
 from persimmonpass import blackboard
 from persimmonpass import exchange
 
@@ -14,6 +16,8 @@
 NOT_EXECUTED = b'not-executed'
 SERVER_LEAVING = b'server-leaving'
 SERVER_LIMIT = b'server-limit'
+AUTHORIZATION = b'authorization'
+TENANT = b'tenant'
 CONTENT_TYPE = b'content-type'
 EVENT_STREAM = b'text/event-stream'
 MISDIRECTED = 421
@@ -29,6 +33,8 @@
 _REPLACED_HEADERS = frozenset(
     (DEADLINE_MS, LAST_EVENT_ID, EXPECT_INSTANCE, REQUEST_ID)
 )
+# Headers that are also set instead of being passed on if there are accounts.
+_ACCOUNT_HEADERS = frozenset((AUTHORIZATION, TENANT))
 _NO_BODY_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -61,6 +67,9 @@
         int(resume) if resume else None,
         found.get(RESUMES, b'').decode('latin-1'),
         read_prompt_parts(headers),
+        accounts.read_key_digest(
+            [value for name, value in headers if name.lower() == AUTHORIZATION]
+        ),
     )
 
 
@@ -78,6 +87,37 @@
     return ()
 
 
+def item_headers(
+    call: exchange.Call, headers: collections.abc.Mapping[str, str]
+) -> list[tuple[str, str]]:
+    """Return the headers with which an item of a job is stored.
+
+    If there are accounts, they name the account, so that a host of any build
+    sends it to the target with the item.
+
+    :param call: the request that submits the job
+    :param headers: headers that the caller gave the item
+    """
+    if not call.has_accounts:
+        return list(headers.items())
+    kept = [
+        (name, value)
+        for name, value in headers.items()
+        if name.lower().encode('latin-1', 'replace') not in _ACCOUNT_HEADERS
+    ]
+    return [*kept, ('Tenant', call.account)] if call.account else kept
+
+
+def read_account(
+    headers: collections.abc.Iterable[tuple[str, str]],
+) -> str:
+    """Return the account that the stored headers of an item name."""
+    for name, value in headers:
+        if name.lower().encode('latin-1', 'replace') == TENANT:
+            return value
+    return ''
+
+
 def encode(
     call: exchange.Call,
     target: blackboard.Target,
@@ -89,10 +129,13 @@
     :param seconds: time that is left for the request
     :param resume_after: id of the last event that an earlier run produced
     """
+    replaced = _REPLACED_HEADERS | {b'host'}
+    if call.has_accounts:
+        replaced |= _ACCOUNT_HEADERS
     forwarded = [
         (name, value)
         for name, value in call.headers
-        if name.lower() not in _REPLACED_HEADERS and name.lower() != b'host'
+        if name.lower() not in replaced
     ]
     headers = [
         (b'Host', call.host.encode('latin-1')),
@@ -101,6 +144,8 @@
         (b'Deadline-Ms', str(int(seconds * _MILLISECONDS)).encode()),
         (b'Expect-Instance', target.name.encode('latin-1')),
     ]
+    if call.account:
+        headers.append((b'Tenant', call.account.encode('latin-1')))
     if resume_after is not None:
         headers.append((b'Last-Event-Id', str(resume_after).encode()))
     if call.body or call.method not in _NO_BODY_METHODS:
@@ -151,4 +196,4 @@
         return math.nan
 
 
-WIRE = exchange.WirePort(encode, decode, read_prompt_parts)
+WIRE = exchange.WirePort(encode, decode, read_prompt_parts, read_account)
--- a/src/persimmonpass/routes.py
+++ b/src/persimmonpass/routes.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from persimmonpass import accounts
+
 
 class Kind(enum.Enum):
     """The kind of requests that a route serves.
@@ -43,7 +45,9 @@
     :ivar due_seconds: objective for the time until a job has all its results
     :ivar retention_seconds: age at which an item of a job may be abandoned
     :ivar max_waiting_tokens: limit on the tokens of items that wait on a job
-        route; 0 for no limit
+        route; 0 for no limit. If there are accounts, it is the limit of each
+        of them.
+    :ivar is_public: whether callers need no key
     """
 
     name: str
@@ -60,6 +64,7 @@
     due_seconds: float = 0.0
     retention_seconds: float = 0.0
     max_waiting_tokens: int = 0
+    is_public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -93,12 +98,16 @@
 
 
 class Configuration(typing.NamedTuple):
-    """One version of the configuration that operators write."""
+    """One version of the configuration that operators write.
+
+    :ivar client_accounts: accounts of callers; ``None`` if callers need none
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits = Limits()
+    client_accounts: accounts.Accounts | None = None
 
 
 def find(
