End streams that send bytes without making progress

Cause: the time limit between two events started anew with every byte, so that a stalled target which sent one now and then held its request until the deadline and its item for up to a minute. Change: only a whole event starts the time limit anew.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -232,13 +232,13 @@
         :raises TimeoutError: if the next event does not arrive in time
         """
         reader = exchange.EventReader()
-        limit = FIRST_EVENT_TIMEOUT_SECONDS
+        next_event_by = anyio.current_time() + FIRST_EVENT_TIMEOUT_SECONDS
         is_answered = False
         size = sum(map(len, item.text.texts))
         while True:
-            with anyio.fail_after(limit):
+            left = next_event_by - anyio.current_time()
+            with anyio.fail_after(max(0.0, left)):
                 chunk = await anext(answer.chunks, None)
-            limit = EVENT_GAP_TIMEOUT_SECONDS
             if chunk is None:
                 break
             size += len(chunk)
@@ -248,7 +248,14 @@
                     f'output too long: got {size} bytes, the limit is '
                     f'{MAX_OUTPUT_BYTES}'
                 )
-            for event in reader.feed(chunk):
+            found = reader.feed(chunk)
+            if found:
+                # Bytes without a whole event are no progress: a stalled
+                # target may go on sending some.
+                next_event_by = (
+                    anyio.current_time() + EVENT_GAP_TIMEOUT_SECONDS
+                )
+            for event in found:
                 if event.id is not None and item.text.last_id is not None:
                     if event.id <= item.text.last_id:
                         continue
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -321,7 +321,8 @@
                 chunk = await anext(answer.chunks, None)
             if chunk is None:
                 break
-            for event in reader.feed(chunk):
+            found = reader.feed(chunk)
+            for event in found:
                 if first:
                     first = False
                     recall.is_answered = True
@@ -332,7 +333,10 @@
                         target.name, anyio.current_time() - request.sent_at
                     )
                 await self._forward_event(request, target, answer.head, event)
-            next_event_by = anyio.current_time() + stall_seconds
+            if found:
+                # Bytes without a whole event are no progress: a stalled
+                # target may go on sending some.
+                next_event_by = anyio.current_time() + stall_seconds
         if reader.has_partial_event:
             raise ValueError('the stream ended within an event')
         if not request.started:
