Let jobs belong to client accounts

Cause: jobs had no owner. Any caller could read and end any job, and waiting tokens were counted over all callers of a route. An item that cannot be encoded (header beyond Latin-1, malformed base64) raised in the task group of the batch runner. Change: the account is read from the stored Tenant header of the items. Waiting tokens are counted by account and route at one host. Items run under the account of their job. Records and known messages keep their fields. The whole suite has not been run.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -97,25 +97,40 @@
         job: job_records.Job,
         route: routes.Route,
         target: blackboard.Target,
+        account: str | None = None,
     ) -> str:
         """Run an item at a target.
 
         Sets the item's outcome if the run gives it a result.
 
         :param key: id of the job and position of the item in it
+        :param account: account of the job, empty for none; ``None`` if there
+            are no accounts
         :returns: why the run ended without a result; empty if it gave one
         """
         job_item = job.items[key[1]]
-        headers = _encode_headers(job_item)
-        call = exchange.Call(
-            job_item.id,
-            'POST',
-            job.host,
-            job_item.path.encode(),
-            headers,
-            job_item.content,
-            prompt_parts=self._targets.read_prompt_parts(headers),
-        )
+        try:
+            headers = _encode_headers(job_item)
+            call = exchange.Call(
+                job_item.id,
+                'POST',
+                job.host,
+                job_item.path.encode(),
+                headers,
+                job_item.content,
+                prompt_parts=self._targets.read_prompt_parts(headers),
+                account=account or '',
+                has_accounts=account is not None,
+            )
+        except ValueError as error:
+            # A job that another build accepted; no target can be sent it.
+            self.finish(
+                key,
+                item,
+                job_records.ItemResult(job_item.id, job_records.State.FAILED),
+                f'item cannot be sent: {type(error).__name__}',
+            )
+            return ''
         if self._crash_parts.admit(call.prompt_parts):
             with self._crash_parts.recallable(call.prompt_parts) as recall:
                 return await self._run(key, item, call, route, target, recall)
--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -521,7 +521,9 @@
         cause = 'stopped'
         try:
             with scope:
-                cause = await self._attempts.run(key, item, job, route, target)
+                cause = await self._attempts.run(
+                    key, item, job, route, target, self._account_of(key[0])
+                )
         finally:
             self._release_slot(item)
             item.scope = None
@@ -552,6 +554,13 @@
             )
         self._wake_up()
 
+    def _account_of(self, job_id: str) -> str | None:
+        """Return the account of a job, ``None`` if there are no accounts."""
+        state = self._ports.log.jobs.get(job_id)
+        if state is None or state.job is None:
+            return None
+        return self._ports.log.accounts.account_of(state.job)
+
     def _commit_due(self) -> None:
         now = anyio.current_time()
         done: dict[str, list[item_attempt.LocalItem]] = {}
--- a/src/persimmonpass/controllers/job_log.py
+++ b/src/persimmonpass/controllers/job_log.py
@@ -10,6 +10,7 @@
 import anyio
 import result
 
+from persimmonpass.controllers import job_accounts
 from persimmonpass.controllers import mirror
 from persimmonpass import events
 from persimmonpass import job_records
@@ -43,8 +44,14 @@
 ANSWER_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.4
 MAX_PAGE_BYTES = 900_000
+NOT_FOUND = 404
+TOO_MANY = 429
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
+# Causes of a refusal by waiting tokens. A host of an older build knows only
+# the first one, which counts the tokens of all accounts.
+QUOTA = 'quota'
+ACCOUNT_QUOTA = 'quota of the account'
 
 
 class Page(typing.NamedTuple):
@@ -64,6 +71,7 @@
 
     :ivar jobs: state of each job by id
     :ivar changed: callbacks that run after each change
+    :ivar accounts: accounts of the jobs
     """
 
     def __init__(
@@ -71,10 +79,12 @@
         host: str,
         port: records.RecordPort,
         copy: collections.abc.Callable[[], mirror.Mirror],
+        accounts: job_accounts.AccountPort = job_accounts.NO_ACCOUNTS,
     ) -> None:
         """Create the log.
 
         :param copy: returns this host's copy of the records
+        :param accounts: reads the accounts of jobs
         """
         self.jobs: dict[str, job_state.JobState] = {}
         self.changed: list[collections.abc.Callable[[], None]] = []
@@ -82,7 +92,7 @@
         self._port = port
         self._copy = copy
         self._job_count = 0
-        self._accepting: dict[str, tuple[str, int]] = {}
+        self.accounts = job_accounts.JobAccounts(self.jobs, accounts)
         self._applied = anyio.Event()
 
     def apply(self, changed: list[records.Record]) -> None:
@@ -100,7 +110,7 @@
             state = self.jobs.get(change.job_id)
             if state is None:
                 self._job_count += 1
-                state = job_state.JobState(self._job_count)
+                state = self.accounts.make_state(self._job_count)
                 self.jobs[change.job_id] = state
             state.apply(change)
         self._notify()
@@ -111,21 +121,12 @@
         for callback in self.changed:
             callback()
 
-    def waiting_tokens(self, route: str) -> int:
+    def waiting_tokens(self, route: str, account: str | None = None) -> int:
         """Return the tokens that wait on a route.
 
-        Jobs that this host is still storing are counted too.
+        :param account: whose tokens to count; ``None`` for all
         """
-        waiting = sum(
-            state.waiting_tokens
-            for state in self.jobs.values()
-            if state.job is not None and state.job.route == route
-        )
-        return waiting + sum(
-            tokens
-            for job_id, (name, tokens) in self._accepting.items()
-            if name == route and job_id not in self.jobs
-        )
+        return self.accounts.waiting_tokens(route, account)
 
     async def accept(
         self, job: job_records.Job, max_waiting_tokens: int, deadline: float
@@ -140,18 +141,28 @@
             failure of status 429, 503 or 504. After 504 the job may have been
             stored.
         """
-        known = self.jobs.get(job.id)
-        if known is not None and known.job is not None:
-            return self._report_accepted(job, 'known')
-        tokens = sum(item.tokens for item in job.items)
-        waiting = self.waiting_tokens(job.route)
+        if self._has_job(job.id):
+            return await self._report_stored(job, 'known')
+        account = self.accounts.account_of(job)
+        tokens = job_state.count_tokens(job.items)
+        waiting = self.accounts.waiting_tokens(job.route, account, job.id)
         if max_waiting_tokens and waiting + tokens > max_waiting_tokens:
-            return self._refuse(job, 429, 'quota', waiting)
-        self._accepting[job.id] = (job.route, tokens)
+            if account is None:
+                return self._refuse(
+                    job, TOO_MANY, QUOTA, waiting, max_waiting_tokens
+                )
+            # The job may have been accepted at another host a moment ago.
+            await self._wait_for_copy(job.id, None)
+            if self._has_job(job.id):
+                return await self._report_stored(job, 'known')
+            return self._refuse(
+                job, TOO_MANY, ACCOUNT_QUOTA, waiting, max_waiting_tokens
+            )
+        self.accounts.begin(job, account)
         try:
             return await self._create(job, deadline)
         finally:
-            del self._accepting[job.id]
+            self.accounts.finish(job.id)
 
     async def _create(
         self, job: job_records.Job, deadline: float
@@ -172,7 +183,10 @@
                 return self._report_accepted(job, 'created')
             failure = written.err_value
             if failure.event == events.STORE_CONFLICT:
-                return self._report_accepted(job, 'created before')
+                stored = await self._report_stored(job, 'created before')
+                if stored.is_ok() or stored.err_value.status == NOT_FOUND:
+                    return stored
+                failure = stored.err_value
             unknown = unknown or (
                 failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
             )
@@ -231,6 +245,36 @@
         if version:
             self._copy().apply_record(records.Record(name, version, data, {}))
 
+    async def _report_stored(
+        self, job: job_records.Job, how: str
+    ) -> result.Result[None, verdicts.Failure]:
+        """Accept a job whose id is stored, unless it is another account's.
+
+        :returns: otherwise a failure of status 404, or one with an unknown
+            outcome if it could not be found out whose job is stored
+        """
+        account = self.accounts.account_of(job)
+        if account is None:
+            return self._report_accepted(job, how)
+        await self._wait_for_copy(job.id, None)
+        state = self.jobs.get(job.id)
+        stored = state.job if state is not None else None
+        if stored is None:
+            found = await self._port.get(
+                job_records.KIND, job_records.job_name(job.id)
+            )
+            if isinstance(found, result.Err):
+                return result.Err(
+                    found.err_value._replace(
+                        verdict=verdicts.Verdict.MAY_HAVE_RUN
+                    )
+                )
+            change = job_records.read(found.ok_value)
+            stored = change.job if change is not None else None
+        if stored is None or self.accounts.account_of(stored) != account:
+            return self._refuse(job, NOT_FOUND, 'job of another account')
+        return self._report_accepted(job, how)
+
     def _report_accepted(
         self, job: job_records.Job, how: str
     ) -> result.Result[None, verdicts.Failure]:
@@ -241,6 +285,7 @@
             route=job.route,
             items=len(job.items),
             how=how,
+            account=self.accounts.account_of(job),
         )
         return result.Ok(None)
 
@@ -250,6 +295,7 @@
         status: int,
         cause: str,
         waiting: int | None = None,
+        limit: int | None = None,
     ) -> result.Result[None, verdicts.Failure]:
         events.log(
             events.JOB_REFUSED,
@@ -258,6 +304,8 @@
             status=status,
             cause=cause,
             waiting_tokens=waiting,
+            limit=limit,
+            account=self.accounts.account_of(job),
         )
         return result.Err(
             verdicts.Failure(
@@ -267,22 +315,27 @@
                 events.JOB_REFUSED,
                 cause,
                 status,
-                RETRY_AFTER_SECONDS,
+                None if status == NOT_FOUND else RETRY_AFTER_SECONDS,
             )
         )
 
     async def read(
-        self, job_id: str, after: int, wait_seconds: float
+        self,
+        job_id: str,
+        after: int,
+        wait_seconds: float,
+        account: str | None = None,
     ) -> result.Result[Page, verdicts.Failure]:
         """Return results from a position on; wait until there is one.
 
         :param after: number of results to skip
         :param wait_seconds: how long to wait for a result
+        :param account: account of the caller; ``None`` if there are none
         :returns: a page, empty if no result came in time or if ``after`` is
             the end of the job; a failure if the job does not exist or if this
             host's copy is too old to tell that there are no more results
         """
-        found = await self._find(job_id)
+        found = await self._find(job_id, account)
         if isinstance(found, result.Err):
             return found
         state = found.ok_value
@@ -306,10 +359,10 @@
         return result.Ok(Page(total, after + len(results), results))
 
     async def body(
-        self, job_id: str, item_id: str
+        self, job_id: str, item_id: str, account: str | None = None
     ) -> result.Result[bytes, verdicts.Failure]:
         """Return the request body of an item."""
-        found = await self._find(job_id)
+        found = await self._find(job_id, account)
         if isinstance(found, result.Err):
             return found
         job = found.ok_value.job
@@ -319,10 +372,10 @@
         return result.Err(_not_found(f'item {item_id}'))
 
     async def end(
-        self, job_id: str, deadline: float
+        self, job_id: str, deadline: float, account: str | None = None
     ) -> result.Result[None, verdicts.Failure]:
         """End a job durably, so that its remaining items do not run."""
-        found = await self._find(job_id)
+        found = await self._find(job_id, account)
         if isinstance(found, result.Err):
             return found
         pause = RETRY_SECONDS
@@ -386,18 +439,32 @@
         return False
 
     async def _find(
-        self, job_id: str
+        self, job_id: str, account: str | None
     ) -> result.Result[job_state.JobState, verdicts.Failure]:
-        with anyio.move_on_after(COPY_WAIT_SECONDS):
-            while not self._has_job(job_id):
-                await self._applied.wait()
+        """Find a job that a caller may use.
+
+        The job of another account takes the same time and the same calls as
+        one that does not exist.
+
+        :param account: account of the caller; ``None`` if there are none
+        """
+        await self._wait_for_copy(job_id, account)
         state = self.jobs.get(job_id)
-        if state is not None and state.job is not None:
+        if state is not None and self._may_use(job_id, account):
             return result.Ok(state)
         found = await self._port.get(
-            job_records.KIND, job_records.job_name(job_id)
+            job_records.KIND,
+            job_records.absent_name(job_id)
+            if self._has_job(job_id)
+            else job_records.job_name(job_id),
         )
         if isinstance(found, result.Ok):
+            change = job_records.read(found.ok_value)
+            stored = change.job if change is not None else None
+            if account is not None and (
+                stored is None or self.accounts.account_of(stored) != account
+            ):
+                return result.Err(_not_found(f'job {job_id}'))
             # This host does not have the results yet; they arrive with the
             # copy soon.
             return result.Err(
@@ -411,9 +478,30 @@
             self._report_uncertain(job_id, found.err_value.message)
         )
 
-    def _has_job(self, job_id: str) -> bool:
+    async def _wait_for_copy(self, job_id: str, account: str | None) -> None:
+        """Wait a moment for a job that was accepted at another host."""
+        with anyio.move_on_after(COPY_WAIT_SECONDS):
+            while not self._may_use(job_id, account):
+                await self._applied.wait()
+
+    def _may_use(self, job_id: str, account: str | None) -> bool:
+        """Return whether this host has a job that belongs to an account.
+
+        :param account: ``None`` for any
+        """
         state = self.jobs.get(job_id)
-        return state is not None and state.job is not None
+        return (
+            state is not None
+            and state.job is not None
+            and (
+                account is None
+                or 0 < len(account)
+                and account == state.account
+            )
+        )
+
+    def _has_job(self, job_id: str) -> bool:
+        return self._may_use(job_id, None)
 
     def _is_complete(self, state: job_state.JobState) -> bool:
         job = state.job
@@ -464,5 +552,5 @@
         verdicts.Verdict.NOT_RUN,
         events.STORE_NOT_FOUND,
         f'{what} does not exist',
-        404,
+        NOT_FOUND,
     )
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -23,6 +23,7 @@
 from persimmonpass.controllers import drain
 from persimmonpass.controllers import item_runner
 from persimmonpass.controllers import job_access
+from persimmonpass.controllers import job_accounts
 from persimmonpass.controllers import job_cleanup
 from persimmonpass.controllers import job_log
 from persimmonpass.controllers import membership
@@ -243,6 +244,9 @@
             options.host,
             self._relay.port,
             lambda: self._mirrors[job_records.KIND],
+            job_accounts.AccountPort(
+                platform.wire.read_account, self._has_accounts
+            ),
         )
         kinds = {
             platform.configuration_kind: self._catalog.apply_configuration,
@@ -428,6 +432,7 @@
                 self._route_proxy,
                 self._access,
                 self._log.jobs,
+                self._log.accounts,
                 self.metrics,
                 self._occupied,
                 self._relay,
@@ -497,6 +502,10 @@
             )
         return self._core_choice
 
+    def _has_accounts(self) -> bool:
+        known = self.board.routes.get(catalog.ROUTES_KEY)
+        return known is not None and known.client_accounts is not None
+
     def _core(self) -> list[str]:
         return self._choose_core().core
 
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -15,6 +15,7 @@
 from persimmonpass.api import drain_middleware
 from persimmonpass import blackboard
 from persimmonpass.controllers import job_access
+from persimmonpass.controllers import job_accounts
 from persimmonpass.controllers import mirror
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import route_proxy
@@ -51,6 +52,7 @@
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar access: accepts, reads and ends jobs
     :ivar jobs: jobs of which this host keeps a copy, by id
+    :ivar accounts: accounts of these jobs
     :ivar occupied: counts of requests that wait or are in progress
     :ivar relay: access to the store, directly or through a peer
     :ivar mirrors: copies of records by kind
@@ -67,6 +69,7 @@
     route_proxy: route_proxy.RouteProxy
     access: job_access.JobAccess
     jobs: collections.abc.Mapping[str, job_state.JobState]
+    accounts: job_accounts.JobAccounts
     metrics: gateway_metrics.GatewayMetrics
     occupied: occupancy.Occupancy
     relay: store_relay.StoreRelay
@@ -173,9 +176,11 @@
         return await self._ports.access.accept(job, route, _deadline(seconds))
 
     async def _end_job(
-        self, job_id: str, seconds: float | None
+        self, job_id: str, seconds: float | None, account: str | None
     ) -> result.Result[None, verdicts.Failure]:
-        return await self._ports.access.end(job_id, _deadline(seconds))
+        return await self._ports.access.end(
+            job_id, _deadline(seconds), account
+        )
 
     def _make_entry(self, zone: str) -> gateway_ports.Entry | None:
         """Return the hosts that callers should use.
@@ -234,6 +239,10 @@
         self._ports.metrics.jobs_open.set(
             sum(state.is_open for state in self._ports.jobs.values())
         )
+        waiting = self._ports.metrics.account_waiting_tokens
+        waiting.clear()
+        for name, tokens in self._ports.accounts.waiting_by_account().items():
+            waiting.labels(name).set(tokens)
         for kind, copy in self._ports.mirrors.items():
             if copy.is_replica_host:
                 age = self._ports.metrics.record_age.labels(kind)
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -64,6 +64,13 @@
             'Accepted jobs with items that have no result.',
             registry=self.registry,
         )
+        self.account_waiting_tokens = prometheus_client.Gauge(
+            'persimmonpass_account_waiting_tokens',
+            'Tokens of job items without a result, by account; "other" sums '
+            'up the smallest accounts.',
+            ['account'],
+            registry=self.registry,
+        )
         self.waiting = prometheus_client.Gauge(
             'persimmonpass_route_requests_waiting',
             'Online requests of all hosts that wait for a place.',
--- a/src/persimmonpass/gateway_ports.py
+++ b/src/persimmonpass/gateway_ports.py
@@ -48,12 +48,14 @@
     :ivar serve: takes a request, its route and its caller; sends the answer
     :ivar accept_job: takes a job, its route and the seconds that the caller
         waits or ``None``; stores the job
-    :ivar read_results: takes a job id, a position and the seconds to wait for
-        a result; returns the results from that position on
-    :ivar read_item_body: takes a job id and an item id; returns the item's
-        body
-    :ivar end_job: takes a job id and the seconds that the caller waits or
-        ``None``; ends the job
+    :ivar read_results: takes a job id, a position, the seconds to wait for
+        a result and the caller's account; returns the results from that
+        position on. For this and the next two, the account is ``None`` if the
+        configuration has no accounts.
+    :ivar read_item_body: takes a job id, an item id and the caller's account;
+        returns the item's body
+    :ivar end_job: takes a job id, the seconds that the caller waits or
+        ``None``, and the caller's account; ends the job
     """
 
     max_body_bytes: collections.abc.Callable[[], int]
@@ -73,14 +75,15 @@
         _Async[result.Result[None, verdicts.Failure]],
     ]
     read_results: collections.abc.Callable[
-        [str, int, float],
+        [str, int, float, str | None],
         _Async[result.Result[job_log.Page, verdicts.Failure]],
     ]
     read_item_body: collections.abc.Callable[
-        [str, str], _Async[result.Result[bytes, verdicts.Failure]]
+        [str, str, str | None], _Async[result.Result[bytes, verdicts.Failure]]
     ]
     end_job: collections.abc.Callable[
-        [str, float | None], _Async[result.Result[None, verdicts.Failure]]
+        [str, float | None, str | None],
+        _Async[result.Result[None, verdicts.Failure]],
     ]
 
 
--- a/src/persimmonpass/job_records.py
+++ b/src/persimmonpass/job_records.py
@@ -17,6 +17,7 @@
 KIND = 'work'
 _JOB_PREFIX = 'j.'
 _END_PREFIX = 'e.'
+_ABSENT_PREFIX = 'n.'
 _RESULTS_PREFIX = 'r.'
 NUMBER_DIGITS = 6
 
@@ -104,6 +105,11 @@
     return name[len(_JOB_PREFIX) :] if name.startswith(_JOB_PREFIX) else None
 
 
+def absent_name(job_id: str) -> str:
+    """Return a name that no record has."""
+    return _ABSENT_PREFIX + job_id
+
+
 def end_name(job_id: str) -> str:
     """Return the name of the record that ends a job."""
     return _END_PREFIX + job_id
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -135,7 +135,7 @@
     if path.startswith(ITEMS_PREFIX):
         job_id = urllib.parse.unquote(path[len(ITEMS_PREFIX) :])
         item_id = _parse_query(call.query).get('id', '')
-        found = await ports.read_item_body(job_id, item_id)
+        found = await ports.read_item_body(job_id, item_id, _account_of(call))
         if isinstance(found, result.Err):
             await caller.refuse(found.err_value)
         else:
@@ -173,7 +173,9 @@
 ) -> None:
     job_id = urllib.parse.unquote(name)
     if call.method == 'DELETE':
-        ended = await ports.end_job(job_id, call.deadline_seconds)
+        ended = await ports.end_job(
+            job_id, call.deadline_seconds, _account_of(call)
+        )
         if isinstance(ended, result.Err):
             await caller.refuse(ended.err_value)
         else:
@@ -187,7 +189,7 @@
         await caller.answer(400)
         return
     found = await ports.read_results(
-        job_id, after, min(wait, MAX_WAIT_SECONDS)
+        job_id, after, min(wait, MAX_WAIT_SECONDS), _account_of(call)
     )
     if isinstance(found, result.Err):
         await caller.refuse(found.err_value)
@@ -197,6 +199,10 @@
     await caller.answer(200, body, _JSON)
 
 
+def _account_of(call: exchange.Call) -> str | None:
+    return call.account if call.has_accounts else None
+
+
 def make_ready_app(
     is_ready: collections.abc.Callable[[], bool],
 ) -> types.ASGIApp:
--- a/src/persimmonpass/platform/jobs.py
+++ b/src/persimmonpass/platform/jobs.py
@@ -1,5 +1,7 @@
 """Wire format of batch jobs and of their results."""
 
+import base64
+import re
 import time
 
 import msgspec
@@ -15,6 +17,10 @@
 }
 
 
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_VALUE = re.compile(r'[\t\x20-\x7e\x80-\xff]*')
+
+
 class _Item(msgspec.Struct):
     id: str
     path: str
@@ -49,12 +55,18 @@
 ) -> job_records.Job | None:
     """Decode a submitted job.
 
-    :returns: the job, or ``None`` if the body is malformed
+    :returns: the job, or ``None`` if the body is malformed, if no target can
+        be sent one of its items, or if there are accounts and it has no items:
+        the account of a job is stored with its items
     """
     try:
         submission = msgspec.json.decode(call.body, type=_Submission)
     except (msgspec.DecodeError, msgspec.ValidationError):
         return None
+    if not all(map(_can_be_sent, submission.items)):
+        return None
+    if call.has_accounts and not submission.items:
+        return None
     return job_records.Job(
         # The request's id is also the job's id.
         call.id,
@@ -74,6 +86,18 @@
     )
 
 
+def _can_be_sent(item: _Item) -> bool:
+    """Return whether an item can be encoded as a request."""
+    try:
+        base64.b64decode(item.body)
+    except ValueError:
+        return False
+    return _HEADER_VALUE.fullmatch(item.id) is not None and all(
+        _HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(value)
+        for name, value in item.headers.items()
+    )
+
+
 def encode_page(
     total: int, next_position: int, results: list[job_records.ItemResult]
 ) -> bytes:
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -111,11 +111,16 @@
 def read_account(
     headers: collections.abc.Iterable[tuple[str, str]],
 ) -> str:
-    """Return the account that the stored headers of an item name."""
-    for name, value in headers:
-        if name.lower().encode('latin-1', 'replace') == TENANT:
-            return value
-    return ''
+    """Return the account that the stored headers of an item name.
+
+    :returns: empty if there is not exactly one such header
+    """
+    found = [
+        value
+        for name, value in headers
+        if name.lower().encode('latin-1', 'replace') == TENANT
+    ]
+    return found[0] if len(found) == 1 else ''
 
 
 def encode(
@@ -145,7 +150,7 @@
         (b'Expect-Instance', target.name.encode('latin-1')),
     ]
     if call.account:
-        headers.append((b'Tenant', call.account.encode('latin-1')))
+        headers.append((b'Tenant', _encode_name(call.account)))
     if resume_after is not None:
         headers.append((b'Last-Event-Id', str(resume_after).encode()))
     if call.body or call.method not in _NO_BODY_METHODS:
@@ -153,6 +158,14 @@
     return headers
 
 
+def _encode_name(name: str) -> bytes:
+    """Encode a name; one that Latin-1 lacks characters of, as UTF-8."""
+    try:
+        return name.encode('latin-1')
+    except UnicodeEncodeError:
+        return name.encode()
+
+
 def decode(
     call: exchange.Call, status: int, headers: exchange.Headers
 ) -> exchange.ResponseHead:
--- a/tests/test_item_attempt.py
+++ b/tests/test_item_attempt.py
@@ -107,5 +107,32 @@
         fakes.run(test)
 
 
+class TestMalformedItem(unittest.TestCase):
+    @expand(
+        [
+            ('header', {'headers': [('Model', '\u65e5')]}),
+            ('body', {'body': 'x'}),
+        ]
+    )
+    def test_item_that_cannot_be_sent_fails(self, _, terms):
+        """The error ended all tasks of the batch runner."""
+
+        async def test():
+            attempts = item_attempt.ItemAttempts(
+                'host',
+                _Targets(1, 0.01),
+                platform_fakes.target_stats_of(),
+                None,
+                None,
+                gateway_metrics.GatewayMetrics(),
+            )
+            item = item_attempt.LocalItem()
+            job = JOB._replace(items=[JOB.items[0]._replace(**terms)])
+            await attempts.run(('j', 0), item, job, ROUTE, TARGET)
+            self.assertIs(job_records.State.FAILED, item.outcome.state)
+
+        fakes.run(test)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_job_access.py
+++ b/tests/test_job_access.py
@@ -7,6 +7,7 @@
 import result
 
 from persimmonpass.controllers import job_access
+from persimmonpass.controllers import job_accounts
 from persimmonpass.controllers import job_log
 from persimmonpass.controllers import mirror
 from persimmonpass import job_records
@@ -37,8 +38,12 @@
     """Hosts of a fleet, some of which keep a copy of the jobs."""
 
     def __init__(
-        self, names=(*REPLICA_HOSTS, FAR), replica_hosts=REPLICA_HOSTS
+        self,
+        names=(*REPLICA_HOSTS, FAR),
+        replica_hosts=REPLICA_HOSTS,
+        accounts=job_accounts.NO_ACCOUNTS,
     ):
+        self.accounts = accounts
         self.memory = record_fakes.MemoryRecords()
         self.network = fakes.Network()
         self.names = names
@@ -49,7 +54,10 @@
         for name in self.names:
             port = self.network.port(name, tasks)
             log = job_log.JobLog(
-                name, self.memory.port, lambda name=name: self.copies[name]
+                name,
+                self.memory.port,
+                lambda name=name: self.copies[name],
+                self.accounts,
             )
             copy = mirror.Mirror(
                 name,
