Count a broken run as a crash only if its target has ended

Cause: each connection that broke before the first event counted as a crash of the target, also where a cut link had broken it. Three of them refused the part of a prompt that sound requests share, and after five trials, which met broken links too, nothing was tried again.

Each host judges by its own view, also what peers of older builds report. A part that was answered three times, the last time within 10 s, is no suspect. Trials never end. Only trials that crash a target lengthen the pause (2, 8, 32 s and so on); a trial without a verdict is repeated within a minute. Any host may try, in the part's order, 0.5 s apart. The fake server refuses connections for 0.5 s after a crash, as a process that ended does; the checks stay as strict.

Seen failing before (python -m unittest tests.test_crash_parts.TestGateway.test_broken_links_refuse_no_sound_part on the code before, with the test's fake): both hosts refuse the part, "- [{}, {}] + [{'bad0': _Refused}, {'bad0': _Refused}]", 1 failed of 1. After: tests.test_crash_parts 48 passed, 0 failed.

--- a/src/persimmonpass/controllers/crash_parts.py
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -12,10 +12,12 @@
 import collections
 import collections.abc
 import contextlib
+import functools
 import typing
 
 import anyio
 
+from persimmonpass.controllers import target_ends
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import crash_parts as policy
@@ -31,6 +33,10 @@
 MAX_RUNS = 1_000
 MAX_PARTS = 20_000
 MAX_REFUSED = 200
+# A host tries a due part this much later than the host before it in the
+# part's order, which has told the others of its trial by then.
+TRIAL_RANK_SECONDS = 0.5
+MAX_TRIAL_RANK = 4
 # Parts of one prompt that are looked at, and the length of an id.
 MAX_PARTS_OF_PROMPT = 16
 MAX_ID_LENGTH = 64
@@ -43,13 +49,31 @@
 
     :ivar since: local clock at the decision, in seconds
     :ivar trials: number of trials since then
+    :ivar failures: number of these trials that crashed a target
     :ivar next_trial_at: local clock at the next trial, in seconds
     """
 
     def __init__(self, since: float, trials: int) -> None:
         self.since = since
         self.trials = trials
-        self.next_trial_at = anyio.current_time() + policy.trial_pause(trials)
+        self.failures = 0
+        self.next_trial_at = 0.0
+        self.set_trials(trials)
+
+    def set_trials(self, trials: int) -> None:
+        """Set the number of trials, and pause until the next one."""
+        self.trials = trials
+        self.next_trial_at = anyio.current_time() + max(
+            policy.trial_pause(self.failures),
+            policy.retrial_pause(trials - self.failures),
+        )
+
+    def add_failure(self) -> None:
+        """Count a trial that crashed a target."""
+        self.failures += 1
+        self.next_trial_at = anyio.current_time() + policy.trial_pause(
+            self.failures
+        )
 
 
 class Recall:
@@ -75,13 +99,16 @@
         peers: peer_port.PeerPort,
         hosts: Hosts,
         audience: peer_port.Audience = peer_port.all_hosts,
+        ends: target_ends.Ends | None = None,
     ) -> None:
         """Create an empty table.
 
         :param hosts: returns the hosts that serve callers; one of them tries
             whether a refused part still crashes targets
         :param audience: returns the hosts that are notified
+        :param ends: tells ends of targets from broken links
         """
+        self._ends = ends or target_ends.AllEnd()
         self._host = host
         self._peers = peers
         self._hosts = hosts
@@ -105,6 +132,11 @@
             METHOD_REFUSED: peer_port.NoticeHandler(self._handle_refused),
         }
 
+    @property
+    def refused_count(self) -> int:
+        """Number of refused parts."""
+        return len(self._refused)
+
     async def run(self) -> None:
         """Send the refused parts to peers until cancelled."""
         while True:
@@ -122,7 +154,7 @@
         """
         now = anyio.current_time()
         return any(
-            now < refused.next_trial_at or not self._tries(part)
+            now < refused.next_trial_at + self._trial_delay(part)
             for part, refused in self._find_refused(parts)
         )
 
@@ -136,10 +168,7 @@
         if self.is_refused(parts):
             return False
         for part, refused in self._find_refused(parts):
-            refused.trials += 1
-            refused.next_trial_at = anyio.current_time() + policy.trial_pause(
-                refused.trials
-            )
+            refused.set_trials(refused.trials + 1)
             self._broadcast(METHOD_REFUSED, self._refused_rows())
             events.log(
                 events.PART_TRIED,
@@ -211,9 +240,14 @@
             if part in self._refused
         ]
 
-    def _tries(self, part: str) -> bool:
-        """Return whether this host is the one that tries a refused part."""
-        return shards.owner(part, self._hosts()) == self._host
+    def _trial_delay(self, part: str) -> float:
+        """Return how long this host leaves a trial to others, in seconds.
+
+        The first host may get no request with the part, or reach no target.
+        """
+        hosts = shards.ranked(part, self._hosts())[:MAX_TRIAL_RANK]
+        rank = hosts.index(self._host) if self._host in hosts else len(hosts)
+        return rank * TRIAL_RANK_SECONDS
 
     def _broadcast(self, method: str, payload: typing.Any) -> None:
         peer_port.broadcast(self._peers, method, payload, self._audience())
@@ -228,11 +262,21 @@
         now = anyio.current_time()
         while self._runs and self._runs[0].at < now - RETENTION_SECONDS:
             self._runs.popleft()
-        if any(part in self._refused for part in shared):
+        run = policy.BrokenRun(request_id, target, shared, now - seconds, now)
+        self._ends.confirm(target, functools.partial(self._count_crash, run))
+
+    def _count_crash(self, run: policy.BrokenRun, has_ended: bool) -> None:
+        """Count a broken run as a crash if its target has ended."""
+        if not has_ended:
             return
-        self._runs.append(
-            policy.BrokenRun(request_id, target, shared, now - seconds, now)
-        )
+        now = anyio.current_time()
+        refused = [part for part in run.parts if part in self._refused]
+        for part in refused:
+            if self._refused[part].failures < self._refused[part].trials:
+                self._refused[part].add_failure()
+        if refused:
+            return
+        self._runs.append(run)
         cause = policy.find_cause(self._runs, self._answered)
         if cause is not None:
             self._refuse(cause, _Refused(now, 0))
@@ -302,13 +346,17 @@
             cleared = self._answered.get(part)
             if cleared is not None and cleared.last_at > now - age:
                 continue
-            if age >= REFUSED_SECONDS:
+            if age >= REFUSED_SECONDS or (
+                cleared is not None
+                and cleared.runs >= policy.MIN_SOUND_RUNS
+                and now - cleared.last_at < policy.SOUND_SECONDS
+            ):
                 continue
             known = self._refused.get(part)
             if known is None:
                 self._refuse(part, _Refused(now - age, trials))
             elif known.trials < trials:
-                self._refused[part] = _Refused(known.since, trials)
+                known.set_trials(trials)
 
 
 def _shared(parts: collections.abc.Sequence[str]) -> tuple[str, ...]:
--- a/src/persimmonpass/controllers/crash_watch.py
+++ b/src/persimmonpass/controllers/crash_watch.py
@@ -7,10 +7,12 @@
 """
 
 import collections
+import functools
 import typing
 
 import anyio
 
+from persimmonpass.controllers import target_ends
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
 
@@ -24,7 +26,17 @@
 class CrashWatch:
     """Targets that crashed at the start of a run, by request."""
 
-    def __init__(self, host: str, peers: peer_port.PeerPort) -> None:
+    def __init__(
+        self,
+        host: str,
+        peers: peer_port.PeerPort,
+        ends: target_ends.Ends | None = None,
+    ) -> None:
+        """Create an empty table.
+
+        :param ends: tells ends of targets from broken links
+        """
+        self._ends = ends or target_ends.AllEnd()
         self._host = host
         self._peers = peers
         self._lost: collections.OrderedDict[str, dict[str, float]] = (
@@ -54,10 +66,19 @@
         :param fingerprint: fingerprint of the request
         :param target: name of the target
         """
-        self._add_crash(fingerprint, target)
+        self._confirm(fingerprint, target)
         peer_port.broadcast(self._peers, METHOD_BROKE, [fingerprint, target])
 
-    def _add_crash(self, fingerprint: str, target: str) -> None:
+    def _confirm(self, fingerprint: str, target: str) -> None:
+        self._ends.confirm(
+            target, functools.partial(self._add_crash, fingerprint, target)
+        )
+
+    def _add_crash(
+        self, fingerprint: str, target: str, has_ended: bool
+    ) -> None:
+        if not has_ended:
+            return
         was_quarantined = self.is_quarantined(fingerprint)
         lost = self._lost.setdefault(fingerprint, {})
         lost[target] = anyio.current_time()
@@ -74,4 +95,4 @@
 
     def _handle_crash(self, peer: str, payload: typing.Any) -> None:
         fingerprint, target = payload
-        self._add_crash(fingerprint, target)
+        self._confirm(fingerprint, target)
--- a/src/persimmonpass/controllers/target_paths.py
+++ b/src/persimmonpass/controllers/target_paths.py
@@ -190,6 +190,20 @@
         """Number of targets that this host does not reach itself."""
         return len(self._lost)
 
+    def has_ended(self, target: str) -> bool:
+        """Return whether a target is not listed, or lost by most hosts.
+
+        :param target: name of the target
+        """
+        if target not in self._ports.board.targets:
+            return True
+        hosts = set(self._ports.members())
+        hosts.intersection_update(self._ports.peers.connected())
+        hosts.discard(self._host)
+        lost = sum(target in self._lost_by(host) for host in hosts)
+        lost += target in self._lost
+        return 2 * lost > len(hosts) + 1
+
     def stranded_hosts(self) -> set[str]:
         """Return the live hosts that have lost most targets."""
         if not self._lost and not self._reports:
@@ -390,13 +404,18 @@
             self._reports.pop(peer, None)
         if self._host not in self._ports.members():
             return
+        # A target that has just ended may have answered a moment before.
+        is_single = len(payload) <= policy.MIN_LOST_TO_CHECK_ALL
         self._check_spread(
             [
                 target
                 for target in payload
                 if target not in before
                 and target not in self._lost
-                and now - self._get(target).answered_at > ANSWERED_SECONDS
+                and (
+                    is_single
+                    or now - self._get(target).answered_at > ANSWERED_SECONDS
+                )
             ]
         )
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -31,6 +31,7 @@
 from persimmonpass.controllers import route_proxy
 from persimmonpass.controllers import store_relay
 from persimmonpass.controllers import stream_origins
+from persimmonpass.controllers import target_ends
 from persimmonpass.controllers import target_limits
 from persimmonpass.controllers import target_paths
 from persimmonpass.controllers import target_stats
@@ -313,10 +314,6 @@
             self._core,
             self._replica_hosts,
         )
-        self._crashes = crash_watch.CrashWatch(options.host, port)
-        self._crash_parts = crash_parts.CrashParts(
-            options.host, port, self._core, self._replica_hosts
-        )
         self._origins = stream_origins.StreamOrigins(
             options.host, self.board, port, self._replica_hosts
         )
@@ -325,6 +322,11 @@
             options.availability_zone,
             target_paths.PathPorts(self.board, port, self._core),
         )
+        self._ends = target_ends.TargetEnds(self._paths.has_ended)
+        self._crashes = crash_watch.CrashWatch(options.host, port, self._ends)
+        self._crash_parts = crash_parts.CrashParts(
+            options.host, port, self._core, self._replica_hosts, self._ends
+        )
         self._tunnels = tunnel.Tunnels(
             options.host,
             lambda address: any(
@@ -456,6 +458,7 @@
             self._membership.run,
             self._catalog.run,
             self._crash_parts.run,
+            self._ends.run,
             self._origins.run,
             self._occupied.run,
             self._limits.run,
--- a/src/persimmonpass/policy/crash_parts.py
+++ b/src/persimmonpass/policy/crash_parts.py
@@ -9,18 +9,23 @@
 """
 
 import collections.abc
-import math
 import typing
 
 # Two crashes of runs with a common part still happen by chance when targets
 # crash in a burst.
 MIN_CRASHES = 3
 MIN_REQUESTS = 2
-# Each trial of a refused part may crash a target, so that each pause is
-# several times as long as the one before.
+# A part that was answered this often, and lately, is sound: a part that
+# crashes targets is never answered.
+MIN_SOUND_RUNS = 3
+SOUND_SECONDS = 10.0
+# Each failed trial of a refused part has crashed a target, so that each pause
+# is several times as long as the one before. Trials without a verdict, whose
+# links broke, are repeated within a minute.
 FIRST_TRIAL_SECONDS = 2.0
-TRIAL_FACTOR = 3.0
-MAX_TRIALS = 5
+TRIAL_FACTOR = 4.0
+RETRIAL_FACTOR = 2.0
+MAX_RETRIAL_SECONDS = 60.0
 
 
 class BrokenRun(typing.NamedTuple):
@@ -76,7 +81,7 @@
     for run in runs:
         for depth, part in enumerate(run.parts):
             known = answered.get(part)
-            if known is None or run.at > known.last_at:
+            if known is None or not _is_sound(known, run.at):
                 suspects.setdefault(part, []).append(run)
                 depths[part] = depth
     causes = [part for part, broken in suspects.items() if _is_cause(broken)]
@@ -89,6 +94,14 @@
     )
 
 
+def _is_sound(known: Answered, at: float) -> bool:
+    """Return whether a part that was answered cannot have crashed a target."""
+    if at <= known.last_at:
+        return True
+    is_recent = at - known.last_at < SOUND_SECONDS
+    return is_recent and known.runs >= MIN_SOUND_RUNS
+
+
 def _is_cause(runs: list[BrokenRun]) -> bool:
     """Return whether runs with a common part crashed by more than chance."""
     targets = {run.target for run in runs}
@@ -111,13 +124,18 @@
     return count
 
 
-def trial_pause(trials: int) -> float:
+def trial_pause(failures: int) -> float:
     """Return the pause before the next trial of a refused part, in seconds.
 
-    It is infinite after ``MAX_TRIALS``.
+    :param failures: number of trials so far that crashed a target
+    """
+    return FIRST_TRIAL_SECONDS * TRIAL_FACTOR**failures
+
+
+def retrial_pause(trials: int) -> float:
+    """Return the pause after a trial without a verdict, in seconds.
 
-    :param trials: number of trials so far
+    :param trials: number of trials so far without a verdict
     """
-    if trials >= MAX_TRIALS:
-        return math.inf
-    return FIRST_TRIAL_SECONDS * TRIAL_FACTOR**trials
+    pause = FIRST_TRIAL_SECONDS * RETRIAL_FACTOR ** min(trials, 8)
+    return min(MAX_RETRIAL_SECONDS, pause)
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -217,6 +217,9 @@
     :ivar deadly_part: id of the part of a prompt that crashes the server as
         it begins to answer; ``None`` for no part
     :ivar crashes: number of these crashes
+    :ivar down_seconds: how long new connections are refused after a crash; 0
+        for a link that broke
+    :ivar down_until: event loop's clock at the end of that time
     :ivar names_version: whether each event has the version as its type
     :ivar limit: requests a second that each answer names as the server's
         limit; ``None`` for no limit
@@ -238,6 +241,8 @@
         self.cut_after = None
         self.deadly_part = None
         self.crashes = 0
+        self.down_seconds = 0.5
+        self.down_until = 0.0
         self.refuses_all = False
         self.status = 200
         self.foreign = False
@@ -311,6 +316,7 @@
         prompt = request.headers.get('prompt-prefix', '')
         if self.deadly_part is not None and f'{self.deadly_part}:' in prompt:
             self.crashes += 1
+            self.down_until = anyio.current_time() + self.down_seconds
             return None
         self.busy += 1
         try:
@@ -520,6 +526,23 @@
     return options._replace(**fields)
 
 
+@contextlib.contextmanager
+def _refusing_connections(model_servers):
+    """Refuse connections to servers that are down after a crash."""
+    original = anyio.connect_tcp
+
+    async def connect(remote_host, remote_port, **names):
+        address = f'{remote_host}:{remote_port}'
+        now = anyio.current_time()
+        for server in model_servers:
+            if server.address == address and now < server.down_until:
+                raise ConnectionRefusedError
+        return await original(remote_host, remote_port, **names)
+
+    with mock.patch.object(anyio, 'connect_tcp', connect):
+        yield
+
+
 @contextlib.asynccontextmanager
 async def fleet(hosts=('one',), count=2, config=None, trace=''):
     """Run a small deployment.
@@ -537,6 +560,7 @@
                 test_store_client.serving(server.app)
             )
             store.memory.put('servers', server.name, server.entry())
+        stack.enter_context(_refusing_connections(model_servers))
         store.memory.put('config', 'main', config or configuration())
         client = await stack.enter_async_context(
             httpx.AsyncClient(trust_env=False, timeout=10.0)
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -378,6 +378,32 @@
 
         platform_fakes.run(test)
 
+    def test_broken_links_refuse_no_sound_part(self):
+        """Connections broke, but all targets go on answering."""
+
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 6) as fleet:
+                for server in fleet.servers:
+                    server.deadly_part = BAD
+                    server.down_seconds = 0.0
+                for number in range(8):
+                    await fleet.post(
+                        '/notes/a',
+                        host=('one', 'two')[number % 2],
+                        **{
+                            'Request-Id': f'r{number}',
+                            'Prompt-Prefix': f'{BAD}:9,{number}:5',
+                        },
+                    )
+                    await anyio.sleep(0.1)
+                await anyio.sleep(2.0)
+                refused = [
+                    host._crash_parts._refused for host in fleet.hosts.values()
+                ]
+                self.assertEqual([{}, {}], refused)
+
+        platform_fakes.run(test)
+
     def test_request_that_waits_at_a_target_is_recalled(self):
         async def test():
             async with platform_fakes.fleet(('one', 'two')) as fleet:
