Hold items with a refused part until a trial is due

Cause: an item with a refused part was started each second, only to be refused before it was sent; it took a slot and wrote two lines each time.

Change: the item runner leaves such items out until a trial is due, and then starts one for each part. The order of the other items stays. Gauges show the refused parts and the items that wait.

Seen failing before, with item_runner.py as it was (python -m unittest tests.test_crash_parts.TestGateway.test_item_with_a_refused_part_stays_owed): item_started and item_stopped twice in one second, 1 failed of 1.

--- a/src/persimmonpass/controllers/crash_parts.py
+++ b/src/persimmonpass/controllers/crash_parts.py
@@ -147,6 +147,13 @@
             self._broadcast(METHOD_REFUSED, self._refused_rows())
             await anyio.sleep(SPREAD_SECONDS)
 
+    def refused_among(self, parts: collections.abc.Sequence[str]) -> set[str]:
+        """Return the refused parts of a prompt.
+
+        :param parts: ids of all its parts, in order
+        """
+        return {part for part, _ in self._find_refused(parts)}
+
     def is_refused(self, parts: collections.abc.Sequence[str]) -> bool:
         """Return whether a request must not run now.
 
--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -106,7 +106,7 @@
         :returns: why the run ended without a result; empty if it gave one
         """
         job_item = job.items[key[1]]
-        headers = _encode_headers(job_item)
+        headers = encode_headers(job_item)
         call = exchange.Call(
             job_item.id,
             'POST',
@@ -340,7 +340,8 @@
         )
 
 
-def _encode_headers(item: job_records.Item) -> exchange.Headers:
+def encode_headers(item: job_records.Item) -> exchange.Headers:
+    """Return the headers of an item as a request carries them."""
     return [
         (name.encode('latin-1'), value.encode('latin-1'))
         for name, value in item.headers
--- /dev/null
+++ b/src/persimmonpass/controllers/item_holds.py
@@ -0,0 +1,68 @@
+"""Holds items with a refused part of a prompt until its next trial is due."""
+
+import collections.abc
+
+from persimmonpass.controllers import crash_parts
+from persimmonpass import job_records
+from persimmonpass.policy import batch_scheduling
+
+ReadParts = collections.abc.Callable[[job_records.Item], tuple[str, ...]]
+
+
+class ItemHolds:
+    """The items that wait for a trial.
+
+    :ivar waiting: number of items that waited at the last look
+    """
+
+    def __init__(
+        self, crashes: crash_parts.CrashParts, read_parts: ReadParts
+    ) -> None:
+        """Create an empty list.
+
+        :param read_parts: returns the ids of the parts of an item's prompt
+        """
+        self.waiting = 0
+        self._crash_parts = crashes
+        self._read_parts = read_parts
+        # Reading the parts of all items at each look would take too long.
+        self._parts: dict[tuple[str, int], tuple[str, ...]] = {}
+
+    def without_held(
+        self,
+        pending: list[batch_scheduling.Pending],
+        find_job: collections.abc.Callable[[str], job_records.Job | None],
+    ) -> list[batch_scheduling.Pending]:
+        """Return the items that may start, in the same order.
+
+        Of the items with a part whose trial is due, only the first may start.
+
+        :param pending: items in the order in which they should start
+        :param find_job: returns a job by its id
+        """
+        self.waiting = 0
+        if not self._crash_parts.refused_count:
+            self._parts.clear()
+            return pending
+        tried: set[str] = set()
+        free = []
+        for row in pending:
+            job = find_job(row.job)
+            parts = self._find_parts(row, job) if job is not None else ()
+            refused = self._crash_parts.refused_among(parts)
+            if refused and (
+                tried & refused or self._crash_parts.is_refused(parts)
+            ):
+                self.waiting += 1
+                continue
+            tried |= refused
+            free.append(row)
+        return free
+
+    def _find_parts(
+        self, row: batch_scheduling.Pending, job: job_records.Job
+    ) -> tuple[str, ...]:
+        key = (row.job, row.item)
+        if key not in self._parts:
+            self._parts[key] = self._read_parts(job.items[row.item])
+        return self._parts[key]
--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -20,6 +20,7 @@
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import crash_parts
 from persimmonpass.controllers import item_attempt
+from persimmonpass.controllers import item_holds
 from persimmonpass.controllers import job_log
 from persimmonpass.controllers import occupancy
 from persimmonpass.controllers import target_limits
@@ -111,6 +112,12 @@
             ports.crash_parts,
             ports.metrics,
         )
+        self._holds = item_holds.ItemHolds(
+            ports.crash_parts,
+            lambda item: ports.targets.read_prompt_parts(
+                item_attempt.encode_headers(item)
+            ),
+        )
         self._sent_counts: dict[str, dict[tuple[str, int], int]] = {}
         self._progress_sent_at = 0.0
         self._wake = anyio.Event()
@@ -181,7 +188,15 @@
             self._stop_all()
         self._commit_due()
         self._send_progress(anyio.current_time(), has_stopped)
-        self._ports.metrics.batch_running.set(self.running)
+        self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        metrics = self._ports.metrics
+        metrics.batch_running.set(self.running)
+        metrics.parts_refused.set(self._ports.crash_parts.refused_count)
+        metrics.waiting_for_trial.set(
+            self._holds.waiting if self._role.is_runner else 0
+        )
 
     def _stop_all(self) -> None:
         for item in self._running.values():
@@ -366,7 +381,9 @@
                     policy.Pending(job_id, number, due_at, left, state.order)
                 )
         found.sort(key=lambda pending: policy.rank(pending, now))
-        return found
+        return self._holds.without_held(
+            found, lambda job_id: self._ports.log.jobs[job_id].job
+        )
 
     def _start_items(self) -> None:
         now = anyio.current_time()
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -59,6 +59,16 @@
             'Batch items that this host runs.',
             registry=self.registry,
         )
+        self.parts_refused = prometheus_client.Gauge(
+            'persimmonpass_prompt_parts_refused',
+            'Parts of prompts that this host refuses, as they crash targets.',
+            registry=self.registry,
+        )
+        self.waiting_for_trial = prometheus_client.Gauge(
+            'persimmonpass_job_items_waiting_for_trial',
+            'Batch items that wait until a refused part may be tried.',
+            registry=self.registry,
+        )
         self.jobs_open = prometheus_client.Gauge(
             'persimmonpass_jobs_open',
             'Accepted jobs with items that have no result.',
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
 from persimmonpass.controllers import crash_parts
+from persimmonpass import events
 from persimmonpass.platform import wire
 from persimmonpass.policy import crash_parts as policy
 from tests import fakes
@@ -449,10 +451,15 @@
                     while not fleet.hosts['one']._crash_parts._refused:
                         await anyio.sleep(0.02)
                 crashes = sum(server.crashes for server in fleet.servers)
-                await anyio.sleep(1.0)
+                with mock.patch.object(events, 'log') as log:
+                    await anyio.sleep(1.0)
                 self.assertEqual(
                     crashes, sum(server.crashes for server in fleet.servers)
                 )
+                # Items are not started only to be refused.
+                logged = [call.args[0] for call in log.call_args_list]
+                self.assertNotIn(events.ITEM_STARTED, logged)
+                self.assertNotIn(events.ITEM_STOPPED, logged)
                 for server in fleet.servers:
                     server.deadly_part = None
                 with anyio.fail_after(10):
