--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -208,6 +208,8 @@
     :ivar pace_seconds: time between events
     :ivar cut_after: number of events after which answers break off; ``None``
         for never
+    :ivar crashes_when_cut: whether an answer breaks off because the server
+        crashes, so that it refuses connections for a while
     :ivar refuses_all: whether every request is refused as not executed
     :ivar status: status of the answers
     :ivar foreign: whether answers carry the id of another request
@@ -217,6 +219,9 @@
     :ivar deadly_part: id of the part of a prompt that crashes the server as
         it begins to answer; ``None`` for no part
     :ivar crashes: number of these crashes
+    :ivar down_seconds: how long new connections are refused after a crash; 0
+        for a link that broke
+    :ivar down_until: event loop's clock at the end of that time
     :ivar names_version: whether each event has the version as its type
     :ivar limit: requests a second that each answer names as the server's
         limit; ``None`` for no limit
@@ -236,8 +241,11 @@
         self.recalled = 0
         self.pace_seconds = 0.002
         self.cut_after = None
+        self.crashes_when_cut = False
         self.deadly_part = None
         self.crashes = 0
+        self.down_seconds = 0.5
+        self.down_until = 0.0
         self.refuses_all = False
         self.status = 200
         self.foreign = False
@@ -311,6 +319,7 @@
         prompt = request.headers.get('prompt-prefix', '')
         if self.deadly_part is not None and f'{self.deadly_part}:' in prompt:
             self.crashes += 1
+            self.down_until = anyio.current_time() + self.down_seconds
             return None
         self.busy += 1
         try:
@@ -331,6 +340,10 @@
             tasks.start_soon(watch_disconnect)
             for number in range(first, TOKENS + 1):
                 if self.cut_after is not None and number > self.cut_after:
+                    if self.crashes_when_cut:
+                        self.down_until = (
+                            anyio.current_time() + self.down_seconds
+                        )
                     tasks.cancel_scope.cancel()
                     return False
                 text = f'id: {number}\ndata: {body.decode()}-{number}\n\n'
@@ -520,6 +533,23 @@
     return options._replace(**fields)
 
 
+@contextlib.contextmanager
+def _refusing_connections(model_servers):
+    """Refuse connections to servers that are down after a crash."""
+    original = anyio.connect_tcp
+
+    async def connect(remote_host, remote_port, **names):
+        address = f'{remote_host}:{remote_port}'
+        now = anyio.current_time()
+        for server in model_servers:
+            if server.address == address and now < server.down_until:
+                raise ConnectionRefusedError
+        return await original(remote_host, remote_port, **names)
+
+    with mock.patch.object(anyio, 'connect_tcp', connect):
+        yield
+
+
 @contextlib.asynccontextmanager
 async def fleet(hosts=('one',), count=2, config=None, trace=''):
     """Run a small deployment.
@@ -537,6 +567,7 @@
                 test_store_client.serving(server.app)
             )
             store.memory.put('servers', server.name, server.entry())
+        stack.enter_context(_refusing_connections(model_servers))
         store.memory.put('config', 'main', config or configuration())
         client = await stack.enter_async_context(
             httpx.AsyncClient(trust_env=False, timeout=10.0)
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
 from persimmonpass.controllers import crash_parts
+from persimmonpass import events
 from persimmonpass.platform import wire
 from persimmonpass.policy import crash_parts as policy
 from tests import fakes
@@ -378,6 +380,32 @@
 
         platform_fakes.run(test)
 
+    def test_broken_links_refuse_no_sound_part(self):
+        """Connections broke, but all targets go on answering."""
+
+        async def test():
+            async with platform_fakes.fleet(('one', 'two'), 6) as fleet:
+                for server in fleet.servers:
+                    server.deadly_part = BAD
+                    server.down_seconds = 0.0
+                for number in range(8):
+                    await fleet.post(
+                        '/notes/a',
+                        host=('one', 'two')[number % 2],
+                        **{
+                            'Request-Id': f'r{number}',
+                            'Prompt-Prefix': f'{BAD}:9,{number}:5',
+                        },
+                    )
+                    await anyio.sleep(0.1)
+                await anyio.sleep(2.0)
+                refused = [
+                    host._crash_parts._refused for host in fleet.hosts.values()
+                ]
+                self.assertEqual([{}, {}], refused)
+
+        platform_fakes.run(test)
+
     def test_request_that_waits_at_a_target_is_recalled(self):
         async def test():
             async with platform_fakes.fleet(('one', 'two')) as fleet:
@@ -423,10 +451,15 @@
                     while not fleet.hosts['one']._crash_parts._refused:
                         await anyio.sleep(0.02)
                 crashes = sum(server.crashes for server in fleet.servers)
-                await anyio.sleep(1.0)
+                with mock.patch.object(events, 'log') as log:
+                    await anyio.sleep(1.0)
                 self.assertEqual(
                     crashes, sum(server.crashes for server in fleet.servers)
                 )
+                # Items are not started only to be refused.
+                logged = [call.args[0] for call in log.call_args_list]
+                self.assertNotIn(events.ITEM_STARTED, logged)
+                self.assertNotIn(events.ITEM_STOPPED, logged)
                 for server in fleet.servers:
                     server.deadly_part = None
                 with anyio.fail_after(10):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -212,6 +212,8 @@
             async with platform_fakes.fleet(('one', 'two'), 5) as fleet:
                 for server in fleet.servers:
                     server.cut_after = 0
+                    # A target that goes on answering has not crashed.
+                    server.crashes_when_cut = True
                 statuses = []
                 # The same target may be chosen twice; three different broken
                 # targets are enough for the request to be refused.
