--- a/tests/test_job_accounts.py
+++ b/tests/test_job_accounts.py
@@ -1,6 +1,7 @@
 """Tests of jobs that belong to client accounts."""
 
 import unittest
+from unittest import mock
 
 import anyio
 import msgspec
@@ -198,6 +199,33 @@
         self.assertEqual(expected, state)
 
 
+class TestEvents(unittest.TestCase):
+    def test_events_name_the_account_and_the_limit(self):
+        """An operator could not tell whose limit refused a job."""
+        found = []
+
+        async def test(hosts):
+            access = hosts.accesses[NEAR[0]]
+            await submit(access, make_job('a', 'acme', 100))
+            await submit(access, make_job('b', 'acme', 1))
+
+        def record(event, **fields):
+            found.append((event, fields))
+
+        with mock.patch.object(events, 'log', record):
+            run_with_hosts(test)
+        by_event = dict(found)
+        self.assertEqual('acme', by_event[events.JOB_ACCEPTED]['account'])
+        refused = by_event[events.JOB_REFUSED]
+        self.assertEqual(
+            ('acme', 100, 100),
+            tuple(
+                refused[name]
+                for name in ('account', 'waiting_tokens', 'limit')
+            ),
+        )
+
+
 class TestOwnership(unittest.TestCase):
     @expand(
         [
