Check the head of a request before its body is read

Cause: the application for callers read the whole body first, so that a caller without a valid key was refused only after it had sent everything.

Change: route and key are checked on the head. A refusal is sent whole at once; its end waits until the body has been read and dropped, at most maxBodyBytes and 3 s, as the server closes the connection otherwise. The key is checked again after the body, as it may have been withdrawn meanwhile.

--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -9,6 +9,7 @@
 import typing
 import urllib.parse
 
+import anyio
 import msgspec
 import result
 from starlette import types
@@ -26,6 +27,10 @@
 ITEMS_PREFIX = '/persimmonpass/items/'
 WAIT_MS = b'wait-ms'
 MAX_WAIT_SECONDS = 1.0
+# How long the body of a request that was refused by its head is still read.
+# Closing a connection with unread bytes resets it, and the caller may lose the
+# answer. Less than the grace period of a host that stops.
+DROP_SECONDS = 3.0
 
 _MILLISECONDS = 1000
 _JSON = (b'content-type', b'application/json')
@@ -81,12 +86,29 @@
             self.port, failure.status, failure.retry_after_seconds
         )
 
+    async def start_refusal(
+        self, status: int, retry_after_seconds: float | None
+    ) -> None:
+        """Send a refusal as :meth:`refuse` does, without its end."""
+        await exchange.refuse(
+            self.port._replace(send=_send_nothing), status, retry_after_seconds
+        )
+
+    async def end(self) -> None:
+        """Send the end of an answer that has no body."""
+        await self._body(b'', False)
+
+
+async def _send_nothing(data: bytes, more: bool) -> None:
+    pass
+
 
 def make_caller_app(ports: gateway_ports.GatewayPorts) -> types.ASGIApp:
     """Return the application that serves the requests of callers.
 
-    It answers 413 to a body that is too long and 400 to a request that it
-    cannot parse.
+    A request that its head shows to be malformed, unauthenticated or without a
+    route is refused before its body is read. The answer is 413 to a body that
+    is too long and 400 to a request that cannot be parsed.
     """
 
     async def app(
@@ -95,62 +117,126 @@
         if scope['type'] != 'http':
             return
         caller = _Caller(send)
-        found = await _read_body(receive, ports.max_body_bytes())
-        if found is _BodyError.CUT:
-            return
-        if found is _BodyError.TOO_LONG:
-            await caller.answer(413)
-            return
-        body = typing.cast(bytes, found)
         path: bytes = scope['raw_path']
         if scope['query_string']:
             path += b'?' + scope['query_string']
         try:
-            call = wire.read_call(
-                scope['method'], path, list(scope['headers']), body
+            head = wire.read_call(
+                scope['method'], path, list(scope['headers']), b''
             )
         except ValueError:
-            await caller.answer(400)
+            await _refuse_head(caller, receive, ports.max_body_bytes(), 400)
+            return
+        found = await _find_route(ports, head)
+        if isinstance(found, result.Err):
+            await _refuse_head(
+                caller,
+                receive,
+                ports.max_body_bytes(),
+                found.err_value.status,
+                found.err_value.retry_after_seconds,
+            )
+            return
+        body = await _read_body(receive, ports.max_body_bytes())
+        if body is _BodyError.CUT:
+            return
+        if body is _BodyError.TOO_LONG:
+            await caller.answer(413)
             return
+        call = head._replace(body=typing.cast(bytes, body))
         await gateway_ports.run_until_disconnect(
-            lambda: _serve(ports, call, caller), receive
+            lambda: _serve(ports, call, found.ok_value, caller), receive
         )
 
     return app
 
 
-async def _serve(
-    ports: gateway_ports.GatewayPorts, call: exchange.Call, caller: _Caller
+async def _find_route(
+    ports: gateway_ports.GatewayPorts, head: exchange.Call
+) -> result.Result[routes.Route | None, verdicts.Failure]:
+    """Check the head of a request before its body is read.
+
+    :returns: its route, ``None`` for a call on a job; a failure if there is no
+        route or the caller is not authenticated
+    """
+    route: routes.Route | None = None
+    if not head.route_path.startswith((JOBS_PREFIX, ITEMS_PREFIX)):
+        found = await ports.find_route(head)
+        if isinstance(found, result.Err):
+            return found
+        route = found.ok_value
+    known = await ports.authenticate(head, route)
+    return known.map(lambda call: route)
+
+
+async def _refuse_head(
+    caller: _Caller,
+    receive: types.Receive,
+    limit: int,
+    status: int,
+    retry_after_seconds: float | None = None,
 ) -> None:
-    path = call.route_path
-    if path.startswith((JOBS_PREFIX, ITEMS_PREFIX)):
-        known = await ports.authenticate(call, None)
-        if isinstance(known, result.Err):
-            await caller.refuse(known.err_value)
+    """Refuse a request whose body has not been read.
+
+    The answer is sent whole at once, but ends only after the body has been
+    read: the server closes the connection at the end of an answer if the body
+    of the request has not ended by then.
+
+    :param limit: largest number of bytes of the body that are read
+    """
+    await caller.start_refusal(status, retry_after_seconds)
+    with anyio.move_on_after(DROP_SECONDS):
+        if await _drop_body(receive, limit):
             return
-        call = known.ok_value
-    if path.startswith(JOBS_PREFIX):
-        await _serve_job(ports, call, caller, path[len(JOBS_PREFIX) :])
-        return
-    if path.startswith(ITEMS_PREFIX):
-        job_id = urllib.parse.unquote(path[len(ITEMS_PREFIX) :])
-        item_id = _parse_query(call.query).get('id', '')
-        found = await ports.read_item_body(job_id, item_id)
-        if isinstance(found, result.Err):
-            await caller.refuse(found.err_value)
-        else:
-            await caller.answer(200, found.ok_value)
-        return
-    found_route = await ports.find_route(call)
-    if isinstance(found_route, result.Err):
-        await caller.refuse(found_route.err_value)
+    # The server's queue of received messages is bounded. If it is full, the
+    # end of the answer waits until a message has been taken from it.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_drop_until_disconnect, receive)
+        await caller.end()
+        tasks.cancel_scope.cancel()
+
+
+async def _drop_body(receive: types.Receive, limit: int) -> bool:
+    """Read the body of a request without keeping it.
+
+    :param limit: largest number of bytes that are read
+    :returns: whether the caller closed the connection
+    """
+    size = 0
+    while size <= limit:
+        message = await receive()
+        if message['type'] != 'http.request':
+            return True
+        size += len(message.get('body', b''))
+        if not message.get('more_body', False):
+            break
+    return False
+
+
+async def _drop_until_disconnect(receive: types.Receive) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+
+
+async def _serve(
+    ports: gateway_ports.GatewayPorts,
+    call: exchange.Call,
+    route: routes.Route | None,
+    caller: _Caller,
+) -> None:
+    """Serve a request whose body has been read.
+
+    :param route: its route, ``None`` for a call on a job
+    """
+    # The caller's key may have been withdrawn while the body arrived.
+    known = await ports.authenticate(call, route)
+    if isinstance(known, result.Err):
+        await caller.refuse(known.err_value)
         return
-    route = found_route.ok_value
-    authenticated = await ports.authenticate(call, route)
-    if isinstance(authenticated, result.Err):
-        await caller.refuse(authenticated.err_value)
+    call = known.ok_value
+    if route is None:
+        await _serve_job_call(ports, call, caller)
         return
-    call = authenticated.ok_value
     if route.kind is not routes.Kind.JOB:
         await ports.serve(call, route, caller.port)
         return
@@ -165,6 +251,22 @@
         await caller.answer(202)
 
 
+async def _serve_job_call(
+    ports: gateway_ports.GatewayPorts, call: exchange.Call, caller: _Caller
+) -> None:
+    path = call.route_path
+    if path.startswith(JOBS_PREFIX):
+        await _serve_job(ports, call, caller, path[len(JOBS_PREFIX) :])
+        return
+    job_id = urllib.parse.unquote(path[len(ITEMS_PREFIX) :])
+    item_id = _parse_query(call.query).get('id', '')
+    found = await ports.read_item_body(job_id, item_id)
+    if isinstance(found, result.Err):
+        await caller.refuse(found.err_value)
+    else:
+        await caller.answer(200, found.ok_value)
+
+
 async def _serve_job(
     ports: gateway_ports.GatewayPorts,
     call: exchange.Call,
