Ask a peer before an unknown key is refused, and keep no plain keys

Cause: a host with an old copy of the configuration answered 401 to a new key, which ends the caller's retries. Plain keys were kept in the copies and sent to peers.

Change: records of the configuration get digests as they are read from the store or arrive from a peer. Strict revocation, events 421 to 423 and the metric persimmonpass_key_refusals.

TestCallerApp.test_body used find_route to see the served body; the route is now found on the head, so it looks at serve, with the same expectations.

--- a/src/persimmonpass/accounts.py
+++ b/src/persimmonpass/accounts.py
@@ -23,6 +23,7 @@
     :ivar rate_per_second: requests a second that all hosts together may run
         for it; 0 for no limit
     :ivar burst: requests that may exceed the rate at once
+    :ivar unreadable: names of its limits that are not numbers
     """
 
     name: str
@@ -30,6 +31,7 @@
     priority: int | None = None
     rate_per_second: float = 0.0
     burst: float = 0.0
+    unreadable: tuple[str, ...] = ()
 
     @property
     def is_limited(self) -> bool:
@@ -42,10 +44,12 @@
 
     :ivar by_name: accounts by name
     :ivar by_key: accounts by the digest of each of their keys
+    :ivar shared: digests of keys that two accounts hold, and which are refused
     """
 
     by_name: dict[str, Account]
     by_key: dict[str, Account]
+    shared: frozenset[str] = frozenset()
 
 
 def make_table(rows: collections.abc.Iterable[Account]) -> Accounts:
@@ -64,7 +68,7 @@
         for digest in row.key_digests
         if holders[digest] == 1
     }
-    return Accounts(by_name, by_key)
+    return Accounts(by_name, by_key, frozenset(holders.keys() - by_key.keys()))
 
 
 def read_key_digest(
--- /dev/null
+++ b/src/persimmonpass/controllers/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of client accounts."""
--- a/src/persimmonpass/controllers/catalog.py
+++ b/src/persimmonpass/controllers/catalog.py
@@ -12,6 +12,7 @@
 import anyio
 
 from persimmonpass import blackboard
+from persimmonpass.controllers.accounts import key_events
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
 from persimmonpass import records
@@ -131,6 +132,7 @@
                 revision=record.version,
                 routes=len(found.routes),
             )
+            key_events.log_changes(self._host, known, found)
 
     def apply_targets(self, changed: list[records.Record]) -> None:
         """Apply target entries that were added, changed or removed."""
--- a/src/persimmonpass/controllers/mirror.py
+++ b/src/persimmonpass/controllers/mirror.py
@@ -540,16 +540,18 @@
 
 def handlers(
     mirrors: collections.abc.Mapping[str, Mirror],
+    clean: records.Clean = records.as_received,
 ) -> peer_port.Handlers:
     """Return the handlers of the watchers' notices.
 
     :param mirrors: copies by kind
+    :param clean: removes secrets from records that peers sent
     """
 
     def apply_updates(peer: str, payload: typing.Any) -> None:
         kind, before, version, rows = payload
         if kind in mirrors:
-            changed = [records.Record(*row) for row in rows]
+            changed = [clean(kind, records.Record(*row)) for row in rows]
             mirrors[kind].apply_updates(before, version, changed)
 
     def apply_freshness(peer: str, payload: typing.Any) -> None:
--- a/src/persimmonpass/controllers/store_relay.py
+++ b/src/persimmonpass/controllers/store_relay.py
@@ -54,6 +54,7 @@
         direct: records.RecordPort,
         peers: peer_port.PeerPort,
         count: Count | None = None,
+        clean: records.Clean = records.as_received,
     ) -> None:
         """Create the relay.
 
@@ -62,7 +63,9 @@
         :param peers: calls to the other hosts
         :param count: called with the name, the kind and the outcome of each
             direct call
+        :param clean: removes secrets from records that peers sent
         """
+        self._clean = clean
         self._host = host
         self._count = count
         self._direct = direct
@@ -257,7 +260,11 @@
             peer, METHOD_CALL, [name, list(args)], timeout
         )
         if isinstance(answered, result.Ok):
-            return _decode(name, answered.ok_value)
+            return _decode(
+                name,
+                answered.ok_value,
+                functools.partial(self._clean, str(args[0])),
+            )
         failure = answered.err_value
         if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
             if name in _WRITES:
@@ -307,13 +314,19 @@
     return outcome.err_value.event.name
 
 
-def _decode(name: str, payload: typing.Any) -> Answer:
+def _decode(
+    name: str,
+    payload: typing.Any,
+    clean: collections.abc.Callable[[records.Record], records.Record],
+) -> Answer:
     """Rebuild the answer to a call from the lists that a peer sent."""
     if name in ('list', 'watch'):
         version, rows = payload
         return result.Ok(
-            records.Snapshot(version, [records.Record(*row) for row in rows])
+            records.Snapshot(
+                version, [clean(records.Record(*row)) for row in rows]
+            )
         )
     if name == 'get':
-        return result.Ok(records.Record(*payload))
+        return result.Ok(clean(records.Record(*payload)))
     return result.Ok(payload)
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -248,6 +248,27 @@
     Level.INFO,
     'A version of a configuration object is in use on this host.',
 )
+KEYS_CHANGED = Event(
+    421,
+    'keys_changed',
+    Level.INFO,
+    'Keys of client accounts came into force or were withdrawn; the fields '
+    'have their number by account.',
+)
+KEY_SHARED = Event(
+    422,
+    'key_shared',
+    Level.WARNING,
+    'Several accounts have the same key, which is refused; give each account '
+    'a key of its own.',
+)
+LIMIT_UNREADABLE = Event(
+    423,
+    'limit_unreadable',
+    Level.WARNING,
+    "A limit of an account is not a number and counts as missing; correct it "
+    'in the configuration.',
+)
 TARGET_LEAVING = Event(
     411,
     'target_leaving',
@@ -307,7 +328,8 @@
     502,
     'request_unauthorized',
     Level.INFO,
-    'The token is missing or unknown, or lacks the required role.',
+    'The token or key is missing or unknown, lacks the required role, or '
+    'could not be checked; the cause names which.',
 )
 REQUEST_FINISHED = Event(
     503,
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import functools
 import socket
 import typing
 import uuid
@@ -15,6 +16,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import budget
+from persimmonpass.controllers.accounts import access
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
 from persimmonpass.controllers import catalog
@@ -227,6 +229,7 @@
             platform.connect(client, options.store_address, calls),
             port,
             lambda *labels: self.metrics.store_calls.labels(*labels).inc(),
+            platform.clean_record,
         )
         self._catalog = catalog.Catalog(
             options.host,
@@ -293,7 +296,7 @@
             ),
         )
         self._handlers |= self._relay.handlers
-        self._handlers |= mirror.handlers(self._mirrors)
+        self._handlers |= mirror.handlers(self._mirrors, platform.clean_record)
         self._handlers |= self._catalog.handlers
         self._handlers |= self._access.handlers
         self._handlers |= self._membership.handlers
@@ -416,6 +419,25 @@
 
     def _build_front_end(self) -> None:
         """Make the HTTP front end, whose ports need all controllers."""
+        self._key_access = access.KeyAccess(
+            self._options.host,
+            access.AccessPorts(
+                self._route_proxy.configuration,
+                self._mirrors[self._platform.configuration_kind],
+                self._platform.configuration_name,
+                functools.partial(
+                    self._platform.clean_record,
+                    self._platform.configuration_kind,
+                ),
+                self._peers.port,
+                self._core,
+                lambda cause: self.metrics.key_refusals.labels(cause).inc(),
+            ),
+            self._options.revocation_seconds
+            if self._options.strict_revocation
+            else None,
+        )
+        self._handlers |= self._key_access.handlers
         self._front_end = gateway_front.FrontEnd(
             gateway_front.FrontEndPorts(
                 self._options.host,
@@ -426,6 +448,7 @@
                 self.board,
                 self._platform,
                 self._route_proxy,
+                self._key_access,
                 self._access,
                 self._log.jobs,
                 self.metrics,
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -14,6 +14,7 @@
 
 from persimmonpass.api import drain_middleware
 from persimmonpass import blackboard
+from persimmonpass.controllers.accounts import access
 from persimmonpass.controllers import job_access
 from persimmonpass.controllers import mirror
 from persimmonpass.controllers import occupancy
@@ -34,7 +35,6 @@
 from persimmonpass import verdicts
 
 MAX_ADDRESSES = 64
-UNAUTHORIZED = 401
 # Short, so that callers stop using a stopping host within its grace period.
 ENTRY_TTL_SECONDS = 1.0
 # How long a request waits for the first configuration and targets at a host
@@ -49,6 +49,7 @@
     """Dependencies of the front end.
 
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
+    :ivar key_access: checks the keys of requests
     :ivar access: accepts, reads and ends jobs
     :ivar jobs: jobs of which this host keeps a copy, by id
     :ivar occupied: counts of requests that wait or are in progress
@@ -65,6 +66,7 @@
     board: blackboard.Blackboard
     platform: gateway_ports.PlatformPorts
     route_proxy: route_proxy.RouteProxy
+    key_access: access.KeyAccess
     access: job_access.JobAccess
     jobs: collections.abc.Mapping[str, job_state.JobState]
     metrics: gateway_metrics.GatewayMetrics
@@ -156,16 +158,10 @@
 
         :param route: route of the request, ``None`` for a call on a job
         """
-        known = self._ports.route_proxy.configuration()
-        if known is None:
+        if self._ports.route_proxy.configuration() is None:
             return result.Err(_no_configuration())
-        if known.client_accounts is None:
-            return result.Ok(call)
-        account = known.client_accounts.by_key.get(call.key_digest)
-        if account is None and not (route is not None and route.is_public):
-            return result.Err(_unknown_key())
-        name = account.name if account is not None else ''
-        return result.Ok(call._replace(account=name, has_accounts=True))
+        is_public = route is not None and route.is_public
+        return await self._ports.key_access.check(call, is_public=is_public)
 
     async def _accept_job(
         self, job: job_records.Job, route: routes.Route, seconds: float | None
@@ -250,15 +246,6 @@
     )
 
 
-def _unknown_key() -> verdicts.Failure:
-    return verdicts.Failure(
-        verdicts.Verdict.NOT_RUN,
-        events.REQUEST_UNAUTHORIZED,
-        'Authorization: expected a key of a client account',
-        UNAUTHORIZED,
-    )
-
-
 def _deadline(seconds: float | None) -> float:
     allowed = DEFAULT_JOB_CALL_SECONDS if seconds is None else seconds
     return anyio.current_time() + allowed
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -48,6 +48,12 @@
             ['cause'],
             registry=self.registry,
         )
+        self.key_refusals = prometheus_client.Counter(
+            'persimmonpass_key_refusals',
+            'Requests that were refused because of their key.',
+            ['cause'],
+            registry=self.registry,
+        )
         self.items = prometheus_client.Counter(
             'persimmonpass_job_items',
             'Runs of batch items by how they ended.',
--- a/src/persimmonpass/gateway_ports.py
+++ b/src/persimmonpass/gateway_ports.py
@@ -102,6 +102,8 @@
         returns the application for readiness checks
     :ivar entry_app: takes a function that returns the entry answer for an
         availability zone; returns the application for entry answers
+    :ivar clean_record: takes a kind and a record, as a peer of an older build
+        may send it; returns the record without secrets, as hosts keep it
     """
 
     connect: collections.abc.Callable[
@@ -125,6 +127,7 @@
         [collections.abc.Callable[[str], Entry | None]],
         types.ASGIApp,
     ]
+    clean_record: records.Clean
 
 
 async def run_until_disconnect(
--- a/src/persimmonpass/gateway_settings.py
+++ b/src/persimmonpass/gateway_settings.py
@@ -26,6 +26,9 @@
         may keep an entry answer
     :ivar job_status_seconds: how long a job can be read after it was accepted
     :ivar cores: processors that this host may use
+    :ivar strict_revocation: whether a host refuses requests that need a key
+        while its configuration may lack the withdrawal of one
+    :ivar revocation_seconds: age of the configuration from which on it does
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     """
 
@@ -46,3 +49,5 @@
     job_status_seconds: float = 120.0
     cores: float = 0.0
     trace: str = ''
+    strict_revocation: bool = False
+    revocation_seconds: float = 5.0
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -140,6 +140,13 @@
     )
 
 
+def clean_record(kind: str, record: records.Record) -> records.Record:
+    """Return a record in the form in which hosts keep and exchange it."""
+    if kind != CONFIG_KIND:
+        return record
+    return record._replace(data=without_keys(record.data))
+
+
 def without_keys(data: records.Data) -> records.Data:
     """Return the data of a configuration with digests in place of keys.
 
@@ -185,6 +192,14 @@
             tenant.priority,
             _read_limit(tenant.rate_per_s),
             _read_limit(tenant.burst),
+            tuple(
+                name
+                for name, value in (
+                    ('ratePerS', tenant.rate_per_s),
+                    ('burst', tenant.burst),
+                )
+                if value is not None and _read_number(value) is None
+            ),
         )
         for tenant in decoded
         if tenant is not None and tenant.name
@@ -193,11 +208,16 @@
 
 def _read_limit(value: typing.Any) -> float:
     """Return a limit; 0, which is none, for one that is not a number."""
+    return max(0.0, _read_number(value) or 0.0)
+
+
+def _read_number(value: typing.Any) -> float | None:
+    """Return a finite number, ``None`` for anything else."""
     try:
         number = float(value)
-    except (TypeError, ValueError):
-        return 0.0
-    return number if math.isfinite(number) and number > 0 else 0.0
+    except (TypeError, ValueError, OverflowError):
+        return None
+    return number if math.isfinite(number) else None
 
 
 def _read_route(route: _Route) -> routes.Route:
--- a/src/persimmonpass/platform/ports.py
+++ b/src/persimmonpass/platform/ports.py
@@ -17,4 +17,5 @@
     app.make_caller_app,
     app.make_ready_app,
     app.make_entry_app,
+    objects.clean_record,
 )
--- a/src/persimmonpass/platform/settings.py
+++ b/src/persimmonpass/platform/settings.py
@@ -9,11 +9,15 @@
 
 PATH_VARIABLE = 'PERSIMMONPASS_SETTINGS'
 
+_MILLISECONDS = 1000
+
 
 class _Bounds(msgspec.Struct, rename='camel'):
     grace_s: float = 8.0
     ttl_max_s: float = msgspec.field(default=5.0, name='ttl_max_s')
     status_s: float = 120.0
+    strict_revoke: bool = False
+    revoke_ms: float = 5_000.0
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -104,4 +108,6 @@
         max_entry_ttl_seconds=decoded.bounds.ttl_max_s,
         job_status_seconds=decoded.bounds.status_s,
         cores=decoded.limits.cpu_share * decoded.limits.cores,
+        strict_revocation=decoded.bounds.strict_revoke,
+        revocation_seconds=decoded.bounds.revoke_ms / _MILLISECONDS,
     )
--- a/src/persimmonpass/platform/store.py
+++ b/src/persimmonpass/platform/store.py
@@ -12,6 +12,7 @@
 import result
 
 from persimmonpass import budget
+from persimmonpass.platform import objects
 from persimmonpass import records
 from persimmonpass import store
 from persimmonpass import verdicts
@@ -139,7 +140,7 @@
             # The version is that of the first page, so that a watch from it
             # also reports changes that were made between two pages.
             version = version or page.storeRevision
-            found += [_to_record(item) for item in page.items]
+            found += [_to_record(kind, item) for item in page.items]
             more = page.hasMore and bool(page.items)
         return result.Ok(records.Snapshot(version, found))
 
@@ -156,7 +157,7 @@
             return result.Err(
                 store.unavailable(f'{kind}/{name}: malformed object')
             )
-        return result.Ok(_to_record(found))
+        return result.Ok(_to_record(kind, found))
 
     async def write(
         method: str, path: str, key: str, body: typing.Any
@@ -232,7 +233,7 @@
                 store.unavailable(f'watching {kind}: malformed answer')
             )
         rows = [
-            _to_record(event.object)._replace(deleted=event.deleted)
+            _to_record(kind, event.object)._replace(deleted=event.deleted)
             for event in changes.events
         ]
         return result.Ok(records.Snapshot(changes.storeRevision, rows))
@@ -246,13 +247,14 @@
     return f'/{kind}/{urllib.parse.quote(name, safe="")}'
 
 
-def _to_record(found: _Object) -> records.Record:
-    return records.Record(
+def _to_record(kind: str, found: _Object) -> records.Record:
+    record = records.Record(
         found.metadata.name,
         found.metadata.revision,
         found.spec if isinstance(found.spec, dict) else {},
         found.status if isinstance(found.status, dict) else {},
     )
+    return objects.clean_record(kind, record)
 
 
 def _decode(answer: httpx.Response, shape: type[_Shape]) -> _Shape | None:
--- a/src/persimmonpass/records.py
+++ b/src/persimmonpass/records.py
@@ -31,6 +31,15 @@
     deleted: bool = False
 
 
+# Takes a kind and a record; returns the record in the form that hosts keep.
+Clean = collections.abc.Callable[[str, Record], Record]
+
+
+def as_received(kind: str, record: Record) -> Record:
+    """Return a record unchanged."""
+    return record
+
+
 class Snapshot(typing.NamedTuple):
     """Records of one kind.
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -15,7 +15,6 @@
 
 from persimmonpass import blackboard
 from persimmonpass.cli import gateway as command
-from persimmonpass import events
 from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import job_records
@@ -27,7 +26,6 @@
 from persimmonpass.platform import wire
 from persimmonpass import records
 from persimmonpass import routes
-from persimmonpass import verdicts
 from tests import fakes
 from tests import platform_fakes
 from tests import processes
@@ -229,15 +227,21 @@
         async def send(message):
             sent.append(message)
 
-        async def find_route(found_call):
+        async def find_route(head):
+            return result.Ok(mock.Mock(kind=routes.Kind.STREAM))
+
+        async def authenticate(found_call, route):
+            return result.Ok(found_call)
+
+        async def serve(found_call, route, port):
             served.append(found_call.body)
-            return result.Err(
-                verdicts.Failure(
-                    verdicts.Verdict.NOT_RUN, events.ROUTE_MISSING, '', 404
-                )
-            )
 
-        ports = mock.Mock(find_route=find_route, max_body_bytes=lambda: 6)
+        ports = mock.Mock(
+            find_route=find_route,
+            authenticate=authenticate,
+            serve=serve,
+            max_body_bytes=lambda: 6,
+        )
         scope = {
             'type': 'http',
             'method': 'POST',
