--- a/tests/test_key_access.py
+++ b/tests/test_key_access.py
@@ -1,6 +1,7 @@
 """Keys at hosts whose configuration may be old, without a network."""
 
 import json
+import tempfile
 import unittest
 from unittest import mock
 
@@ -16,6 +17,7 @@
 from persimmonpass import exchange
 from persimmonpass import objects as config_objects
 from persimmonpass.platform import objects
+from persimmonpass.platform import settings
 from persimmonpass.policy import key_checks
 from persimmonpass import records
 from tests import fakes
@@ -212,6 +214,27 @@
         fakes.run(test)
 
 
+class TestSettings(unittest.TestCase):
+    @expand(
+        [
+            ('missing', '', (False, 5.0)),
+            ('set', 'strictRevoke: true, revokeMs: 2500', (True, 2.5)),
+        ]
+    )
+    def test_strict_revocation(self, _, bounds, expected):
+        with tempfile.NamedTemporaryFile('w', suffix='.yaml') as file:
+            file.write(
+                'nodeName: one\nzone: a\nip: 127.0.0.1\n'
+                'platform: {address: "127.0.0.1:1"}\n'
+                f'portRange: [7000, 7010]\nbounds: {{{bounds}}}\n'
+            )
+            file.flush()
+            found = settings.read(file.name)
+        self.assertEqual(
+            expected, (found.strict_revocation, found.revocation_seconds)
+        )
+
+
 class TestEvents(unittest.TestCase):
     def test_changes_are_counted_without_keys(self):
         def read(tenants):
