--- /dev/null
+++ b/src/persimmonpass/controllers/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of client accounts on the gateway."""
