--- a/src/persimmonpass/policy/admission.py
+++ b/src/persimmonpass/policy/admission.py
@@ -2,18 +2,10 @@
 
 import typing
 
-SMOOTHING_FACTOR = 0.1
-
-
-class Bucket(typing.NamedTuple):
-    """A token bucket.
+from persimmonpass.policy import token_buckets
 
-    :ivar tokens: requests that may start now
-    :ivar time: local clock at the last update, in seconds
-    """
-
-    tokens: float
-    time: float
+SMOOTHING_FACTOR = 0.1
+Bucket = token_buckets.Bucket
 
 
 class Load(typing.NamedTuple):
@@ -53,11 +45,10 @@
     :param burst: capacity of the bucket, at least one token
     :returns: the updated bucket and the time until the next token
     """
-    refilled = bucket.tokens + (now - bucket.time) * rate
-    tokens = min(max(1.0, burst), refilled)
-    if tokens >= 1:
-        return TokenResult(Bucket(tokens - 1, now), 0.0)
-    return TokenResult(Bucket(tokens, now), (1 - tokens) / rate)
+    found = token_buckets.refill(bucket, rate, max(1.0, burst), now)
+    if found.level >= 1:
+        return TokenResult(token_buckets.take(found, 1), 0.0)
+    return TokenResult(found, token_buckets.seconds_until_token(found, rate))
 
 
 def expected_wait(load: Load) -> float:
--- a/src/persimmonpass/policy/rate_limits.py
+++ b/src/persimmonpass/policy/rate_limits.py
@@ -14,6 +14,7 @@
 import typing
 
 from persimmonpass.policy import shards
+from persimmonpass.policy import token_buckets
 
 # Sends that a target may get at once, in seconds of its rate.
 BURST_SECONDS = 1.0
@@ -33,6 +34,7 @@
 # A bucket of a lower capacity is open to no more hosts than it holds tokens.
 # Above it, the slack of the limit covers what hosts send at the same moment.
 MIN_OPEN_CAPACITY = 3.0
+Bucket = token_buckets.Bucket
 
 
 class Statement(typing.NamedTuple):
@@ -44,17 +46,6 @@
     rate: float | None
 
 
-class Bucket(typing.NamedTuple):
-    """Token bucket of a target.
-
-    :ivar level: requests that may be sent now; negative if overdrawn
-    :ivar at: local clock of the level, in seconds
-    """
-
-    level: float
-    at: float
-
-
 class Allowance(typing.NamedTuple):
     """What a limited target takes at present.
 
@@ -140,13 +131,12 @@
     :param rate: requests a second that the host may count on
     :param now: local clock in seconds
     """
-    level = bucket.level + rate * max(0.0, now - bucket.at)
-    return Bucket(min(level, capacity(rate)), now)
+    return token_buckets.refill(bucket, rate, capacity(rate), now)
 
 
 def take(bucket: Bucket, sends: int) -> Bucket:
     """Return a bucket after sends of any host."""
-    return bucket._replace(level=bucket.level - sends)
+    return token_buckets.take(bucket, sends)
 
 
 def turn(
