Limit the requests of client accounts over all hosts

A request with an account takes a token before it waits for a slot, or gets 429 with Retry-After at once. Core hosts decide by their own buckets and deduct the sends of their peers; hosts outside the core ask a core host. The tokens of requests for which certainly nothing ran are given back. An account's priority replaces its route's. Two events say when an account is over its limit, two when a host uses a reduced share of the rates.

--- a/src/persimmonpass/controllers/accounts/usage.py
+++ b/src/persimmonpass/controllers/accounts/usage.py
@@ -217,7 +217,7 @@
         repeated_at = notified_at = anyio.current_time()
         while True:
             if self.table is None:
-                await self._wait_for_accounts()
+                await self.wait_for_accounts()
             repeat_at = repeated_at + REPEAT_SECONDS
             until = min(repeat_at, notified_at + HEARTBEAT_SECONDS)
             with anyio.CancelScope(deadline=until):
@@ -233,7 +233,7 @@
                 self._drop_old(now)
             self._notify(is_full)
 
-    async def _wait_for_accounts(self) -> None:
+    async def wait_for_accounts(self) -> None:
         """Wait until the configuration has accounts."""
         board = self._ports.board
         version = board.routes.version
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -12,6 +12,7 @@
 import result
 
 from persimmonpass import blackboard
+from persimmonpass.controllers.accounts import requests
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import catalog
 from persimmonpass.controllers import crash_parts
@@ -34,6 +35,7 @@
 from persimmonpass import verdicts
 
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -83,6 +85,7 @@
     origins: stream_origins.StreamOrigins
     metrics: gateway_metrics.GatewayMetrics
     spans: tracing.Tracing
+    accounts: requests.AccountRequests
 
 
 class RouteProxy:
@@ -122,6 +125,7 @@
             ):
                 outcome = await self._serve(request)
         finally:
+            self._ports.accounts.settle(request)
             self._record_outcome(request, outcome)
 
     async def _serve(self, request: request_state.RequestState) -> str:
@@ -135,11 +139,19 @@
         if request.call.resume_after is not None:
             if not await self._find_origin(request):
                 return await self._send_failure(request)
+        request.failure = await self._ports.accounts.admit(request)
+        if request.failure is not None:
+            await exchange.refuse(
+                request.caller,
+                TOO_MANY_REQUESTS,
+                request.failure.retry_after_seconds,
+            )
+            return 'refused'
         while request.can_run_again and request.remaining_seconds > 0:
             admitted = await self._ports.queue.acquire_slot(
                 request.service,
                 queueing.QueuedRequest(
-                    request.route.priority,
+                    self._ports.accounts.priority(request),
                     request.started_at,
                     queueing.placement_deadline(
                         request.started_at,
@@ -158,6 +170,7 @@
                     request.failure = admitted.err_value
                 break
             target = admitted.ok_value
+            self._ports.accounts.begin_send(request)
             try:
                 with self._ports.spans.inner_span(
                     'target.send', target=target.name
@@ -165,8 +178,10 @@
                     end = await self._send(request, target)
             finally:
                 self._ports.target_occupancy.add_online(target.name, -1)
+                self._ports.accounts.end_send(request)
             if end is _End.FINISHED:
                 return 'answered'
+            request.may_run = False
             if end is _End.REFUSED:
                 break
             if end is _End.BROKEN:
@@ -425,6 +440,7 @@
     ) -> _End:
         """Handle an answer saying that the target did not run the request."""
         request.refusals += 1
+        request.may_run = False
         request.excluded = {target.name}
         self._ports.target_stats.record_failure(target.name, 'refused')
         events.log(
@@ -544,6 +560,7 @@
             ),
             ms=round(1000 * (anyio.current_time() - request.started_at), 1),
             cause=failure.message if failure else '',
+            **self._ports.accounts.fields(request),
         )
 
 
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -450,6 +450,34 @@
     Level.INFO,
     'This host did not open a connection to a target for a peer.',
 )
+ACCOUNT_OVER_LIMIT = Event(
+    530,
+    'account_over_limit',
+    Level.INFO,
+    'This host began to refuse requests of an account that is over its rate '
+    'limit.',
+)
+ACCOUNT_WITHIN_LIMIT = Event(
+    531,
+    'account_within_limit',
+    Level.INFO,
+    'An account is no longer over its rate limit. The line has the numbers of '
+    'requests that this host admitted and refused in the meantime.',
+)
+ACCOUNT_SHARE_REDUCED = Event(
+    532,
+    'account_share_reduced',
+    Level.WARNING,
+    'This host hears only some of the core hosts, and uses this part of the '
+    'rate limits of accounts.',
+)
+ACCOUNT_SHARE_RESTORED = Event(
+    533,
+    'account_share_restored',
+    Level.INFO,
+    'This host hears all core hosts again, and uses the whole rate limits of '
+    'accounts.',
+)
 REQUEST_IN_PROGRESS = Event(
     514,
     'request_in_progress',
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -15,6 +15,9 @@
 
 from persimmonpass import blackboard
 from persimmonpass import budget
+from persimmonpass.controllers.accounts import limits as account_limits
+from persimmonpass.controllers.accounts import requests as account_requests
+from persimmonpass.controllers.accounts import usage
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
 from persimmonpass.controllers import catalog
@@ -344,6 +347,16 @@
                 self._replica_hosts,
             ),
         )
+        self._account_usage = usage.AccountUsage(
+            options.host,
+            usage.UsagePorts(
+                self.board, port, self._core, self._replica_hosts
+            ),
+        )
+        self._account_limits = account_limits.AccountLimits(
+            options.host,
+            account_limits.LimitPorts(self._account_usage, port, self._core),
+        )
         self._queue = admission_queue.AdmissionQueue(
             options.host,
             options.availability_zone,
@@ -358,6 +371,8 @@
         self._handlers |= self._crash_parts.handlers
         self._handlers |= self._origins.handlers
         self._handlers |= self._limits.handlers
+        self._handlers |= self._account_usage.handlers
+        self._handlers |= self._account_limits.handlers
         self._handlers |= self._paths.handlers
         self._handlers |= self._tunnels.handlers
 
@@ -386,6 +401,9 @@
                 self._origins,
                 self.metrics,
                 self._spans,
+                account_requests.AccountRequests(
+                    self._account_limits, self._account_usage
+                ),
             ),
         )
         self._runner = item_runner.ItemRunner(
@@ -459,6 +477,8 @@
             self._origins.run,
             self._occupied.run,
             self._limits.run,
+            self._account_usage.run,
+            self._account_limits.run,
             self._target_stats.run,
             self._paths.run,
             self._queue.run,
@@ -573,3 +593,4 @@
             for member in self.board.members.rows():
                 if member.state == 'dead':
                     self._occupied.forget(member.host)
+                    self._account_usage.forget(member.host)
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -25,6 +25,8 @@
     :ivar last_event_at: local clock at the last event, in seconds
     :ivar origin: software that produced the events which the caller has;
         ``None`` before the first event
+    :ivar tokens: tokens taken from the limit of the request's account
+    :ivar may_run: whether a send is in progress or was answered
     """
 
     def __init__(
@@ -54,6 +56,8 @@
         self.first_event_seconds: float | None = None
         self.last_event_at: float | None = None
         self.origin: stream_versions.Origin | None = None
+        self.tokens = 0
+        self.may_run = False
 
     @property
     def answer_deadline(self) -> float:
