--- a/src/persimmonpass/controllers/accounts/limits.py
+++ b/src/persimmonpass/controllers/accounts/limits.py
@@ -16,6 +16,7 @@
 from persimmonpass import accounts
 from persimmonpass.controllers.accounts import usage
 from persimmonpass import events
+from persimmonpass import gateway_metrics
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import account_limits as policy
 from persimmonpass.policy import core as core_policy
@@ -127,10 +128,16 @@
         found = self._limit(name)
         return None if found is None else found.rate
 
-    def tokens_left(self, name: str) -> float:
-        """Return the requests that a limited account may send now."""
-        state = self._refill(name)
-        return 0.0 if state is None else max(0.0, state.bucket.level)
+    def levels(self) -> list[gateway_metrics.AccountLevel]:
+        """Return the limits of all limited accounts and what is left."""
+        table = self._ports.used.table
+        return [
+            gateway_metrics.AccountLevel(
+                name, state.limit.rate, max(0.0, state.bucket.level)
+            )
+            for name in (table.by_name if table is not None else ())
+            if (state := self._refill(name)) is not None
+        ]
 
     async def run(self) -> None:
         """Follow the configuration and the peers until cancelled."""
--- a/src/persimmonpass/controllers/accounts/usage.py
+++ b/src/persimmonpass/controllers/accounts/usage.py
@@ -19,7 +19,7 @@
 
 METHOD_USED = 'accounts.used'
 METHOD_SUBSCRIBE = 'accounts.subscribe'
-# Changes that follow each other within this time are sent together.
+# Changes within this time are sent together.
 CHANGE_SECONDS = 0.05
 # Changes of the same moment are sent together even after a quiet time.
 COALESCE_SECONDS = 0.004
@@ -27,7 +27,7 @@
 # A core host without changes sends an empty notice after this time, so that
 # one lost notice does not make it silent.
 HEARTBEAT_SECONDS = 0.3
-# Accounts that were used within this time are repeated.
+# A host outside the core repeats its counts for this time after a change.
 USED_SECONDS = 5.0
 # A peer that is silent for longer does not count as heard, and its sends
 # until it is heard again are covered by the share of the rate that is its own.
@@ -73,8 +73,9 @@
     :ivar run: number of the peer's run; it differs after a restart
     :ivar is_whole: whether the run was heard from its start, so that an
         account without a count had sent nothing
-    :ivar is_behind: whether its sends do not count until its next full
-        report, as it has been silent
+    :ivar is_behind: whether it has sent no full report since a silence;
+        sends that this report names first are of the time before
+    :ivar was_silent: whether the same run was heard before that silence
     :ivar sent: the last count of sends of each account
     :ivar counts: accounts with running or waiting requests
     """
@@ -83,6 +84,7 @@
         self.run = run
         self.is_whole = False
         self.is_behind = True
+        self.was_silent = False
         self.heard_at = float('-inf')
         self.sent: dict[str, int] = {}
         self.counts: dict[str, _Counts] = {}
@@ -99,7 +101,6 @@
     """
 
     def __init__(self, host: str, ports: UsagePorts) -> None:
-        """Create counts with nothing sent, running or waiting."""
         self._host = host
         self._ports = ports
         self.changed: list[collections.abc.Callable[[], None]] = []
@@ -249,10 +250,10 @@
         :param is_full: whether to send all counts or only the changed ones
         """
         changed, self._changed_names = self._changed_names, set()
-        names = set(self._used_at) if is_full else changed
-        is_core = self._host in self._ports.core()
-        if not names and not is_core:
+        in_use = self._used_at if is_full else changed
+        if not in_use and self._host not in self._ports.core():
             return
+        names = self._all_names() if is_full else changed
         audience = self._ports.audience()
         if audience is not None and is_full:
             audience = {*audience, *self._subscribed_until}
@@ -263,6 +264,10 @@
             audience,
         )
 
+    def _all_names(self) -> set[str]:
+        """Return all accounts with counts; peers take others as unused."""
+        return self._used_at.keys() | self._sent.keys()
+
     def _make_report(
         self, is_full: bool, names: collections.abc.Collection[str]
     ) -> list[typing.Any]:
@@ -326,7 +331,7 @@
         self._subscribed_until[peer] = (
             anyio.current_time() + SUBSCRIPTION_SECONDS
         )
-        report = self._make_report(True, set(self._used_at))
+        report = self._make_report(True, self._all_names())
         self._ports.peers.notify(peer, METHOD_USED, report)
 
     def _handle_used(self, peer: str, payload: typing.Any) -> None:
@@ -343,18 +348,19 @@
         is_core = peer in self._ports.core()
         if is_core and now - known.heard_at > SILENCE_SECONDS:
             known.is_behind, known.is_whole, known.sent = True, False, {}
+            known.was_silent = known.heard_at > 0 and known.run == run
         if known.run != run:
             known.is_whole, known.sent = not known.is_behind, {}
             known.run = run
         known.heard_at = now
         found = {
-            name: _Counts(*row)
-            for name, row in rows.items()
+            name: _Counts(*rows[name])
+            for name in rows
             if name in table.by_name
         }
-        self._apply_sent(known, found)
+        self._apply_sent(known, found, is_full=is_full)
         if is_full:
-            known.is_behind = False
+            known.is_behind, known.is_whole = False, True
             for name in known.counts.keys() - found.keys():
                 self._replace(known, name, _Counts())
         for name, counts in found.items():
@@ -370,18 +376,21 @@
             del self._peers[oldest]
         return _Peer(run)
 
-    def _apply_sent(self, peer: _Peer, found: dict[str, _Counts]) -> None:
-        """Apply the counts of sends that a peer reported."""
+    def _apply_sent(
+        self, peer: _Peer, found: dict[str, _Counts], *, is_full: bool
+    ) -> None:
+        """Apply what a peer has sent."""
         for name, counts in found.items():
             before = peer.sent.get(name, 0)
             if name not in peer.sent and not peer.is_whole:
                 # Its earlier sends are unknown; those in progress are recent.
-                before = counts.sent - min(
-                    counts.sent, counts.running + counts.waiting
-                )
+                recent = counts.running + counts.waiting
+                before = max(0, counts.sent - recent)
+                if peer.is_behind and (is_full or peer.was_silent):
+                    before = counts.sent
             peer.sent[name] = counts.sent
             change = counts.sent - before
-            if change and not peer.is_behind:
+            if change:
                 for callback in self.peer_sent:
                     callback(name, change)
         if len(peer.sent) > MAX_NAMES:
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -542,9 +542,14 @@
             'abandoned': events.REQUEST_ABANDONED,
         }.get(outcome, events.REQUEST_FINISHED)
         failure = request.failure
+        cause = ''
         if outcome == 'refused':
             cause = failure.message if failure else 'no time left'
             self._ports.metrics.refusals.labels(cause).inc()
+        if request.call.account:
+            self._ports.metrics.count_account(
+                request.call.account, outcome, cause
+            )
         events.log(
             event,
             host=self._host,
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -357,6 +357,7 @@
             options.host,
             account_limits.LimitPorts(self._account_usage, port, self._core),
         )
+        self.metrics.account_levels = self._account_limits.levels
         self._queue = admission_queue.AdmissionQueue(
             options.host,
             options.availability_zone,
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -1,9 +1,28 @@
 """Prometheus metrics of a gateway."""
 
+import collections.abc
+import typing
+
 import prometheus_client
 
 from persimmonpass import metrics
 
+# Accounts with metrics of their own; there are 320 at the two-year target.
+MAX_ACCOUNTS = 400
+OTHER_ACCOUNTS = 'other'
+
+
+class AccountLevel(typing.NamedTuple):
+    """The limit of an account at a scrape.
+
+    :ivar limit: requests a second of all hosts
+    :ivar tokens_left: requests that may be sent now
+    """
+
+    name: str
+    limit: float
+    tokens_left: float
+
 
 class GatewayMetrics:
     """Metrics of one gateway, in a registry of their own."""
@@ -90,7 +109,58 @@
             ['kind'],
             registry=self.registry,
         )
+        self.account_requests = prometheus_client.Counter(
+            'persimmonpass_account_requests',
+            'Requests of an account that got their final answer.',
+            ['account', 'outcome'],
+            registry=self.registry,
+        )
+        self.account_refusals = prometheus_client.Counter(
+            'persimmonpass_account_refusals',
+            'Requests of an account that were refused, by cause.',
+            ['account', 'cause'],
+            registry=self.registry,
+        )
+        self.account_limit = prometheus_client.Gauge(
+            'persimmonpass_account_limit',
+            'Requests a second that all hosts together run for an account.',
+            ['account'],
+            registry=self.registry,
+        )
+        self.account_tokens_left = prometheus_client.Gauge(
+            'persimmonpass_account_tokens_left',
+            'Requests of an account that this host may send now.',
+            ['account'],
+            registry=self.registry,
+        )
+        self._account_names: set[str] = set()
+        self.account_levels: collections.abc.Callable[
+            [], collections.abc.Iterable[AccountLevel]
+        ] = tuple
+
+    def count_account(self, name: str, outcome: str, cause: str) -> None:
+        """Count the final answer to a request of an account.
+
+        :param cause: why it was refused; empty if it was not
+        """
+        if name not in self._account_names:
+            if len(self._account_names) >= MAX_ACCOUNTS:
+                name = OTHER_ACCOUNTS
+            else:
+                self._account_names.add(name)
+        self.account_requests.labels(name, outcome).inc()
+        if cause:
+            self.account_refusals.labels(name, cause).inc()
+
+    def _update_accounts(self) -> None:
+        """Set the gauges of the accounts that the configuration has."""
+        self.account_limit.clear()
+        self.account_tokens_left.clear()
+        for row in list(self.account_levels())[:MAX_ACCOUNTS]:
+            self.account_limit.labels(row.name).set(row.limit)
+            self.account_tokens_left.labels(row.name).set(row.tokens_left)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        self._update_accounts()
         return prometheus_client.generate_latest(self.registry)
