--- a/src/persimmonpass/controllers/accounts/__init__.py
+++ b/src/persimmonpass/controllers/accounts/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of client accounts."""
+"""Controllers of client accounts on the gateway."""
