Divide the slots of a service between client accounts

Cause: a hot account took the slots of all others, since requests ranked by arrival alone.

Change: slots are divided into max-min shares by weight while requests wait. Accounts past their share rank behind the others of their priority, and only their requests are refused early. Items of jobs go by start tags of their accounts. Hosts without accounts rank and refuse as before.

--- a/src/persimmonpass/controllers/item_runner.py
+++ b/src/persimmonpass/controllers/item_runner.py
@@ -9,6 +9,7 @@
 :mod:`controllers.batch_runner`.
 """
 
+import collections.abc
 import typing
 
 import anyio
@@ -30,6 +31,7 @@
 from persimmonpass import item_text
 from persimmonpass import job_records
 from persimmonpass.peers import port as peer_port
+from persimmonpass.policy import batch
 from persimmonpass.policy import batch_scheduling as policy
 from persimmonpass.policy import stream_versions
 from persimmonpass import routes
@@ -72,7 +74,10 @@
 
 
 class RunnerPorts(typing.NamedTuple):
-    """Dependencies of the item runner."""
+    """Dependencies of the item runner.
+
+    :ivar read_account: returns the account of a job, empty for none
+    """
 
     board: blackboard.Blackboard
     log: job_log.JobLog
@@ -86,6 +91,9 @@
     peers: peer_port.PeerPort
     metrics: gateway_metrics.GatewayMetrics
     role: batch_role.BatchRole
+    read_account: collections.abc.Callable[[job_records.Job], str] = (
+        lambda job: ''
+    )
 
 
 class ItemRunner:
@@ -117,6 +125,9 @@
         self._tasks: anyio.abc.TaskGroup | None = None
         self._mean_item_seconds = 5.0
         self._mean_item_events = 0.0
+        # Tokens that each account was served, while it has open jobs.
+        self._share = batch.Share()
+        self._accounts: dict[str, str] = {}
         ports.occupied.changed.append(self._wake_up)
         ports.log.changed.append(self._mark_log_changed)
 
@@ -262,6 +273,11 @@
                 else:
                     del self._items[key]
                     self._finished.pop(key, None)
+        self._accounts = {
+            job_id: account
+            for job_id, account in self._accounts.items()
+            if job_id in self._ports.log.jobs
+        }
 
     def _target_loads(self, service: str) -> list[policy.TargetLoad]:
         return [
@@ -348,8 +364,9 @@
     def _list_pending(self, now: float) -> list[policy.Pending]:
         found = []
         for job_id, state in self._ports.log.jobs.items():
-            if not state.is_open:
+            if not state.is_open or state.job is None:
                 continue
+            account = self._get_account(state.job)
             due_at = self._get_due_at(job_id)
             for number in state.open_items:
                 item = self._items.get((job_id, number))
@@ -362,11 +379,48 @@
                         continue
                     if now < item.not_before:
                         continue
-                found.append(
-                    policy.Pending(job_id, number, due_at, left, state.order)
+                pending = policy.Pending(
+                    job_id, number, due_at, left, state.order
                 )
-        found.sort(key=lambda pending: policy.rank(pending, now))
-        return found
+                cost = self._cost(state.job, number)
+                found.append((pending, account, cost))
+        if any(account for _, account, _ in found):
+            ranked = policy.tag_items(found, self._share, now)
+        else:
+            ranked = [pending for pending, _, _ in found]
+        ranked.sort(key=lambda pending: policy.rank(pending, now))
+        return ranked
+
+    def _get_account(self, job: job_records.Job) -> str:
+        """Return the account of a job, which never changes."""
+        account = self._accounts.get(job.id)
+        if account is None:
+            account = self._ports.read_account(job)
+            self._accounts[job.id] = account
+        return account
+
+    def _charge_account(self, job: job_records.Job, number: int) -> None:
+        """Charge the account of an item that starts with its tokens.
+
+        Each run is charged, because each takes a slot. Thus an account whose
+        items fail at each run gets no more slots than the others. A run that
+        goes on after an event is charged with the rest.
+        """
+        account = self._get_account(job)
+        if account or self._share.finish:
+            self._share = batch.record_served(
+                self._share, account, self._cost(job, number)
+            )
+
+    def _cost(self, job: job_records.Job, number: int) -> int:
+        """Return the tokens of an item's next run, at least 1."""
+        item = self._items.get((job.id, number))
+        left = policy.left_seconds(
+            job.items[number].tokens,
+            self._mean_item_events,
+            len(item.text.texts) if item is not None else 0,
+        )
+        return max(1, round(left))
 
     def _start_items(self) -> None:
         now = anyio.current_time()
@@ -405,6 +459,7 @@
             item.target = target.name
             item.scope = anyio.CancelScope()
             self._running[key] = item
+            self._charge_account(state.job, number)
             self._ports.target_limits.record_send(target.name)
             self._ports.occupied.add_batch(target.name, 1)
             loads[service] = policy.with_item_added(
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -147,6 +147,8 @@
                         self._ports.target_stats.first_event_seconds,
                     ),
                     request.started,
+                    request.call.account,
+                    request.route.objective_seconds,
                 ),
                 request.answer_deadline,
                 request.excluded,
@@ -544,6 +546,7 @@
             ),
             ms=round(1000 * (anyio.current_time() - request.started_at), 1),
             cause=failure.message if failure else '',
+            **(failure.details if failure else {}),
         )
 
 
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -327,6 +327,20 @@
     Level.INFO,
     'A request got no slot at a target in time; it has not run.',
 )
+ACCOUNT_HELD = Event(
+    541,
+    'account_held_to_share',
+    Level.INFO,
+    'An account uses more than its share of the slots while requests wait; '
+    'requests of accounts within their share go first.',
+)
+ACCOUNT_FREED = Event(
+    542,
+    'account_within_share',
+    Level.INFO,
+    'An account that was held to its share is within it again, or no request '
+    'waits any more.',
+)
 REQUEST_RESUMED = Event(
     517,
     'request_resumed',
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -15,6 +15,8 @@
 
 from persimmonpass import blackboard
 from persimmonpass import budget
+from persimmonpass.controllers.accounts import shares as account_shares
+from persimmonpass.controllers.accounts import usage
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
 from persimmonpass.controllers import catalog
@@ -344,6 +346,15 @@
                 self._replica_hosts,
             ),
         )
+        self._account_usage = usage.AccountUsage(
+            options.host,
+            usage.UsagePorts(
+                self.board, port, self._core, self._replica_hosts
+            ),
+        )
+        self._shares = account_shares.AccountShares(
+            options.host, self.board, self._account_usage, self.metrics
+        )
         self._queue = admission_queue.AdmissionQueue(
             options.host,
             options.availability_zone,
@@ -351,8 +362,10 @@
             self._occupied,
             self._target_stats,
             self._limits,
+            self._shares,
         )
         self._handlers |= self._occupied.handlers
+        self._handlers |= self._account_usage.handlers
         self._handlers |= self._role.handlers
         self._handlers |= self._crashes.handlers
         self._handlers |= self._crash_parts.handlers
@@ -403,6 +416,7 @@
                 self._peers.port,
                 self.metrics,
                 self._role,
+                self._read_account,
             ),
         )
         self._handlers |= self._runner.handlers
@@ -438,9 +452,16 @@
                 self._core,
                 self._paths,
                 self._tunnels,
+                self._shares,
             )
         )
 
+    def _read_account(self, job: job_records.Job) -> str:
+        """Return the account of a job, which each of its items names."""
+        if not job.items:
+            return ''
+        return self._platform.wire.read_account(job.items[0].headers)
+
     def _requests_in_progress(self) -> int:
         """Return how many requests of callers and peers are not finished."""
         own = self._front_end.drain_middleware.in_progress
@@ -458,6 +479,7 @@
             self._crash_parts.run,
             self._origins.run,
             self._occupied.run,
+            self._account_usage.run,
             self._limits.run,
             self._target_stats.run,
             self._paths.run,
@@ -573,3 +595,4 @@
             for member in self.board.members.rows():
                 if member.state == 'dead':
                     self._occupied.forget(member.host)
+                    self._account_usage.forget(member.host)
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -14,6 +14,7 @@
 
 from persimmonpass.api import drain_middleware
 from persimmonpass import blackboard
+from persimmonpass.controllers.accounts import shares as account_shares
 from persimmonpass.controllers import job_access
 from persimmonpass.controllers import mirror
 from persimmonpass.controllers import occupancy
@@ -58,6 +59,7 @@
     :ivar core: returns the hosts to which callers are sent
     :ivar paths: the links of this host to targets
     :ivar tunnels: connections to targets that this host keeps for peers
+    :ivar shares: shares of the client accounts
     """
 
     host: str
@@ -77,6 +79,7 @@
     core: collections.abc.Callable[[], collections.abc.Collection[str]]
     paths: target_paths.TargetPaths
     tunnels: tunnel.Tunnels
+    shares: account_shares.AccountShares
 
 
 class FrontEnd:
@@ -225,6 +228,7 @@
 
     def _update_gauges(self) -> None:
         """Set the gauges that are computed only at a scrape."""
+        self._ports.shares.update_gauges()
         self._ports.metrics.waiting.set(self._ports.occupied.total_waiting)
         self._ports.metrics.targets_lost.set(self._ports.paths.lost_count)
         self._ports.metrics.tunnels.set(self._ports.tunnels.in_use)
--- a/src/persimmonpass/gateway_metrics.py
+++ b/src/persimmonpass/gateway_metrics.py
@@ -69,6 +69,24 @@
             'Online requests of all hosts that wait for a place.',
             registry=self.registry,
         )
+        self.account_share = prometheus_client.Gauge(
+            'persimmonpass_account_share',
+            'Slots that an account may use while requests wait.',
+            ['account'],
+            registry=self.registry,
+        )
+        self.account_running = prometheus_client.Gauge(
+            'persimmonpass_account_running',
+            'Online requests of an account that run, on all hosts.',
+            ['account'],
+            registry=self.registry,
+        )
+        self.account_wait = prometheus_client.Histogram(
+            'persimmonpass_account_wait_seconds',
+            'Time that a request of an account waited for a slot.',
+            buckets=metrics.LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
         self.store_lost = prometheus_client.Gauge(
             'persimmonpass_store_lost',
             'Whether the store does not answer this host.',
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -12,6 +12,7 @@
 import collections.abc
 import typing
 
+from persimmonpass.policy import batch
 from persimmonpass.policy import rate_limits
 
 # Slots of each target that batch leaves free, so that an online request finds
@@ -39,6 +40,8 @@
     :ivar due_at: local clock when its result is due, in seconds
     :ivar left_seconds: estimated remaining run time
     :ivar job_order: lower for jobs that were accepted earlier
+    :ivar account_tag: start tag of its account, see
+        :func:`policy.batch.start_tag`; 0 if there are no accounts
     """
 
     job: str
@@ -46,6 +49,7 @@
     due_at: float
     left_seconds: float
     job_order: int
+    account_tag: float = 0.0
 
 
 class TargetLoad(typing.NamedTuple):
@@ -94,11 +98,14 @@
     events: int
 
 
-def rank(pending: Pending, now: float) -> tuple[bool, float, float, int, int]:
+def rank(
+    pending: Pending, now: float
+) -> tuple[bool, float, float, float, int, int]:
     """Return the sort key of an item; the lowest runs first.
 
-    Items that can still finish in time go first, those due soonest before the
-    others. Of the late items, those nearest to their end go first.
+    Items that can still finish in time go first; among them those of the
+    account that was served least, then those due soonest. Of an account's late
+    items, those nearest to their end go first.
 
     The order answers a load near or above what the free slots can do. There,
     by due time alone, every slot goes to items that just fail to finish in
@@ -110,6 +117,7 @@
     is_late = now + FINISH_FACTOR * pending.left_seconds > pending.due_at
     return (
         is_late,
+        pending.account_tag,
         pending.left_seconds if is_late else 0.0,
         pending.due_at,
         pending.job_order,
@@ -117,6 +125,34 @@
     )
 
 
+def tag_items(
+    found: collections.abc.Iterable[tuple[Pending, str, int]],
+    share: batch.Share,
+    now: float,
+) -> list[Pending]:
+    """Return items with the start tags that follow from the order to run.
+
+    The tag of an account's second item follows the cost of its first one, so
+    that one pass over the items divides many slots fairly.
+
+    :param found: items, each with its account and its tokens; an item without
+        an account belongs to the account with the empty name
+    :param share: tokens that accounts were served so far
+    :param now: local clock in seconds
+    """
+    tags: dict[str, float] = {}
+    tagged = []
+    for pending, account, tokens in sorted(
+        found, key=lambda row: rank(row[0], now)
+    ):
+        tag = tags.get(account)
+        if tag is None:
+            tag = batch.start_tag(share, account)
+        tags[account] = tag + tokens
+        tagged.append(pending._replace(account_tag=tag))
+    return tagged
+
+
 def left_seconds(
     run_seconds: float, typical_events: float, received: int
 ) -> float:
--- a/src/persimmonpass/policy/queueing.py
+++ b/src/persimmonpass/policy/queueing.py
@@ -30,12 +30,16 @@
     :ivar placement_deadline: local clock until which it has to be placed to
         meet its objective, in seconds
     :ivar started: whether its caller already has a part of the answer
+    :ivar account: name of the caller's account; empty for none
+    :ivar objective_seconds: objective for the time to the first event
     """
 
     priority: int
     arrived_at: float
     placement_deadline: float
     started: bool = False
+    account: str = ''
+    objective_seconds: float = 0.0
 
 
 def first_event_timeout(objective_seconds: float, gap_seconds: float) -> float:
@@ -73,15 +77,19 @@
     return not request.started and now >= request.placement_deadline
 
 
-def rank(request: QueuedRequest, now: float) -> tuple[bool, bool, int, float]:
+def rank(
+    request: QueuedRequest, now: float, *, is_past_share: bool = False
+) -> tuple[bool, bool, int, bool, float]:
     """Return the sort key of a request; the lowest is placed first.
 
     :param now: local clock in seconds
+    :param is_past_share: whether its account is past its share
     """
     return (
         is_late(request, now),
         not request.started,
         request.priority,
+        is_past_share,
         request.arrived_at,
     )
 
--- a/src/persimmonpass/policy/request_placement.py
+++ b/src/persimmonpass/policy/request_placement.py
@@ -56,6 +56,18 @@
         return self.allowance is None or self.allowance.may_send
 
 
+class Capacity(typing.NamedTuple):
+    """Capacity of the usable targets of a service.
+
+    :ivar targets: number of targets
+    :ivar slots: requests that all of them together run concurrently, as far
+        as the limits of targets allow
+    """
+
+    targets: int
+    slots: float
+
+
 def effective_slots(candidate: Candidate, service_seconds: float) -> float:
     """Return how many requests a target can run concurrently.
 
--- a/src/persimmonpass/verdicts.py
+++ b/src/persimmonpass/verdicts.py
@@ -30,6 +30,7 @@
     :ivar retry_after_seconds: delay before a retry; ``None`` if a retry is
         useless
     :ivar field: name of the invalid field of the request, or empty
+    :ivar details: further fields of the log line of the request
     """
 
     verdict: Verdict
@@ -38,6 +39,7 @@
     status: int = 503
     retry_after_seconds: float | None = None
     field: str = ''
+    details: dict[str, object] = {}
 
 
 class FailureBody(typing.TypedDict):
