--- a/src/persimmonpass/controllers/admission_queue.py
+++ b/src/persimmonpass/controllers/admission_queue.py
@@ -41,7 +41,7 @@
     ) -> None:
         """Create an empty queue.
 
-        :param shares: shares of client accounts; ``None`` if there are none
+        :param shares: shares of client accounts, ``None`` for none
         """
         self._shares = shares
         self._host = host
@@ -234,16 +234,14 @@
 
         :param last: local clock until which it has to be placed, in seconds
         """
-        shares, service = self._shares, request.service
-        if shares is None:
-            return None
-        if request_placement.choose(
+        service = request.service
+        if self._shares is None or request_placement.choose(
             self.candidates(service), self._zone, random.random
         ):
             return None
-        now = anyio.current_time()
         stall = self._stalls.get(service, queueing.Stall())
-        return shares.refuse(
+        now = anyio.current_time()
+        return self._shares.refuse(
             service,
             request.queued,
             account_shares.Backlog(
