--- a/src/persimmonpass/policy/fair_shares.py
+++ b/src/persimmonpass/policy/fair_shares.py
@@ -18,7 +18,7 @@
 # counts as past it. Two requests that arrive together are usual for an account
 # that sends two a second. An allowance that grows with the share is too much
 # for an account that holds nearly all slots: with a quarter of a request's
-# duration at its share, a small account beside it was late in 3 of 10 requests.
+# duration at its share, a small account beside it had 3 of 10 requests late.
 ALLOWED_REQUESTS = 2.0
 # It counts as past its share until this part of the allowance is free again.
 RELEASE_SHARE = 0.5
