--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -159,6 +159,8 @@
                         self._ports.target_stats.first_event_seconds,
                     ),
                     request.started,
+                    request.call.account,
+                    request.route.objective_seconds,
                 ),
                 request.answer_deadline,
                 request.excluded,
@@ -570,6 +572,7 @@
             ms=round(1000 * (anyio.current_time() - request.started_at), 1),
             cause=failure.message if failure else '',
             **self._ports.accounts.fields(request),
+            **(failure.details if failure else {}),
         )
 
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -19,6 +19,7 @@
 from persimmonpass.controllers.accounts import access
 from persimmonpass.controllers.accounts import limits as account_limits
 from persimmonpass.controllers.accounts import requests as account_requests
+from persimmonpass.controllers.accounts import shares as account_shares
 from persimmonpass.controllers.accounts import usage
 from persimmonpass.controllers import admission_queue
 from persimmonpass.controllers import batch_role
@@ -367,6 +368,9 @@
             account_limits.LimitPorts(self._account_usage, port, self._core),
         )
         self.metrics.account_levels = self._account_limits.levels
+        self._shares = account_shares.AccountShares(
+            options.host, self.board, self._account_usage, self.metrics
+        )
         self._queue = admission_queue.AdmissionQueue(
             options.host,
             options.availability_zone,
@@ -374,6 +378,7 @@
             self._occupied,
             self._target_stats,
             self._limits,
+            self._shares,
         )
         self._handlers |= self._occupied.handlers
         self._handlers |= self._role.handlers
@@ -431,6 +436,7 @@
                 self._peers.port,
                 self.metrics,
                 self._role,
+                self._read_account,
             ),
         )
         self._handlers |= self._runner.handlers
@@ -487,9 +493,16 @@
                 self._core,
                 self._paths,
                 self._tunnels,
+                self._shares,
             )
         )
 
+    def _read_account(self, job: job_records.Job) -> str:
+        """Return the account of a job, which each of its items names."""
+        if not job.items:
+            return ''
+        return self._platform.wire.read_account(job.items[0].headers)
+
     def _requests_in_progress(self) -> int:
         """Return how many requests of callers and peers are not finished."""
         own = self._front_end.drain_middleware.in_progress
