Refuse requests of accounts past their share by the ordinary rules too

Cause: while an account was past its share, no request was refused for a long queue, also not those of that account, so that in a lasting overload they waited until shortly before their deadline. Change: only accounts within their share are exempt.

--- a/src/persimmonpass/controllers/admission_queue.py
+++ b/src/persimmonpass/controllers/admission_queue.py
@@ -216,13 +216,18 @@
         return self._refusal(stalled, 'late requests get no place')
 
     def _is_shared(self, request: waiting_requests.WaitingRequest) -> bool:
-        """Return whether the shares of accounts decide on a refusal.
+        """Return whether an account is not refused for a long queue.
 
-        They do while an account is past its share: the others are not refused
-        because of it.
+        While another account is past its share, those within theirs are not
+        refused because of it.
         """
         shares, account = self._shares, request.queued.account
-        return bool(shares and account and shares.holds_any(request.service))
+        return bool(
+            shares
+            and account
+            and shares.holds_any(request.service)
+            and not shares.is_past(request.service, account)
+        )
 
     def _refuse_past_share(
         self, request: waiting_requests.WaitingRequest, last: float
