Bound the interim answers of a target

Cause: httpcore and h11 parse interim answers in a loop that a target which sends them without end keeps supplied. Eight such connections hold up the event loop of the gateway; requests end after their deadline and reads of jobs are not answered.

Change: the streams of target connections follow the heads that arrive after a write. More than 16,384 bytes of interim answers, or bytes that do not start with a status line, raise RemoteProtocolError before they are parsed. From the head of the final answer on, nothing is inspected.

relays.py becomes connections.py. Its transport now also serves direct connections, in place of httpx.AsyncHTTPTransport. Errors are mapped to the same classes as in httpx, which a table test compares; before, relayed connections had only ConnectError, ReadError and the protocol errors. A broken tunnel stays RelayBrokenError. test_certificates_are_loaded_once counts the pools through the new class.

--- a/src/persimmonpass/controllers/item_attempt.py
+++ b/src/persimmonpass/controllers/item_attempt.py
@@ -20,8 +20,8 @@
 from persimmonpass.policy import batch_scheduling
 from persimmonpass.policy import stream_versions
 from persimmonpass import routes
+from persimmonpass.targets import connections
 from persimmonpass.targets import opaque
-from persimmonpass.targets import relays
 from persimmonpass import verdicts
 
 ITEM_TIMEOUT_SECONDS = 60.0
@@ -212,7 +212,9 @@
                 events.TARGET_FAILED,
                 type(error).__name__,
                 GATEWAY_TIMEOUT
-                if isinstance(error, TimeoutError | relays.RelayBrokenError)
+                if isinstance(
+                    error, TimeoutError | connections.RelayBrokenError
+                )
                 else BAD_GATEWAY,
             )
             return self._record_failure(
--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -28,8 +28,8 @@
 from persimmonpass.policy import stream_versions
 from persimmonpass import request_state
 from persimmonpass import routes
+from persimmonpass.targets import connections
 from persimmonpass.targets import opaque
-from persimmonpass.targets import relays
 from persimmonpass import tracing
 from persimmonpass import verdicts
 
@@ -578,6 +578,6 @@
         events.TARGET_FAILED,
         f'incomplete answer of target {target.name}: {type(error).__name__}',
         GATEWAY_TIMEOUT
-        if isinstance(error, TimeoutError | relays.RelayBrokenError)
+        if isinstance(error, TimeoutError | connections.RelayBrokenError)
         else BAD_GATEWAY,
     )
--- /dev/null
+++ b/src/persimmonpass/targets/connections.py
@@ -0,0 +1,246 @@
+"""HTTP transport for the connections to one target."""
+
+import collections.abc
+import contextlib
+import re
+import ssl
+import typing
+
+import httpcore
+import httpx
+
+from persimmonpass.peers import tunnel
+
+# Interim answers of a target that sends them without end are parsed without a
+# pause, which holds up the event loop.
+MAX_INTERIM_BYTES = 16_384
+
+# The HTTP library ends a head at the same bytes.
+_HEAD_END = re.compile(rb'\n\r?\n')
+_STATUS_LINE_START = b'HTTP/'
+# The status line up to the status, as in ``HTTP/1.1 100``.
+_STATUS_START = 9
+_STATUS_END = 12
+_SWITCHING_PROTOCOLS = b'101'
+
+
+class RelayBrokenError(httpx.ReadError):
+    """The connection to the peer broke; the request may have run."""
+
+
+_ERRORS: dict[type[Exception], type[httpx.TransportError]] = {
+    tunnel.TunnelBrokenError: RelayBrokenError,
+    httpcore.ConnectError: httpx.ConnectError,
+    httpcore.ReadError: httpx.ReadError,
+    httpcore.WriteError: httpx.WriteError,
+    httpcore.NetworkError: httpx.NetworkError,
+    httpcore.ConnectTimeout: httpx.ConnectTimeout,
+    httpcore.ReadTimeout: httpx.ReadTimeout,
+    httpcore.WriteTimeout: httpx.WriteTimeout,
+    httpcore.PoolTimeout: httpx.PoolTimeout,
+    httpcore.TimeoutException: httpx.TimeoutException,
+    httpcore.LocalProtocolError: httpx.LocalProtocolError,
+    httpcore.RemoteProtocolError: httpx.RemoteProtocolError,
+    httpcore.ProtocolError: httpx.ProtocolError,
+    httpcore.UnsupportedProtocol: httpx.UnsupportedProtocol,
+}
+
+
+class _InterimBytes:
+    """Counts the bytes of interim answers before the head of an answer."""
+
+    def __init__(self) -> None:
+        self._size = 0
+        # Start of a head that has not arrived in full.
+        self._unread = b''
+        self._in_body = False
+
+    def add(self, data: bytes) -> None:
+        """Add bytes that have arrived.
+
+        :raises httpcore.RemoteProtocolError: if the interim answers are
+            longer than ``MAX_INTERIM_BYTES`` or something else than a head
+            has arrived
+        """
+        if self._in_body:
+            return
+        data = self._unread + data
+        start = 0
+        while len(data) - start >= _STATUS_END:
+            if not data.startswith(_STATUS_LINE_START, start):
+                # Also the rest of a head whose start came with the previous
+                # answer. It cannot be told where the next head starts.
+                raise httpcore.RemoteProtocolError(
+                    'answer does not start with a status line'
+                )
+            status = data[start + _STATUS_START : start + _STATUS_END]
+            if status[:1] != b'1' or status == _SWITCHING_PROTOCOLS:
+                self._in_body = True
+                self._unread = b''
+                return
+            end = _HEAD_END.search(data, start)
+            size = (end.end() if end else len(data)) - start
+            if self._size + size > MAX_INTERIM_BYTES:
+                raise httpcore.RemoteProtocolError(
+                    'interim answers too long: the limit is '
+                    f'{MAX_INTERIM_BYTES}'
+                )
+            if end is None:
+                break
+            self._size += size
+            start = end.end()
+        self._unread = data[start:]
+
+
+class _Stream(httpcore.AsyncNetworkStream):
+    """A connection that bounds the interim answers to each request."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._interim = _InterimBytes()
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Return the next bytes, none at the end of the connection.
+
+        :raises httpcore.RemoteProtocolError: if the interim answers are too
+            long
+        """
+        data = await self._stream.read(max_bytes, timeout)
+        self._interim.add(data)
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes of a request, whose answer has not been read."""
+        self._interim = _InterimBytes()
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Return the connection with TLS."""
+        return _Stream(
+            await self._stream.start_tls(ssl_context, server_hostname, timeout)
+        )
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        """Return details of the connection."""
+        return self._stream.get_extra_info(info)
+
+
+class _Backend(httpcore.AsyncNetworkBackend):
+    """Opens connections that bound interim answers."""
+
+    def __init__(self, backend: httpcore.AsyncNetworkBackend) -> None:
+        self._backend = backend
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: typing.Any = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection to a target."""
+        return _Stream(
+            await self._backend.connect_tcp(
+                host, port, timeout, local_address, socket_options
+            )
+        )
+
+    async def sleep(self, seconds: float) -> None:
+        """Sleep before the pool tries again."""
+        await self._backend.sleep(seconds)
+
+
+class _Body(httpx.AsyncByteStream):
+    """Body of an answer, with the errors of the HTTP client."""
+
+    def __init__(self, stream: typing.Any) -> None:
+        self._stream = stream
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        with _translate_errors():
+            async for part in self._stream:
+                yield part
+
+    async def aclose(self) -> None:
+        """Close the body and, if it has not ended, its connection."""
+        await self._stream.aclose()
+
+
+class Transport(httpx.AsyncBaseTransport):
+    """Connection pool of one target."""
+
+    def __init__(
+        self,
+        limits: httpx.Limits,
+        context: ssl.SSLContext,
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
+        """Create a pool without connections.
+
+        :param limits: limits of the pool
+        :param context: TLS context
+        :param backend: opens the connections if they are not direct
+        """
+        self._pool = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=limits.max_connections,
+            max_keepalive_connections=limits.max_keepalive_connections,
+            keepalive_expiry=limits.keepalive_expiry,
+            network_backend=_Backend(backend or httpcore.AnyIOBackend()),
+        )
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request.
+
+        :raises RelayBrokenError: if the tunnel to a peer broke
+        """
+        url = request.url
+        with _translate_errors():
+            response = await self._pool.handle_async_request(
+                httpcore.Request(
+                    method=request.method,
+                    url=httpcore.URL(
+                        scheme=url.raw_scheme,
+                        host=url.raw_host,
+                        port=url.port,
+                        target=url.raw_path,
+                    ),
+                    headers=request.headers.raw,
+                    content=request.stream,
+                    extensions=request.extensions,
+                )
+            )
+        return httpx.Response(
+            response.status,
+            headers=response.headers,
+            stream=_Body(response.stream),
+            extensions=response.extensions,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+@contextlib.contextmanager
+def _translate_errors() -> collections.abc.Iterator[None]:
+    """Raise the errors of the connection pool as those of the HTTP client."""
+    try:
+        yield
+    except tuple(_ERRORS) as error:
+        kind = next(_ERRORS[k] for k in type(error).__mro__ if k in _ERRORS)
+        raise kind(str(error)) from error
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -14,8 +14,8 @@
 from persimmonpass import exchange
 from persimmonpass.peers import tunnel
 from persimmonpass import store
+from persimmonpass.targets import connections
 from persimmonpass.targets import pools
-from persimmonpass.targets import relays
 from persimmonpass import verdicts
 
 # The network delay between hosts and targets is about a millisecond. TCP
@@ -137,7 +137,7 @@
             def make_pool(
                 limits: httpx.Limits, context: ssl.SSLContext
             ) -> httpx.AsyncBaseTransport:
-                return relays.RelayTransport(backend, limits, context)
+                return connections.Transport(limits, context, backend)
 
         found = pools.TargetPools(limits, self._context, make_pool)
         self._pools[helper, kept] = found
@@ -283,7 +283,7 @@
             failure = _outcome_unknown(
                 target, 'no answer in time', GATEWAY_TIMEOUT
             )
-        except relays.RelayBrokenError as error:
+        except connections.RelayBrokenError as error:
             failure = _outcome_unknown(target, str(error), GATEWAY_TIMEOUT)
         except (httpx.HTTPError, ValueError) as error:
             failure = _outcome_unknown(
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -12,6 +12,8 @@
 
 import httpx
 
+from persimmonpass.targets import connections
+
 MAX_POOLS = 20_000
 # For each target.
 MAX_KEPT_CONNECTIONS = 32
@@ -64,7 +66,7 @@
     ) -> None:
         self._limits = limits
         self._context = context
-        self._make_pool = make_pool or _make_direct_pool
+        self._make_pool = make_pool or connections.Transport
         self._pools: collections.OrderedDict[str, httpx.AsyncBaseTransport] = (
             collections.OrderedDict()
         )
@@ -98,14 +100,6 @@
             await pool.aclose()
 
 
-def _make_direct_pool(
-    limits: httpx.Limits, context: ssl.SSLContext
-) -> httpx.AsyncBaseTransport:
-    return httpx.AsyncHTTPTransport(
-        verify=context, limits=limits, trust_env=False
-    )
-
-
 def make_client(*, keep_connections: bool) -> httpx.AsyncClient:
     """Return an HTTP client for targets.
 
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -13,6 +13,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass.targets import connections
 from persimmonpass.targets import engine
 from persimmonpass.targets import pools
 from persimmonpass.targets import probe
@@ -200,7 +201,7 @@
                     ssl.SSLContext, 'load_verify_locations'
                 ) as load,
                 mock.patch.object(
-                    httpx.AsyncHTTPTransport,
+                    connections.Transport,
                     'handle_async_request',
                     lambda pool, request: (
                         used_pools.append(pool) or _return(answer)
