Abandon requests whose callers do not read

Cause: a send to a caller that reads nothing waited until the deadline of the request and held its slot; the kernel took megabytes for each caller, so that a target was read faster than its caller reads. Change: bound the send buffer of callers' sockets, and abandon a request when a send of at most 16 KB waits for 5 s (event 540). TCP_USER_TIMEOUT was tried: it also cut a caller that read 6 KB each 0.3 s. Partial: the connection is closed, not reset.

--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -121,6 +121,14 @@
                 'request', request=call.id, route=route.name
             ):
                 outcome = await self._serve(request)
+        except exceptions.CallerStalledError:
+            events.log(
+                events.CALLER_STALLED,
+                host=self._host,
+                key=request.call.id,
+                after=request.last_id,
+            )
+            raise
         finally:
             self._record_outcome(request, outcome)
 
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -362,6 +362,13 @@
     'The caller disconnected; closing the connection tells the target to '
     'stop.',
 )
+CALLER_STALLED = Event(
+    540,
+    'caller_stalled',
+    Level.INFO,
+    'The caller took next to nothing of its answer for some seconds; its '
+    'request is abandoned.',
+)
 REQUEST_BROKEN = Event(
     519,
     'request_broken',
--- a/src/persimmonpass/exceptions.py
+++ b/src/persimmonpass/exceptions.py
@@ -19,3 +19,7 @@
 
 class BrokenAnswerError(PersimmonpassError):
     """An answer failed after its start was sent; its connection is closed."""
+
+
+class CallerStalledError(BrokenAnswerError):
+    """The caller took no bytes of its answer for some time."""
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -121,6 +121,7 @@
             )
             if address
         }
+        servers.limit_callers(self._sockets['caller'])
         self._drain = drain.Drain(
             options.host,
             drain.DrainPorts(
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -14,6 +14,7 @@
 import result
 from starlette import types
 
+from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import gateway_ports
 from persimmonpass.platform import jobs
@@ -31,6 +32,10 @@
 # Closing a connection with unread bytes resets it, and the caller may lose the
 # answer. Less than the grace period of a host that stops.
 DROP_SECONDS = 3.0
+# How long a caller may take to read what one send waits for, which is at most
+# the buffers of its connection, about 100 kB.
+CALLER_STALL_SECONDS = 5.0
+SEND_BYTES = 16_384
 
 _MILLISECONDS = 1000
 _JSON = (b'content-type', b'application/json')
@@ -68,9 +73,23 @@
         )
 
     async def _body(self, data: bytes, more: bool) -> None:
-        await self._send(
-            {'type': 'http.response.body', 'body': data, 'more_body': more}
-        )
+        """Send a part of the body.
+
+        :raises CallerStalledError: if the caller takes next to nothing
+        """
+        for start in range(0, max(1, len(data)), SEND_BYTES):
+            part = data[start : start + SEND_BYTES]
+            follows = more or start + SEND_BYTES < len(data)
+            with anyio.move_on_after(CALLER_STALL_SECONDS) as limit:
+                await self._send(
+                    {
+                        'type': 'http.response.body',
+                        'body': part,
+                        'more_body': follows,
+                    }
+                )
+            if limit.cancelled_caught:
+                raise exceptions.CallerStalledError
 
     async def answer(
         self, status: int, body: bytes = b'', *headers: tuple[bytes, bytes]
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -14,6 +14,9 @@
 BACKLOG = 1024
 RESTART_SECONDS = 0.5
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
+# The default lets the kernel take megabytes for each caller that does not
+# read, and reports a socket as writable only after a third of them was sent.
+CALLER_SEND_BUFFER_BYTES = 65_536
 
 
 class _Options(hypercorn.config.Config):
@@ -116,6 +119,17 @@
     return listener
 
 
+def limit_callers(listener: socket.socket) -> None:
+    """Bound what the kernel holds for callers; they inherit the option.
+
+    ``TCP_USER_TIMEOUT`` is not set: the kernel also resets callers that read
+    slowly through a small window.
+    """
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES
+    )
+
+
 def address_of(listener: socket.socket) -> str:
     """Return the address of a bound socket as ``ip:port``."""
     ip, port = listener.getsockname()[:2]
