Forget what was known of a target that starts again

Cause: a target that starts again under its old id knows nothing of before, but hosts kept its leaving mark, failures, latency and limit. Change: an entry with a newer start time (born) drops them.

--- a/src/persimmonpass/blackboard.py
+++ b/src/persimmonpass/blackboard.py
@@ -117,6 +117,8 @@
         names one
     :ivar slots: requests that the target runs at once, 0 if unknown
     :ivar software_version: version of the target's software, empty if unknown
+    :ivar born: start of this run by the target's own clock, in Unix
+        milliseconds; 0 if unknown
     """
 
     name: str
@@ -129,6 +131,7 @@
     service: str = ''
     slots: int = 0
     software_version: str = ''
+    born: int = 0
 
     @property
     def software(self) -> str:
--- a/src/persimmonpass/controllers/catalog.py
+++ b/src/persimmonpass/controllers/catalog.py
@@ -26,8 +26,10 @@
 REMOVAL_DELAY_SECONDS = 1.2
 # A removal is delayed if a call to the store has failed within this time.
 STORE_TROUBLE_SECONDS = 4.0
-# Each run of a target has its own name, so old marks do no harm.
+# Old marks do no harm: another run of a target has another name or a newer
+# start, which drops the mark.
 MAX_LEAVING_MARKS = 10_000
+MAX_STARTS = 10_000
 
 
 class CatalogPorts(typing.NamedTuple):
@@ -55,7 +57,11 @@
 
 
 class Catalog:
-    """Writes the tables of routes and targets."""
+    """Writes the tables of routes and targets.
+
+    :ivar restarted: callbacks that are called with the name of a target that
+        has started again under its name
+    """
 
     def __init__(
         self, host: str, board: blackboard.Blackboard, ports: CatalogPorts
@@ -63,6 +69,11 @@
         self._host = host
         self._board = board
         self._ports = ports
+        self.restarted: list[collections.abc.Callable[[str], None]] = []
+        # Start of the latest run of each target, also of removed ones.
+        self._starts: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._pending_removals: dict[str, float] = {}
         self._removal_added = anyio.Event()
         # Names and addresses of targets that stated that they are leaving,
@@ -84,6 +95,9 @@
         """
         if (target.name, target.address) in self._leaving:
             return
+        if target.born < self._starts.get(target.name, 0):
+            # The answer came from an earlier run.
+            return
         self._add_mark(target.name, target.address)
         peer_port.broadcast(
             self._ports.peers, METHOD_LEAVING, [target.name, target.address]
@@ -146,6 +160,11 @@
                 continue
             self._pending_removals.pop(record.name, None)
             known = self._board.targets.get(record.name)
+            if self._is_another_run(found):
+                known = None
+                self._leaving.pop((found.name, found.address), None)
+                for callback in self.restarted:
+                    callback(found.name)
             if self._is_leaving(known, found):
                 found = found._replace(leaving=True)
             if known == found:
@@ -165,6 +184,20 @@
                 revision=record.version,
             )
 
+    def _is_another_run(self, found: blackboard.Target) -> bool:
+        """Return whether a target has started again since its last entry.
+
+        :param found: the target in its entry
+        """
+        if not found.born:
+            return False
+        before = self._starts.get(found.name, 0)
+        self._starts[found.name] = max(before, found.born)
+        self._starts.move_to_end(found.name)
+        if len(self._starts) > MAX_STARTS:
+            self._starts.popitem(last=False)
+        return 0 < before < found.born
+
     def _is_leaving(
         self, known: blackboard.Target | None, found: blackboard.Target
     ) -> bool:
--- a/src/persimmonpass/controllers/target_limits.py
+++ b/src/persimmonpass/controllers/target_limits.py
@@ -150,6 +150,18 @@
         )
         self._broadcast([target.name], None)
 
+    def forget(self, target: str) -> None:
+        """Take back the limit of a target that has started again.
+
+        The later version keeps notices of peers that do not know of the new
+        run yet from bringing the limit back.
+
+        :param target: name of the target
+        """
+        limit = self._limits.get(target)
+        if limit is not None:
+            self._apply(target, None, limit.version + 1)
+
     async def run(self) -> None:
         """Report sends and statements to peers until cancelled."""
         repeated_at = anyio.current_time()
--- a/src/persimmonpass/controllers/target_stats.py
+++ b/src/persimmonpass/controllers/target_stats.py
@@ -169,6 +169,13 @@
         until = anyio.current_time() + REPLACED_BLOCK_SECONDS
         self._block(target, self._get(target), until, 'another target')
 
+    def forget(self, target: str) -> None:
+        """Forget the measurements of a target that has started again.
+
+        :param target: name of the target
+        """
+        self._records.pop(target, None)
+
     async def run(self) -> None:
         """Drop targets that are not listed, until cancelled."""
         while True:
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -372,6 +372,10 @@
         self._shares = account_shares.AccountShares(
             options.host, self.board, self._account_usage, self.metrics
         )
+        self._catalog.restarted += [
+            self._target_stats.forget,
+            self._limits.forget,
+        ]
         self._queue = admission_queue.AdmissionQueue(
             options.host,
             options.availability_zone,
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -100,6 +100,7 @@
     version: str | int | float = ''
     slots: int = 0
     state: str = 'ready'
+    born: typing.Any = None
 
 
 _Shape = typing.TypeVar('_Shape')
@@ -261,6 +262,8 @@
         service=server.service,
         slots=server.slots,
         software_version=str(server.version),
+        # Booleans are integers in Python.
+        born=server.born if type(server.born) is int else 0,
     )
 
 
