--- a/src/persimmonpass/controllers/route_proxy.py
+++ b/src/persimmonpass/controllers/route_proxy.py
@@ -156,24 +156,7 @@
             )
             return 'refused'
         while request.can_run_again and request.remaining_seconds > 0:
-            admitted = await self._ports.queue.acquire_slot(
-                request.service,
-                queueing.QueuedRequest(
-                    self._ports.accounts.priority(request),
-                    request.started_at,
-                    queueing.placement_deadline(
-                        request.started_at,
-                        request.route.objective_seconds,
-                        self._ports.target_stats.first_event_seconds,
-                    ),
-                    request.started,
-                    request.call.account,
-                    request.route.objective_seconds,
-                ),
-                request.answer_deadline,
-                request.excluded,
-                request.origin.software if request.origin else None,
-            )
+            admitted = await self._acquire_slot(request)
             if isinstance(admitted, result.Err):
                 request.failure = request.failure or admitted.err_value
                 if not request.runs:
@@ -200,6 +183,29 @@
                 break
         return await self._send_failure(request)
 
+    async def _acquire_slot(
+        self, request: request_state.RequestState
+    ) -> result.Result[blackboard.Target, verdicts.Failure]:
+        """Wait for a slot at a target of the request's service."""
+        return await self._ports.queue.acquire_slot(
+            request.service,
+            queueing.QueuedRequest(
+                self._ports.accounts.priority(request),
+                request.started_at,
+                queueing.placement_deadline(
+                    request.started_at,
+                    request.route.objective_seconds,
+                    self._ports.target_stats.first_event_seconds,
+                ),
+                request.started,
+                request.call.account,
+                request.route.objective_seconds,
+            ),
+            request.answer_deadline,
+            request.excluded,
+            request.origin.software if request.origin else None,
+        )
+
     async def _find_origin(self, request: request_state.RequestState) -> bool:
         """Set the software at which a resumed stream has to go on.
 
