Close the pools of targets while requests open others

Cause: at the end of a drain, a request that opened a pool while the others were being closed made the loop over the pools raise, and the process ended with status 1. Change: the loops go over a copy. Result: the new test failed before (OrderedDict mutated during iteration) and passes now.

--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -110,7 +110,8 @@
 
     async def aclose(self) -> None:
         """Close all connections."""
-        for pool in self._pools.values():
+        # A request may open another pool meanwhile.
+        for pool in list(self._pools.values()):
             await pool.aclose()
 
     def _pool(self, helper: str | None, kept: bool) -> pools.TargetPools:
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -96,7 +96,8 @@
 
     async def aclose(self) -> None:
         """Close all pools."""
-        for pool in self._pools.values():
+        # A request may open another pool meanwhile.
+        for pool in list(self._pools.values()):
             await pool.aclose()
 
 
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -307,3 +307,34 @@
             self.assertEqual(NOT_RUN, failed.err_value.verdict)
 
         run(test, script)
+
+
+class TestClosingPools(unittest.TestCase):
+    """A program that stopped failed if a request opened a pool meanwhile."""
+
+    def test_pool_that_is_opened_while_the_others_close(self):
+        async def test():
+            target_pools = pools.TargetPools(
+                httpx.Limits(),
+                pools.make_plain_http_context(),
+                lambda limits, context: Pool(),
+            )
+
+            class Pool(httpx.AsyncBaseTransport):
+                async def handle_async_request(self, request):
+                    return httpx.Response(200, stream=httpx.ByteStream(b''))
+
+                async def aclose(self):
+                    await send('10.0.0.2:1')
+
+            async def send(address):
+                await target_pools.handle_async_request(
+                    httpx.Request('GET', f'http://{address}/')
+                )
+
+            # The loop notices a new pool only if another one follows.
+            await send('10.0.0.1:1')
+            await send('10.0.0.3:1')
+            await target_pools.aclose()
+
+        anyio.run(test)
