--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,8 @@
-"""Half of the hosts lose power at once, among them those that watch the store.
-
-A client that has read a result at one surviving host reads the same position
-at another one, later than settleMs.
-"""
+"""A route is added whose prefix covers the path of a job's first item."""
 
 import asyncio
+import json
 import pathlib
-import signal
 import sys
 import time
 
@@ -14,98 +10,63 @@
 sys.path.insert(0, str(FOLDER.parent))
 import harness  # noqa: E402
 
-NAMES = ['edge-col-a-1', 'edge-col-b-1', 'edge-neg-c-1', 'edge-col-a-2',
-         'edge-col-b-2', 'edge-neg-c-2', 'edge-col-a-3', 'edge-col-b-3']
-# These hosts are the first that watch the store, and those that follow them.
-LOST = ['edge-col-b-2', 'edge-col-a-2', 'edge-col-b-3', 'edge-neg-c-1']
-DARK_SECONDS = 2.0
-JOBS = 48
-ITEMS = 10
-SETTLE = harness.BOUNDS['settleMs'] / 1000
+JOB = '7c41e09b52d6a3f8'
+ADDED = '/pule252/3/'
 
 
 async def case(fleet):
-    fleet.make_hosts(NAMES, ['col-a', 'col-b', 'neg-c'])
-    for number in range(5):
-        server = await fleet.add_server(
-            f'i-assist{number}', 'assist', ['col-a', 'col-b'][number % 2])
-        server.count = lambda request_id: 30
-        server.pace = lambda request_id: (
-            0.04 + 0.02 * (int(request_id[-4:]) * 7919 % 100) / 100)
+    fleet.make_hosts(['edge-col-a-1', 'edge-col-b-1', 'edge-neg-c-1'],
+                     ['col-a', 'col-b', 'neg-c'])
+    for number, zone in enumerate(['col-a', 'col-b', 'neg-c']):
+        await fleet.add_server(f'i-assist{number}', 'assist', zone)
+    chat = []
+    for number, zone in enumerate(['col-a', 'col-b']):
+        chat.append(await fleet.add_server(f'i-chat{number}', 'chat', zone))
+    for server in fleet.servers:
+        server.text = (lambda request_id, number, by=server.service:
+                       f'{by} {request_id} {number}')
+    services = ('assist', 'chat')
+    other = harness.stream_route(service='chat')
     await fleet.start(harness.config(
-        1, [harness.batch_route(), harness.stream_route()]))
-    hosts = {host.name: host for host in fleet.hosts}
-    lost = [hosts[name] for name in LOST]
-    alive = [host for host in fleet.hosts if host.name not in LOST]
-    jobs = [f'7c41e09b52d6{number:04x}' for number in range(JOBS)]
-    for number, job in enumerate(jobs):
-        items = [harness.item(f'b{number:07}{each:04}',
-                              f'/pule252/{each}/91c4')
-                 for each in range(ITEMS)]
-        status = await fleet.submit(
-            alive[number % len(alive)], f'/pule252/{number}', job, items)
-        if status != 202:
-            raise harness.Unready(f'job {job} was answered {status}')
-    # Time at which the answer with a position had arrived, by job.
-    read_at = {job: [] for job in jobs}
-    broken = []
-    waiting = set()
-
-    async def look_again(job, position, first_at, host):
-        for delay in (0.02, 0.15, 0.3, 0.5):
-            await asyncio.sleep(
-                max(0.0, first_at + SETTLE + delay - time.monotonic()))
-            sent = time.monotonic() - first_at
-            page = await fleet.read(host, job, position, quiet=True)
-            if page is not None and not page['results']:
-                line = (f'LOST: {host.name} answers 200 with next '
-                        f'{page["next"]} of {page["total"]} and has nothing '
-                        f'at position {position} of {job}, asked '
-                        f'{sent:.3f} s after it had been read')
-                fleet.record.add(line)
-                broken.append(line)
-
-    async def poll(host):
-        while True:
-            for job in jobs:
-                known = read_at[job]
-                if len(known) == ITEMS:
-                    continue
-                page = await fleet.read(host, job, len(known), quiet=True)
-                if page is None:
-                    continue
-                now = time.monotonic()
-                for row in page['results'][:ITEMS - len(known)]:
-                    known.append(now)
-                    for other in alive:
-                        if other is not host:
-                            task = fleet.spawn(look_again(
-                                job, len(known) - 1, now, other))
-                            waiting.add(task)
-                            task.add_done_callback(waiting.discard)
-            await asyncio.sleep(0.02)
-
-    for host in alive:
-        fleet.spawn(poll(host))
-    # Results are written at once when their job is due within three seconds.
-    await asyncio.sleep(15.5)
-    if harness.has_trouble():
-        # A machine without power answers nothing, and closes nothing.
-        for host in lost:
-            host.send(signal.SIGSTOP)
-    await asyncio.sleep(DARK_SECONDS)
+        1, [harness.batch_route(), other], services))
     if harness.has_trouble():
-        for host in lost:
-            host.send(signal.SIGKILL)
-            await host.process.wait()
-            await host.start()
-    end = time.monotonic() + 25
-    while time.monotonic() < end and (
-        waiting or any(len(known) < ITEMS for known in read_at.values())
-    ):
+        added = harness.batch_route(
+            name='r-added', pathPrefix=ADDED, service='chat')
+        fleet.put_config(harness.config(
+            2, [harness.batch_route(), other, added], services))
+        # Twice configApplyMs.
+        await asyncio.sleep(4.0)
+    # Only the first item is under the added prefix.
+    items = [harness.item('a000000000000000', f'{ADDED}91c4')]
+    items += [harness.item(f'b{number:015x}', f'/pule252/{number + 4}/91c4')
+              for number in range(8)]
+    status = await fleet.submit(fleet.hosts[0], '/pule252/7c41e0', JOB, items)
+    if status != 202:
+        raise harness.Unready(f'the job was answered {status}')
+    page = None
+    end = time.monotonic() + 18
+    while time.monotonic() < end:
+        page = await fleet.read(fleet.hosts[1], JOB, 0, 1000, quiet=True)
+        if page and page['next'] == len(items):
+            break
         await asyncio.sleep(0.2)
-    seen = sum(map(len, read_at.values()))
-    fleet.record.add(f'{seen} of {JOBS * ITEMS} results were read')
+    broken = []
+    paths = {row['id']: row['path'] for row in items}
+    for server in chat:
+        for request_id, target, _, _ in server.runs:
+            if not target.startswith((ADDED, other['pathPrefix'])):
+                broken.append(
+                    f'ROUTE: item {request_id} of {target} ran at '
+                    f'{server.name} of service chat, to which no version '
+                    'sends this path')
+    for row in page['results'] if page else []:
+        fleet.record.add('result ' + json.dumps(row)[:120])
+        if not paths[row['id']].startswith(ADDED):
+            if row['output'].startswith('chat'):
+                broken.append(f'item {row["id"]} is listed as {row["state"]} '
+                              'with the output of service chat')
+    if not page or page['next'] != len(items):
+        fleet.record.add('not all items were listed in time')
     return broken
 
 
