--- a/review/harness.py
+++ b/review/harness.py
@@ -641,7 +641,7 @@
                 await process.wait()
         for server in [self.store, *self.servers]:
             server.close()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.3)
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
