--- a/review/harness.py
+++ b/review/harness.py
@@ -195,7 +195,7 @@
     """The platform's store, as PROTOCOL.md has it.
 
     :ivar down: whether every call is answered with 503, with nothing done
-    :ivar watchers: process of the last watches: local clock by peer address
+    :ivar too_large: number of writes that were refused for their size
     """
 
     def __init__(self, record):
@@ -206,7 +206,6 @@
         self.objects = {}
         self.log = []
         self.too_large = 0
-        self.on_write = []
         self._changed = asyncio.Event()
 
     def _bump(self):
@@ -218,8 +217,6 @@
                          deleted))
         self._changed.set()
         self._changed = asyncio.Event()
-        for callback in self.on_write:
-            callback(kind, row, deleted)
 
     def put(self, kind, name, spec):
         """Write an object unconditionally, as an operator or a server."""
@@ -238,9 +235,6 @@
             row['metadata']['revision'] = self._bump()
             self._note(kind, row, True)
 
-    def names(self, kind):
-        return [name for found, name in self.objects if found == kind]
-
     async def handle(self, method, target, headers, body, reader, writer):
         if self.down:
             writer.write(answer_bytes(503))
@@ -349,6 +343,8 @@
     """A model server.
 
     :ivar runs: id, path, first event, time of each request that it ran
+    :ivar override: called before the answer to a request; returns ``None`` to
+        go on, or whether the connection stays open
     :ivar text: returns the data of an event: takes item id and number
     :ivar count: returns the number of events of a request
     :ivar pace: returns the seconds between its events
