Batch: items run on targets of one slot

Cause: batch left one slot of each target to online requests, whatever the number of its slots, so that a target of one slot never had a free one. The move of the route has no part in it: a service with such targets from the start shows the same in tests.test_small_targets.TestFleet.test_items_run.

Change: targets of one slot share a reserve with the other targets of their service: an item starts only if one more slot than online requests wait for stays free elsewhere. On the only target of a service it starts if no online request waits, and the next one stops it. The reserve counts all software versions, also when an item resumes at one of them. A target on trial after errors got no items because it was shown with one slot; this is stated now.

Evidence: 14 cases of tests.test_small_targets failed before (items that never end, wrong choices), all pass now.

--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -301,6 +301,7 @@
                 candidate.slowdown,
                 candidate.software,
                 candidate.allowance,
+                candidate.is_on_trial,
             )
             for candidate in self._ports.queue.candidates(service)
         ]
@@ -454,7 +455,8 @@
             service = routes.pick_service(route, state.job.items[number].id)
             if service in full_services or service not in loads:
                 continue
-            name = policy.pick_target(loads[service])
+            waiting = self._ports.occupied.waiting(service).total
+            name = policy.pick_target(loads[service], waiting=waiting)
             if name is None:
                 full_services.add(service)
                 continue
@@ -507,6 +509,7 @@
                 for row in self._ports.board.targets.rows()
             ),
             waited_seconds=now - item.waits_since,
+            waiting=self._ports.occupied.waiting(service).total,
         )
         if choice.restarts:
             events.log(
@@ -539,7 +542,10 @@
         return {
             name: rows
             for name, rows in loads.items()
-            if policy.pick_target(rows) is not None
+            if policy.pick_target(
+                rows, waiting=self._ports.occupied.waiting(name).total
+            )
+            is not None
         }
 
     def _record_missing_route(
--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -109,7 +109,8 @@
                 continue
             counts = self._occupied.counts_at(row.name)
             slots = row.slots or DEFAULT_SLOTS
-            if self._target_stats.is_on_trial(row.name):
+            is_on_trial = self._target_stats.is_on_trial(row.name)
+            if is_on_trial:
                 slots = min(slots, TRIAL_SLOTS)
             found.append(
                 request_placement.Candidate(
@@ -121,6 +122,7 @@
                     self._target_stats.slowdown(row.name),
                     row.software,
                     self._limits.allowance(row.name),
+                    is_on_trial,
                 )
             )
         return found
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -5,8 +5,9 @@
 
 Online traffic can rise to a multiple of its minimum within a second, and a
 target admits requests in order of arrival. Batch fills the free slots except
-for a reserve. When online traffic rises, items are stopped. They continue on
-another target from their last event, at the cost of reading their text again.
+for a reserve, which targets of one slot share. When online traffic rises,
+items are stopped. They continue on another target from their last event, at
+the cost of reading their text again.
 """
 
 import collections.abc
@@ -16,7 +17,8 @@
 from persimmonpass.policy import rate_limits
 
 # Slots of each target that batch leaves free, so that an online request finds
-# a free slot while an item is being stopped.
+# a free slot while an item is being stopped. Targets without that many slots
+# to spare share a reserve with the other targets of their service.
 RESERVE_SLOTS = 1
 # A target that is slower than the others by this factor gets no batch items.
 MAX_SLOWDOWN = 2.5
@@ -70,6 +72,7 @@
         one
     :ivar software: equal for targets of the same software version
     :ivar allowance: what it takes if it has named a limit, else ``None``
+    :ivar is_on_trial: whether it gets one request at a time after errors
     """
 
     name: str
@@ -79,6 +82,7 @@
     slowdown: float = 1.0
     software: str = ''
     allowance: rate_limits.Allowance | None = None
+    is_on_trial: bool = False
 
 
 class ResumeChoice(typing.NamedTuple):
@@ -216,25 +220,77 @@
     return max(0.1, 1 - received / typical)
 
 
+def own_reserve(load: TargetLoad) -> int:
+    """Return how many slots of a target itself batch leaves free.
+
+    A target of one slot has none to leave, or it would never run an item.
+    """
+    return max(0, min(RESERVE_SLOTS, load.slots - 1))
+
+
 def free_slots(load: TargetLoad) -> int:
     """Return how many more items a target should get.
 
     The number is negative if online requests occupy the reserve.
     """
-    if load.slowdown > MAX_SLOWDOWN:
+    if load.slowdown > MAX_SLOWDOWN or load.is_on_trial:
         return 0
     if load.allowance is not None and not load.allowance.may_send_batch:
         return 0
-    return load.slots - RESERVE_SLOTS - load.online - load.batch
+    return load.slots - own_reserve(load) - load.online - load.batch
+
+
+def leaves_reserve(
+    load: TargetLoad,
+    loads: collections.abc.Collection[TargetLoad],
+    waiting: int,
+) -> bool:
+    """Return whether online requests have a free slot after one more item.
+
+    A target without a reserve of its own relies on the free slots of the other
+    targets. If there is no other target, an online request has to wait until
+    the item is stopped; items would never run otherwise.
 
+    :param loads: load of all usable targets of the service
+    :param waiting: online requests of all hosts that wait for a slot
+    """
+    if own_reserve(load):
+        return True
+    others = [other for other in loads if other.name != load.name]
+    if not others:
+        return not waiting
+    spare = sum(
+        max(0, other.slots - other.online - other.batch)
+        for other in others
+        if other.allowance is None or other.allowance.may_send
+    )
+    return spare >= RESERVE_SLOTS + waiting
 
-def pick_target(loads: collections.abc.Iterable[TargetLoad]) -> str | None:
+
+def pick_target(
+    loads: collections.abc.Iterable[TargetLoad],
+    software: str | None = None,
+    waiting: int = 0,
+) -> str | None:
     """Return the target with the most free slots, or ``None`` if all are full.
 
-    :param loads: load of the targets
+    :param loads: load of all usable targets of the service
+    :param software: software that the target must have, ``None`` for any
+    :param waiting: online requests of all hosts that wait for a slot
     """
-    best = max(loads, key=free_slots, default=None)
-    return best.name if best is not None and free_slots(best) > 0 else None
+    loads = list(loads)
+    best = max(
+        (
+            load
+            for load in loads
+            if software in (None, load.software)
+            and free_slots(load) > 0
+            and leaves_reserve(load, loads, waiting)
+        ),
+        key=free_slots,
+        default=None,
+    )
+    return best.name if best is not None else None
 
 
 def choose_to_resume(
@@ -243,6 +299,7 @@
     *,
     is_listed: bool,
     waited_seconds: float,
+    waiting: int = 0,
 ) -> ResumeChoice:
     """Return where an item that has begun goes on.
 
@@ -256,14 +313,16 @@
         changed since
     :param is_listed: whether a target of that software stays
     :param waited_seconds: how long the item has waited for such a target
+    :param waiting: online requests of all hosts that wait for a slot
     """
     loads = list(loads)
-    target = pick_target(load for load in loads if load.software == software)
-    if target is not None:
-        return ResumeChoice(target, False)
+    if software is not None:
+        target = pick_target(loads, software, waiting)
+        if target is not None:
+            return ResumeChoice(target, False)
     if is_listed and waited_seconds < MAX_RESUME_WAIT_SECONDS:
         return ResumeChoice(None, False)
-    target = pick_target(loads)
+    target = pick_target(loads, waiting=waiting)
     return ResumeChoice(target, target is not None)
 
 
--- a/src/persimmonpass/policy/request_placement.py
+++ b/src/persimmonpass/policy/request_placement.py
@@ -39,6 +39,8 @@
         one
     :ivar software: equal for targets of the same software version
     :ivar allowance: what it takes if it has named a limit, else ``None``
+    :ivar is_on_trial: whether it gets one request at a time after errors;
+        ``slots`` is then 1
     """
 
     name: str
@@ -49,6 +51,7 @@
     slowdown: float = 1.0
     software: str = ''
     allowance: rate_limits.Allowance | None = None
+    is_on_trial: bool = False
 
     @property
     def has_room(self) -> bool:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -227,6 +227,8 @@
     :ivar limit: requests a second that each answer names as the server's
         limit; ``None`` for no limit
     :ivar arrivals: event loop's clock at the arrival of each request
+    :ivar queues: whether requests beyond the slots wait in order of arrival
+    :ivar peak: most requests that ran at once
     """
 
     def __init__(self, name='i-1', slots=8):
@@ -254,6 +256,10 @@
         self.leaving = False
         self.limit = None
         self.arrivals = []
+        self.queues = False
+        self.peak = 0
+        self._ended = anyio.Event()
+        self._queue = []
 
     def entry(self, state='ready', service='notes'):
         """Return the entry that the server writes to the store."""
@@ -297,6 +303,8 @@
                     pass
                 self.recalled += 1
                 return None
+        if self.queues and not await self._admit(receive):
+            return None
         first = int(request.headers.get('last-event-id', '0')) + 1
         self.runs.append((request_id, first))
         if self.status != 200:
@@ -323,11 +331,37 @@
             self.down_until = anyio.current_time() + self.down_seconds
             return None
         self.busy += 1
+        self.peak = max(self.peak, self.busy)
         try:
             if await self._stream(first, body, send, receive):
                 self.finished_ids.append(request_id)
         finally:
             self.busy -= 1
+            self._ended.set()
+            self._ended = anyio.Event()
+
+    async def _admit(self, receive):
+        """Wait for a slot; return whether the caller is still there."""
+        turn = object()
+        self._queue.append(turn)
+        left = False
+
+        async def watch_disconnect():
+            nonlocal left
+            while (await receive())['type'] != 'http.disconnect':
+                pass
+            left = True
+            tasks.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(watch_disconnect)
+                while self.busy >= self.slots or self._queue[0] is not turn:
+                    await self._ended.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._queue.remove(turn)
+        return not left
 
     async def _stream(self, first, body, send, receive):
         completed = False
@@ -564,13 +598,21 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(hosts=('one',), count=2, config=None, trace=''):
+async def fleet(hosts=('one',), count=2, config=None, trace='', slots=None):
     """Run a small deployment.
 
     :param count: number of model servers
+    :param slots: slots of each model server, which then lets requests beyond
+        them wait; replaces ``count``
     """
     store = StoreApp()
     model_servers = [Server(f'i-{number}') for number in range(count)]
+    if slots is not None:
+        model_servers = [
+            Server(f'i-{number}', each) for number, each in enumerate(slots)
+        ]
+    for server in model_servers:
+        server.queues = slots is not None
     async with contextlib.AsyncExitStack() as stack:
         address = await stack.enter_async_context(
             test_store_client.serving(store.app)
