Batch: items keep the route that accepted their job

Cause: the runner looked up one route for the job by the path of its first item. The record of the job names the route that accepted it, which was used for the limit of waiting tokens only.

Change: routes.JobRoutes finds an item's route by that name. If the configuration has no such route, or gives its name to other paths, the batch route of the item's own path takes its place (renamed, split). Looking up by name is one step; the search through all routes is left to these cases.

--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -132,6 +132,9 @@
         # Tokens that each account was served, while it has open jobs.
         self._share = batch.Share()
         self._accounts: dict[str, str] = {}
+        # Index of the routes of the configuration that it was made from.
+        self._indexed: routes.Configuration | None = None
+        self._job_routes = routes.JobRoutes(())
         ports.occupied.changed.append(self._wake_up)
         ports.log.changed.append(self._mark_log_changed)
 
@@ -363,16 +366,23 @@
         state = self._ports.log.jobs.get(job_id)
         if state is None or state.job is None:
             return 0.0
-        route = self._find_route(state.job)
+        route = self._find_route(state.job, 0) if state.job.items else None
         due = route.due_seconds if route is not None else 0.0
         return state.seen_at - state.age_seconds + due
 
-    def _find_route(self, job: job_records.Job) -> routes.Route | None:
+    def _find_route(
+        self, job: job_records.Job, number: int
+    ) -> routes.Route | None:
+        """Return the route of an item, ``None`` if it has none now."""
         configuration = self._ports.board.routes.get(catalog.ROUTES_KEY)
-        if configuration is None or not job.items:
+        if configuration is None:
             return None
-        path = job.items[0].path.partition('?')[0]
-        return routes.find(configuration.routes, job.host, path)
+        if configuration is not self._indexed:
+            self._indexed = configuration
+            self._job_routes = routes.JobRoutes(configuration.routes)
+        return self._job_routes.find(
+            job.route, job.host, job.items[number].path
+        )
 
     def _list_pending(self, now: float) -> list[policy.Pending]:
         found = []
@@ -447,11 +457,11 @@
             state = self._ports.log.jobs[pending.job]
             if state.job is None:
                 continue
-            route = self._find_route(state.job)
+            number = pending.item
+            route = self._find_route(state.job, number)
             if route is None:
                 self._record_missing_route(pending, state.job, now)
                 continue
-            number = pending.item
             service = routes.pick_service(route, state.job.items[number].id)
             if service in full_services or service not in loads:
                 continue
--- a/src/persimmonpass/routes.py
+++ b/src/persimmonpass/routes.py
@@ -127,6 +127,40 @@
     )
 
 
+class JobRoutes:
+    """The routes of one configuration, by which the items of jobs run."""
+
+    def __init__(self, present: collections.abc.Iterable[Route]) -> None:
+        """Create an index of routes.
+
+        :param present: all routes of the configuration
+        """
+        self._job_routes = tuple(
+            route for route in present if route.kind is Kind.JOB
+        )
+        self._by_name = {
+            (route.host, route.name): route for route in self._job_routes
+        }
+
+    def find(self, name: str, host: str, path: str) -> Route | None:
+        """Return the route of an item.
+
+        It is the route that accepted the job, even if another one has a longer
+        prefix of the item's path. A route that was renamed, or whose name has
+        been given to other paths, is found by the path of the item.
+
+        :param name: name of the route that accepted the job
+        :param host: host name of that route
+        :param path: path and query string of the item
+        :returns: ``None`` if the route was removed
+        """
+        path = path.partition('?')[0]
+        named = self._by_name.get((host, name))
+        if named is not None and path.startswith(named.path_prefix):
+            return named
+        return find(self._job_routes, host, path) or named
+
+
 def pick_service(route: Route, request_id: str) -> str:
     """Return the service of a request, drawn by the weights of its route.
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -234,6 +234,7 @@
     def __init__(self, name='i-1', slots=8):
         self.name = name
         self.slots = slots
+        self.service = 'notes'
         self.version = 'v1'
         self.names_version = False
         self.address = ''
@@ -261,10 +262,10 @@
         self._ended = anyio.Event()
         self._queue = []
 
-    def entry(self, state='ready', service='notes'):
+    def entry(self, state='ready', service=None):
         """Return the entry that the server writes to the store."""
         return {
-            'service': service,
+            'service': service or self.service,
             'address': self.address,
             'zone': 'a',
             'version': self.version,
@@ -439,18 +440,28 @@
 
     :param count: number of items
     """
+    return submission_of(
+        [f'/jobs/{number}' for number in range(count)], body, **item
+    )
+
+
+def submission_of(paths, body='eA==', **item):
+    """Return the body of a request that submits a job.
+
+    :param paths: path of each item
+    """
     return json.dumps(
         {
             'items': [
                 {
                     'id': f'item-{number}',
-                    'path': f'/jobs/{number}',
+                    'path': path,
                     'headers': {'Model': 'm'},
                     'body': body,
                     'tokens': 10,
                     **item,
                 }
-                for number in range(count)
+                for number, path in enumerate(paths)
             ]
         }
     )
@@ -598,19 +609,23 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(hosts=('one',), count=2, config=None, trace='', slots=None):
+async def fleet(
+    hosts=('one',), count=2, config=None, trace='', slots=None, services=()
+):
     """Run a small deployment.
 
     :param count: number of model servers
     :param slots: slots of each model server, which then lets requests beyond
         them wait; replaces ``count``
+    :param services: service of each model server
     """
     store = StoreApp()
-    model_servers = [Server(f'i-{number}') for number in range(count)]
-    if slots is not None:
-        model_servers = [
-            Server(f'i-{number}', each) for number, each in enumerate(slots)
-        ]
+    model_servers = [
+        Server(f'i-{number}', each)
+        for number, each in enumerate(slots or [8] * count)
+    ]
+    for server, service in zip(model_servers, services, strict=False):
+        server.service = service
     for server in model_servers:
         server.queues = slots is not None
     async with contextlib.AsyncExitStack() as stack:
