Batch: the time without a route starts anew when the route is back

Callers would see: an item listed as dead_letter although its route was missing for a moment only, if it had been missing for a moment before.

Cause: the time at which an item was first found without a route was kept for ever, so that the next moment without one ended the item.

Change: it is dropped once the item has a route.

Evidence: test_route_is_missing_0_twice_for_a_moment failed before (dead_letter instead of completed) and passes now; an item whose route stays missing still ends.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -56,7 +56,8 @@
     :ivar scope: cancels the current run; ``None`` while the item does not run
     :ivar outcome: result that has to be stored
     :ivar done_at: when ``outcome`` was set
-    :ivar route_missing_at: when the item was first found without a route
+    :ivar route_missing_at: since when the item has no route; ``None`` if it
+        has one
     """
 
     def __init__(self) -> None:
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -68,7 +68,7 @@
 DUE_SOON_SECONDS = 3.0
 MAX_GROUP_BYTES = 600_000
 COMMIT_RETRY_SECONDS = 0.1
-# An item fails if its route has been missing for this time.
+# An item fails if its route has been missing without a break for this time.
 ROUTE_MISSING_TIMEOUT_SECONDS = 15.0
 
 
@@ -462,6 +462,9 @@
             if route is None:
                 self._record_missing_route(pending, state.job, now)
                 continue
+            known = self._items.get((pending.job, number))
+            if known is not None:
+                known.route_missing_at = None
             service = routes.pick_service(route, state.job.items[number].id)
             if service in full_services or service not in loads:
                 continue
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -1,10 +1,12 @@
 """Which route the items of a job take while the configuration changes."""
 
 import unittest
+from unittest import mock
 
 import anyio
 import parameterized
 
+from persimmonpass.controllers.batch import item_runner
 from persimmonpass import routes
 from tests import platform_fakes
 
@@ -122,17 +124,49 @@
 
         platform_fakes.run(test)
 
+    @expand(
+        [
+            ('twice for a moment', (0.6, 0.6), 'completed'),
+            ('for longer than the limit', (2.0,), 'dead_letter'),
+        ]
+    )
+    def test_route_is_missing(self, _, gaps, expected):
+        """An item fails after its route was missing without a break."""
+
+        async def test():
+            async with two_services() as fleet:
+                await run_one_job(fleet)
+                fleet.servers[0].refuses_all = True
+                await submit(fleet, (3,))
+                version = 1
+                for gap in gaps:
+                    for service, seconds in ((None, gap), ('notes', 0.4)):
+                        version += 1
+                        fleet.store.memory.put(
+                            'config', 'main', configuration(version, service)
+                        )
+                        await anyio.sleep(seconds)
+                fleet.servers[0].refuses_all = False
+                page = await fleet.results('j', 1)
+                self.assertEqual(expected, page['results'][0]['state'])
+
+        with mock.patch.object(
+            item_runner, 'ROUTE_MISSING_TIMEOUT_SECONDS', 0.9
+        ):
+            platform_fakes.run(test)
+
 
 def configuration(version, service='notes', added=None):
     """Return a configuration with a job route and one that was added.
 
-    :param service: service of the job route
+    :param service: service of the job route; ``None`` for no such route
     :param added: type of the added route, ``None`` for no such route
     """
-    present = [
-        platform_fakes.route('/jobs/', 'batch', service=service),
-        platform_fakes.route('/chat/', service='chat'),
-    ]
+    present = [platform_fakes.route('/chat/', service='chat')]
+    if service is not None:
+        present.append(
+            platform_fakes.route('/jobs/', 'batch', service=service)
+        )
     if added is not None:
         present.append(platform_fakes.route('/jobs/3/', added, service='chat'))
     return platform_fakes.configuration(version, present) | {
@@ -151,12 +185,18 @@
     )
 
 
-async def submit(fleet, numbers):
+async def run_one_job(fleet):
+    """Run a job, after which a host is the batch runner."""
+    await submit(fleet, (4,), 'first')
+    await fleet.results('first', 1)
+
+
+async def submit(fleet, numbers, job_id='j'):
     """Submit a job with an item for each number, which begins its path."""
     body = platform_fakes.submission_of(
         [f'/jobs/{number}/91c4' for number in numbers]
     )
-    answer = await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+    answer = await fleet.post('/jobs/j', body, **{'Request-Id': job_id})
     answer.raise_for_status()
 
 
