Batch: no empty page of results from a copy that may lack some

Cause: an empty page was answered if the copy of the jobs was complete within 2.6 s. The host that runs items shows its results at once; the others wait up to 1.4 s for the lost hosts before they call the store themselves.

Change: an empty page needs a copy complete within 0.8 s. Otherwise the host waits up to 0.35 s for the next report and then asks the store for the record that would hold the next results, one call for all readers of the job. Without an answer it refuses with 503. The end of a finished job needs no check.

Evidence: eight of 29 cases of tests.test_result_reads failed before, among them the loss of the watching hosts at four offsets and their silent calls to the store; all pass now.

--- a/src/persimmonpass/controllers/batch/job_log.py
+++ b/src/persimmonpass/controllers/batch/job_log.py
@@ -11,6 +11,7 @@
 import result
 
 from persimmonpass.controllers.batch import job_accounts
+from persimmonpass.controllers.batch import result_checks
 from persimmonpass.controllers.fleet import mirror
 from persimmonpass import events
 from persimmonpass import job_records
@@ -18,11 +19,13 @@
 from persimmonpass import records
 from persimmonpass import verdicts
 
-# A read may report that there are no more results only if the copy was
-# complete within this time. A watch without changes returns sooner.
+# A job's results are not even checked if the copy was not complete within this
+# time: the hosts that watch the store are lost for good, and this host does
+# not reach the store either.
 MAX_COPY_AGE_SECONDS = 2.6
-# Nor may it do so if the copy has lacked a known change for longer than this.
-# A result that was read at one host must be visible at all within a second.
+# Nor is a job's end reported if the copy has lacked a known change for longer
+# than this. A result that was read at one host must be visible at all within a
+# second.
 MAX_BEHIND_SECONDS = 0.4
 # A job that was accepted at another host a moment ago arrives with the copy in
 # this time. Only then is the store asked for it.
@@ -94,6 +97,7 @@
         self._job_count = 0
         self.accounts = job_accounts.JobAccounts(self.jobs, accounts)
         self._applied = anyio.Event()
+        self._checks = result_checks.ResultChecks(host, port, copy)
 
     def apply(self, changed: list[records.Record]) -> None:
         """Apply records that were created, changed or deleted."""
@@ -342,7 +346,13 @@
         with anyio.move_on_after(wait_seconds):
             while len(state.results) <= after and not self._is_complete(state):
                 await state.changed.wait()
-        if len(state.results) <= after and not self._is_current():
+        if len(state.results) <= after and not (
+            self._is_complete(state)
+            or (
+                self._is_current()
+                and await self._checks.confirm(job_id, state, after)
+            )
+        ):
             return result.Err(
                 self._report_uncertain(
                     job_id, 'the copy of the jobs is out of date'
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -621,6 +621,13 @@
     Level.INFO,
     'The state of a job is uncertain; the caller was told to retry later.',
 )
+RESULTS_CHECKED = Event(
+    618,
+    'results_checked',
+    Level.INFO,
+    'The store was asked for the next results of a job, because the copy of '
+    'the jobs was too old to tell that there are none.',
+)
 JOB_REMOVED = Event(
     615,
     'job_removed',
--- a/tests/record_fakes.py
+++ b/tests/record_fakes.py
@@ -10,6 +10,11 @@
 from tests import fakes
 
 
+def refused():
+    """Return the failure of a call that had no effect."""
+    return result.Err(store.unavailable('outage'))
+
+
 class MemoryRecords:
     """Records in memory.
 
