Batch: one call confirms the copy for the readers of all jobs

Cause: the check before an empty page asked the store for one job at a time, which costs a call for each job that callers read while the hosts that watch the store are lost.

Change: Mirror.confirm asks the store for all changes that a copy lacks; callers that wait at the same time share the call. It replaces the look-up of a job's next results.

--- a/src/persimmonpass/controllers/batch/job_log.py
+++ b/src/persimmonpass/controllers/batch/job_log.py
@@ -97,7 +97,6 @@
         self._job_count = 0
         self.accounts = job_accounts.JobAccounts(self.jobs, accounts)
         self._applied = anyio.Event()
-        self._checks = result_checks.ResultChecks(host, port, copy)
 
     def apply(self, changed: list[records.Record]) -> None:
         """Apply records that were created, changed or deleted."""
@@ -350,7 +349,7 @@
             self._is_complete(state)
             or (
                 self._is_current()
-                and await self._checks.confirm(job_id, state, after)
+                and await result_checks.confirm(self._copy(), state, after)
             )
         ):
             return result.Err(
--- a/src/persimmonpass/controllers/fleet/mirror.py
+++ b/src/persimmonpass/controllers/fleet/mirror.py
@@ -47,6 +47,11 @@
 # are many and the watchers notify them when the store is back.
 FALLBACK_RETRY_SECONDS = 0.6
 FALLBACK_MAX_RETRY_SECONDS = 2.4
+# Time limit of a call that confirms a copy for a waiting caller.
+CONFIRM_SECONDS = 0.3
+# After such a call that was not answered, the next one is made after this
+# time: an outage must not cost a call for each caller.
+CONFIRM_RETRY_SECONDS = 0.5
 # A watcher may report a version before its notice of the changes arrives, as
 # it sends them to one host after the other.
 UPDATE_GRACE_SECONDS = 0.25
@@ -113,6 +118,8 @@
         # Whether this host calls the store instead of following the watchers.
         self._reads_store = False
         self._became_behind = anyio.Event()
+        self._confirming: anyio.Event | None = None
+        self._confirm_failed_at = float('-inf')
         self.read_started: list[collections.abc.Callable[[], None]] = []
 
     @property
@@ -279,6 +286,67 @@
             fresh_at += WATCH_TIMEOUT_SECONDS
         self._fresh_at = max(fresh_at, self._fresh_at or fresh_at)
 
+    async def confirm(self, since: float) -> bool:
+        """Make the copy complete up to a time, by a call if it is not yet.
+
+        Callers that wait at the same time share a call.
+
+        :param since: local clock in seconds
+        :returns: whether the copy has all changes before that time; ``False``
+            if the store did not answer
+        """
+        while self._fresh_at is None or self._fresh_at < since:
+            if self._confirming is not None:
+                await self._confirming.wait()
+            elif not await self._confirm_now():
+                return False
+        return True
+
+    async def _confirm_now(self) -> bool:
+        """Ask the store for the changes that this copy lacks.
+
+        :returns: whether the store has answered
+        """
+        began = anyio.current_time()
+        if (
+            not self._listed
+            or began - self._confirm_failed_at < CONFIRM_RETRY_SECONDS
+        ):
+            return False
+        age, version = self.age_seconds, self.version
+        done = self._confirming = anyio.Event()
+        found: result.Result[records.Snapshot, verdicts.Failure] | None = None
+        is_complete = False
+        try:
+            with anyio.move_on_after(CONFIRM_SECONDS):
+                found = await self._port.watch(self._kind, version, 0.0)
+                if (
+                    isinstance(found, result.Err)
+                    and found.err_value.event == events.STORE_HISTORY_LOST
+                ):
+                    is_complete = True
+                    found = await self._port.list(self._kind)
+        finally:
+            self._confirming = None
+            done.set()
+        is_answered = isinstance(found, result.Ok)
+        if isinstance(found, result.Ok):
+            self._apply(found.ok_value, is_complete=is_complete)
+            self._fresh_at = max(began, self._fresh_at or began)
+        else:
+            self._confirm_failed_at = anyio.current_time()
+        events.log(
+            events.COPY_CONFIRMED,
+            host=self._host,
+            kind=self._kind,
+            before=version,
+            version=self.version,
+            age_ms=round(1000 * age),
+            answered=is_answered,
+            ms=round(1000 * (anyio.current_time() - began)),
+        )
+        return is_answered
+
     def _hosts_before(self) -> list[str]:
         """Return the hosts that are to call the store first."""
         return watching.hosts_before(
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -201,6 +201,13 @@
     Level.INFO,
     'All objects of a kind were listed, which changed some of them here.',
 )
+COPY_CONFIRMED = Event(
+    220,
+    'copy_confirmed',
+    Level.INFO,
+    'The store was asked for changes of a kind, because a caller waited and '
+    'the copy here was too old to answer from.',
+)
 LEDGER_OPENED = Event(
     211, 'ledger_opened', Level.INFO, 'This host took over a ledger.'
 )
@@ -621,13 +628,6 @@
     Level.INFO,
     'The state of a job is uncertain; the caller was told to retry later.',
 )
-RESULTS_CHECKED = Event(
-    618,
-    'results_checked',
-    Level.INFO,
-    'The store was asked for the next results of a job, because the copy of '
-    'the jobs was too old to tell that there are none.',
-)
 JOB_REMOVED = Event(
     615,
     'job_removed',
