Streams: a host confirms its list before it takes a version for the only one

Cause: a stream that a host does not remember goes on if one version alone can have begun it, by the host's own list of targets, which may lack the version that began it.

While the store does not answer, more than half of the hosts of the last 30 s have to know one version together. A version that came and went meanwhile stays in the history.

--- a/src/persimmonpass/controllers/fleet/catalog.py
+++ b/src/persimmonpass/controllers/fleet/catalog.py
@@ -61,6 +61,8 @@
 
     :ivar restarted: callbacks that are called with the name of a target that
         has started again under its name
+    :ivar listed: callbacks that are called with each target that is added or
+        whose entry changed, also if it is removed at once
     """
 
     def __init__(
@@ -70,6 +72,9 @@
         self._board = board
         self._ports = ports
         self.restarted: list[collections.abc.Callable[[str], None]] = []
+        self.listed: list[
+            collections.abc.Callable[[blackboard.Target], None]
+        ] = []
         # Start of the latest run of each target, also of removed ones.
         self._starts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -170,6 +175,8 @@
             if known == found:
                 continue
             self._board.targets.put(record.name, found)
+            for notify in self.listed:
+                notify(found)
             event = (
                 events.TARGET_LEAVING
                 if found.leaving
--- a/src/persimmonpass/controllers/fleet/membership.py
+++ b/src/persimmonpass/controllers/fleet/membership.py
@@ -164,6 +164,16 @@
             if row.state != 'dead' and row.host != self._host
         ]
 
+    def lost_within(self, seconds: float) -> list[str]:
+        """Return the hosts that were marked as dead within some time."""
+        now = anyio.current_time()
+        long_dead = {row.host for row in self._view.dead_for(seconds, now)}
+        return [
+            row.host
+            for row in self._view.rows()
+            if row.state == 'dead' and row.host not in long_dead
+        ]
+
     def mark_alive(self) -> None:
         """Mark this host as alive, which adds it to the entry answers."""
         if self.me.state == 'starting':
--- a/src/persimmonpass/controllers/online/stream_origins.py
+++ b/src/persimmonpass/controllers/online/stream_origins.py
@@ -5,6 +5,11 @@
 begins. While all targets are of one version there is nothing to send; when
 another version appears, the hosts send what they have begun before. A stream
 that no host remembers goes on only if a single version can have begun it.
+
+A host that missed a release, because it was cut off or stood still, knows a
+single version, too. It therefore makes sure of that first: by a call to the
+store, where targets register before any host sends to them, or while the store
+does not answer, by what most hosts know together.
 """
 
 import collections
@@ -23,6 +28,7 @@
 
 METHOD_BEGAN = 'streams.began'
 METHOD_FIND = 'streams.find'
+METHOD_SOFTWARE = 'streams.software'
 MAX_STREAMS = 50_000
 # A peer that answers does so within milliseconds. The caller waits meanwhile.
 FIND_TIMEOUT_SECONDS = 0.2
@@ -48,14 +54,20 @@
         history: software_history.SoftwareHistory,
         peers: peer_port.PeerPort,
         audience: peer_port.Audience = peer_port.all_hosts,
+        hosts: collections.abc.Callable[
+            [], collections.abc.Collection[str]
+        ] = tuple,
     ) -> None:
         """Create an empty memory.
 
         :param history: the software that can have begun a stream
         :param audience: returns the hosts that serve callers, which are
             notified and asked
+        :param hosts: returns the hosts that serve callers or did so until
+            recently, this one included
         """
         self._history = history
+        self._hosts = hosts
         self._peers = peers
         self._audience = audience
         self._streams: collections.OrderedDict[str, _Began] = (
@@ -69,6 +81,7 @@
         return {
             METHOD_BEGAN: peer_port.NoticeHandler(self._handle_began),
             METHOD_FIND: self._handle_find,
+            METHOD_SOFTWARE: self._handle_software,
         }
 
     def record(self, request_id: str, origin: stream_versions.Origin) -> None:
@@ -92,13 +105,64 @@
         known = self._streams.get(request_id)
         if known is not None:
             return known.origin
-        services = {share.service for share in route.shares}
+        sole = await self._find_sole({share.service for share in route.shares})
+        return sole or await self._ask_peers(request_id)
+
+    async def _find_sole(
+        self, services: set[str]
+    ) -> stream_versions.Origin | None:
+        """Return the only software that can have begun a stream.
+
+        :returns: ``None`` if there are several, or if this is not known
+        """
         possible = await self._history.possible(services)
-        if possible is not None:
-            sole = stream_versions.sole_origin(services, possible)
-            if sole is not None:
-                return sole
-        return await self._ask_peers(request_id)
+        if possible is None:
+            return None
+        if stream_versions.sole_origin(services, possible) is None:
+            return None
+        if await self._history.confirm():
+            confirmed = await self._history.possible(services)
+            return confirmed and stream_versions.sole_origin(
+                services, confirmed
+            )
+        return await self._find_sole_with_peers(services, possible)
+
+    async def _find_sole_with_peers(
+        self, services: set[str], possible: software_history.Software
+    ) -> stream_versions.Origin | None:
+        """Return the only software that most hosts together know of.
+
+        :param possible: software that this host knows of, by service
+        """
+        answers = [possible]
+
+        async def ask(peer: str) -> None:
+            answered = await self._peers.call(
+                peer, METHOD_SOFTWARE, sorted(services), FIND_TIMEOUT_SECONDS
+            )
+            if isinstance(answered, result.Ok) and answered.ok_value:
+                answers.append(
+                    {name: set(row) for name, row in answered.ok_value.items()}
+                )
+
+        async with anyio.create_task_group() as tasks:
+            for peer in self._audience_peers():
+                tasks.start_soon(ask, peer)
+        if 2 * len(answers) <= len(self._hosts()):
+            return None
+        together = {
+            name: set().union(*(answer.get(name, ()) for answer in answers))
+            for name in services
+        }
+        return stream_versions.sole_origin(services, together)
+
+    def _audience_peers(self) -> list[str]:
+        audience = self._audience()
+        return [
+            peer
+            for peer in self._peers.connected()
+            if peer_port.includes(audience, peer)
+        ]
 
     def _send_own_streams(self, service: str) -> None:
         """Notify peers of the streams that this host began recently."""
@@ -147,9 +211,8 @@
                 tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
-            for peer in self._peers.connected():
-                if peer_port.includes(self._audience(), peer):
-                    tasks.start_soon(ask, peer)
+            for peer in self._audience_peers():
+                tasks.start_soon(ask, peer)
         if found is not None:
             self._add(request_id, found, is_own=False)
         return found
@@ -165,6 +228,16 @@
         known = self._streams.get(payload)
         return result.Ok(None if known is None else list(known.origin))
 
+    async def _handle_software(
+        self, peer: str, payload: typing.Any
+    ) -> result.Result[typing.Any, verdicts.Failure]:
+        """Return the software that this host knows of, if it can know."""
+        possible = await self._history.possible(payload)
+        return result.Ok(
+            possible
+            and {name: sorted(found) for name, found in possible.items()}
+        )
+
 
 def unknown_origin(retry_after_seconds: float) -> verdicts.Failure:
     """Return the failure of a stream whose software is not known.
--- a/src/persimmonpass/controllers/targets/software_history.py
+++ b/src/persimmonpass/controllers/targets/software_history.py
@@ -45,6 +45,11 @@
 Software = dict[str, set[str]]
 
 
+async def _always_current(since: float) -> bool:
+    """Return that a table of targets which copies nothing is current."""
+    return True
+
+
 class HistoryPorts(typing.NamedTuple):
     """Dependencies of :class:`SoftwareHistory`.
 
@@ -53,6 +58,8 @@
     :ivar audience: returns the hosts that serve callers
     :ivar hosts_before: returns how many hosts are to write to the store
         before this one
+    :ivar confirm_targets: makes the table of targets complete up to a time of
+        the local clock; returns whether it is
     """
 
     board: blackboard.Blackboard
@@ -60,6 +67,9 @@
     peers: peer_port.PeerPort
     audience: peer_port.Audience
     hosts_before: collections.abc.Callable[[], int]
+    confirm_targets: collections.abc.Callable[
+        [float], collections.abc.Awaitable[bool]
+    ] = _always_current
 
 
 class _Record(typing.NamedTuple):
@@ -144,6 +154,26 @@
                 return None
         return {name: self._possible(name) for name in services}
 
+    def record_listed(self, target: blackboard.Target) -> None:
+        """Remember the software of a target whose entry has arrived.
+
+        A host that catches up may see a target come and go at once.
+        """
+        origin = stream_versions.Origin(target.service, target.software)
+        self._left_at[origin] = anyio.current_time()
+        if not target.software_version:
+            self._unnamed.add(target.software)
+
+    async def confirm(self) -> bool:
+        """Make this host's view complete up to now.
+
+        A host that was cut off or stood still has missed versions that
+        others have used since.
+
+        :returns: ``False`` if the store did not answer
+        """
+        return await self._ports.confirm_targets(anyio.current_time())
+
     def _possible(self, service: str) -> set[str]:
         """Return what this host saw of late, or a host before or beside it.
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -337,11 +337,14 @@
                 port,
                 self._job_copy_hosts,
                 self._count_writers_before,
+                lambda since: self._mirrors[
+                    self._platform.targets_kind
+                ].confirm(since),
             ),
             is_first_start=options.is_first_start,
         )
         self._origins = stream_origins.StreamOrigins(
-            self._software, port, self._replica_hosts
+            self._software, port, self._replica_hosts, self._recent_core
         )
         self._paths = target_paths.TargetPaths(
             options.host,
@@ -389,6 +392,7 @@
         self._shares = account_shares.AccountShares(
             options.host, self.board, self._account_usage, self.metrics
         )
+        self._catalog.listed.append(self._software.record_listed)
         self._catalog.restarted += [
             self._target_stats.forget,
             self._errors.forget,
@@ -596,6 +600,11 @@
     def _core(self) -> list[str]:
         return self._choose_core().core
 
+    def _recent_core(self) -> set[str]:
+        """Return the core and the hosts that were lost a moment ago."""
+        lost = self._membership.lost_within(software_history.RETENTION_SECONDS)
+        return {*self._core(), *lost}
+
     def _replica_hosts(self) -> collections.abc.Collection[str] | None:
         """Return the hosts that keep a copy of the records of jobs.
 
