Targets: no request uses the connection of a refusal

Callers would see: "not run" for a completion that the engine is running, or a second run, if an engine writes an earlier refusal once more on a kept connection (reported by other operators).

Cause: the engine client and the service client of persimmonpassd read a refusal to its end, so that its connection was kept. A copy of the refusal was then read as the answer to the next request, with the verdict NOT_RUN.

Change: connections.retire lets the pool close such a connection.

Evidence: test_connection_is_not_used_after_a_refusal failed before for both clients (the second request went to the connection of the refusal).

--- a/src/persimmonpass/targets/connections.py
+++ b/src/persimmonpass/targets/connections.py
@@ -98,6 +98,11 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._interim = _InterimBytes()
+        self._is_retired = False
+
+    def retire(self) -> None:
+        """Let the pool close the connection after the present request."""
+        self._is_retired = True
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -133,6 +138,9 @@
 
     def get_extra_info(self, info: str) -> typing.Any:
         """Return details of the connection."""
+        if info == 'is_readable' and self._is_retired:
+            # The pool takes an idle connection that can be read for closed.
+            return True
         return self._stream.get_extra_info(info)
 
 
@@ -236,6 +244,16 @@
         await self._pool.aclose()
 
 
+def retire(response: httpx.Response) -> None:
+    """Let no other request use the connection of a response.
+
+    To be called before the end of the response has been read.
+    """
+    stream = response.extensions.get('network_stream')
+    if isinstance(stream, _Stream):
+        stream.retire()
+
+
 @contextlib.contextmanager
 def _translate_errors() -> collections.abc.Iterator[None]:
     """Raise the errors of the connection pool as those of the HTTP client."""
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -11,6 +11,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass.targets import connections
 from persimmonpass import verdicts
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -364,7 +365,11 @@
 
     An engine answers 4xx and 503 before it admits a request. After any other
     status the request may have run.
+
+    The connection is not used again: a faulty engine may write its refusal
+    once more, and the next request, which runs, would be taken for refused.
     """
+    connections.retire(answer)
     body = await answer.aread()
     if is_leaving(answer.status_code, body):
         return target_leaving(target)
--- a/src/persimmonpass/targets/service.py
+++ b/src/persimmonpass/targets/service.py
@@ -9,6 +9,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass.targets import connections
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
@@ -90,7 +91,7 @@
         detail = 'no answer in time'
         try:
             with anyio.move_on_after(timeout):
-                answer = await chosen_client.request(
+                async with chosen_client.stream(
                     request.method,
                     f'http://{target.address}{request.path}',
                     content=request.body,
@@ -99,8 +100,8 @@
                         None, connect=engine.CONNECT_TIMEOUT_SECONDS
                     ),
                     extensions=tracker.extensions,
-                )
-                return _read_answer(target, answer)
+                ) as answer:
+                    return await _read_answer(target, answer)
         except (httpx.HTTPError, httpx.InvalidURL, ValueError) as error:
             detail = type(error).__name__
         else:
@@ -114,10 +115,14 @@
     return ServicePort(call)
 
 
-def _read_answer(
+async def _read_answer(
     target: blackboard.Target, answer: httpx.Response
 ) -> result.Result[Answer, verdicts.Failure]:
     """Return an answer with any status, or a failure if it is leaving."""
+    if answer.status_code == engine.HTTP_UNAVAILABLE:
+        # A copy of the refusal must not answer the next call.
+        connections.retire(answer)
+    await answer.aread()
     if engine.is_leaving(answer.status_code, answer.content):
         return result.Err(engine.target_leaving(target))
     content_type = answer.headers.get('content-type', '')
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -187,6 +187,21 @@
 
         run(test, OK, CLOSE, OK, OK)
 
+    def test_connection_is_not_used_after_a_refusal(self):
+        """The service may write the refusal again, before the next answer."""
+
+        async def test(target, clients, raw):
+            async with pools.make_client(keep_connections=True) as client:
+                port = service.connect(client, client)
+                failed = await port.call(target, CALL, TIMEOUT_SECONDS)
+                self.assertEqual(NOT_RUN, failed.err_value.verdict)
+                answer = await port.call(target, CALL, TIMEOUT_SECONDS)
+                self.assertEqual(200, answer.ok_value.status)
+                await port.call(target, CALL, TIMEOUT_SECONDS)
+            self.assertEqual(2, raw.connections)
+
+        run(test, LEAVING, OK, OK)
+
 
 class TestPools(unittest.TestCase):
     """Each address has its own pool; all pools share one TLS context."""
@@ -308,6 +323,29 @@
 
         run(test, script)
 
+    @parameterized.parameterized.expand([('busy', BUSY), ('leaving', LEAVING)])
+    def test_connection_is_not_used_after_a_refusal(self, name, script):
+        """The engine may write the refusal again, before the next answer."""
+
+        async def test(target, clients, raw):
+            async with pools.make_client(keep_connections=True) as client:
+                (failed,) = await self._read(target, [client])
+                self.assertEqual(NOT_RUN, failed.err_value.verdict)
+                pieces = await self._read(target, [client])
+            self.assertEqual(2, raw.connections)
+            self.assertTrue(all(piece.is_ok() for piece in pieces))
+
+        run(test, script, [EVENTS])
+
+    def test_connection_is_used_after_an_answer(self):
+        async def test(target, clients, raw):
+            async with pools.make_client(keep_connections=True) as client:
+                for _ in range(2):
+                    await self._read(target, [client])
+            self.assertEqual(1, raw.connections)
+
+        run(test, [EVENTS], [EVENTS])
+
 
 class TestClosingPools(unittest.TestCase):
     """A program that stopped failed if a request opened a pool meanwhile."""
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -245,6 +245,76 @@
         run(test)
 
 
+class TestRepeatedRefusals(unittest.TestCase):
+    """A refusal that was written again was taken for the next request's."""
+
+    @expand(
+        [
+            (f'{kind} {path[1:-1]} {name}', path, head, delay)
+            for path in ('/once/', '/notes/', '/plain/')
+            for kind, head in (
+                ('503', b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n'),
+                ('429', b'HTTP/1.1 429 Busy\r\nNot-Executed: 1\r\n'),
+                ('421', b'HTTP/1.1 421 Other\r\n'),
+            )
+            for name, delay in (('late', 0.03), ('with the next', None))
+        ]
+    )
+    def test_request_that_runs_is_not_refused(self, _, path, head, delay):
+        refusal = head + b'Content-Length: 2\r\n\r\nno'
+        refused = set()
+        ran = []
+        writers = set()
+
+        async def answer(target, fields, writer):
+            request_id = fields[b'request-id']
+            if writer in writers:
+                if delay is None:
+                    writer.write(refusal)
+            elif request_id not in refused and len(refused) < 3:
+                refused.add(request_id)
+                writers.add(writer)
+                writer.write(refusal)
+                await writer.drain()
+                if delay is not None:
+                    await asyncio.sleep(delay)
+                    writer.write(refusal)
+                    await writer.drain()
+                return True
+            ran.append(request_id.decode())
+            return await answer_in_full(target, fields, writer)
+
+        async def test(raw):
+            raw.fleet.store.memory.put(
+                'config',
+                'main',
+                platform_fakes.configuration(
+                    2,
+                    [
+                        platform_fakes.route('/notes/'),
+                        platform_fakes.route('/once/', resumable=False),
+                        platform_fakes.route('/plain/', 'idempotent'),
+                    ],
+                ),
+            )
+            await raw.add('i-again', answer)
+            await asyncio.sleep(0.3)
+            for number in range(8):
+                request_id = f'r{number}'
+                found = await raw.fleet.post(
+                    f'{path}1', **{'Request-Id': request_id}
+                )
+                if request_id in ran:
+                    self.assertEqual(200, found.status_code)
+                else:
+                    self.assertEqual(503, found.status_code)
+                await asyncio.sleep(0.1)
+            self.assertEqual(len(ran), len(set(ran)))
+            self.assertGreaterEqual(len(ran), 5)
+
+        run(test)
+
+
 class TestCutAnswers(unittest.TestCase):
     """An answer that broke off reached the caller as a complete one."""
 
