Store: one odd entry does not hide the others

Cause: an answer of the store was decoded as a whole. A value nested too deeply raised an exception that ended the task that follows the list, again and again; a number out of range or half of a surrogate pair made the whole answer malformed, which counts as an outage; a value nested some hundred levels deep was sent to peers, whose decoder refuses it and closes the link; a port out of range was found out by the request that was sent there.

Change: if an answer cannot be decoded as a whole, its objects are decoded one by one, without what cannot be decoded of them. Data nested deeper than 64 levels is dropped, and an entry that no request could be sent by counts as unreadable.

--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -1,12 +1,14 @@
 """Decodes objects that operators and servers write to the platform's store."""
 
 import math
+import re
 import typing
 
 import msgspec
 
 from persimmonpass import accounts
 from persimmonpass import blackboard
+from persimmonpass import lenient_json
 from persimmonpass import objects
 from persimmonpass import records
 from persimmonpass import routes
@@ -16,6 +18,17 @@
 TARGETS_KIND = 'servers'
 RETIREMENTS_KIND = 'retirements'
 
+# Kinds of objects that others write.
+_FOREIGN_KINDS = frozenset((CONFIG_KIND, TARGETS_KIND, RETIREMENTS_KIND))
+# Objects are nested a few levels deep. Decoders of messages between hosts go
+# some hundred levels deep.
+MAX_DEPTH = 64
+# More than any target runs; larger numbers do not fit into a float.
+MAX_SLOTS = 1_000_000
+_ADDRESS = re.compile(r'(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
+MAX_PORT = 65_535
+# What a header can carry.
+_NAME = re.compile(r'[\x21-\x7e\xa1-\xff]+')
 _MILLISECONDS = 1000
 _KINDS = {
     'idempotent': routes.Kind.IDEMPOTENT,
@@ -142,7 +155,14 @@
 
 
 def clean_record(kind: str, record: records.Record) -> records.Record:
-    """Return a record in the form in which hosts keep and exchange it."""
+    """Return a record in the form in which hosts keep and exchange it.
+
+    Data that is nested too deeply is dropped, which makes it unreadable.
+    """
+    if kind in _FOREIGN_KINDS and lenient_json.is_deeper(
+        record.data, MAX_DEPTH
+    ):
+        return record._replace(data={})
     if kind != CONFIG_KIND:
         return record
     return record._replace(data=without_keys(record.data))
@@ -247,10 +267,16 @@
 def read_target(record: records.Record) -> blackboard.Target | None:
     """Decode a server's entry.
 
-    :returns: the target, or ``None`` if the entry is malformed
+    :returns: the target, or ``None`` if the entry is malformed or no request
+        can be sent by it
     """
     server = _convert(record.data, _Server)
-    if server is None:
+    if server is None or not 0 <= server.slots <= MAX_SLOTS:
+        return None
+    address = _ADDRESS.fullmatch(server.address)
+    if address is None or not 0 < int(address[1]) <= MAX_PORT:
+        return None
+    if not _NAME.fullmatch(record.name):
         return None
     return blackboard.Target(
         record.name,
--- a/src/persimmonpass/platform/store.py
+++ b/src/persimmonpass/platform/store.py
@@ -3,6 +3,7 @@
 It implements :class:`records.RecordPort`.
 """
 
+import collections.abc
 import json
 import typing
 import urllib.parse
@@ -12,6 +13,7 @@
 import result
 
 from persimmonpass import budget
+from persimmonpass import lenient_json
 from persimmonpass.platform import objects
 from persimmonpass import records
 from persimmonpass import store
@@ -23,6 +25,11 @@
 # How much longer a watch may take than the time that it waits at the store.
 WATCH_MARGIN_SECONDS = 0.8
 
+_DECODE_ERRORS = (
+    msgspec.DecodeError,
+    msgspec.ValidationError,
+    RecursionError,
+)
 _MILLISECONDS = 1000
 _OK = frozenset((200, 201))
 
@@ -132,7 +139,7 @@
                         f'{answered.ok_value.status_code}'
                     )
                 )
-            page = _decode(answered.ok_value, _Page)
+            page = _decode(answered.ok_value, _Page, _read_page)
             if page is None:
                 return result.Err(
                     store.unavailable(f'listing {kind}: malformed page')
@@ -152,7 +159,7 @@
             return answered
         if answered.ok_value.status_code == 404:
             return result.Err(store.not_found(f'{kind}/{name}'))
-        found = _decode(answered.ok_value, _Object)
+        found = _decode(answered.ok_value, _Object, _read_object)
         if found is None:
             return result.Err(
                 store.unavailable(f'{kind}/{name}: malformed object')
@@ -170,7 +177,7 @@
             return result.Err(store.not_found(key))
         if answer.status_code not in _OK:
             return result.Err(store.conflict(key))
-        written = _decode(answer, _Object)
+        written = _decode(answer, _Object, _read_object)
         # An acknowledged write has taken effect even if the body of its
         # answer is malformed.
         return result.Ok(written.metadata.revision if written else 0)
@@ -227,7 +234,7 @@
             return answered
         if answered.ok_value.status_code == 410:
             return result.Err(records.history_lost(kind))
-        changes = _decode(answered.ok_value, _Events)
+        changes = _decode(answered.ok_value, _Events, _read_events)
         if changes is None:
             return result.Err(
                 store.unavailable(f'watching {kind}: malformed answer')
@@ -257,9 +264,66 @@
     return objects.clean_record(kind, record)
 
 
-def _decode(answer: httpx.Response, shape: type[_Shape]) -> _Shape | None:
-    """Decode a JSON answer, or return ``None`` if it is malformed."""
+def _decode(
+    answer: httpx.Response,
+    shape: type[_Shape],
+    read: collections.abc.Callable[[bytes], _Shape],
+) -> _Shape | None:
+    """Decode a JSON answer, or return ``None`` if it is malformed.
+
+    :param read: decodes an answer of which a part cannot be decoded
+    """
     try:
         return msgspec.json.decode(answer.content, type=shape)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except _DECODE_ERRORS:
+        pass
+    try:
+        return read(answer.content)
+    except (*_DECODE_ERRORS, ValueError, KeyError):
+        return None
+
+
+def _read_page(data: bytes) -> _Page:
+    fields = lenient_json.split_object(data)
+    return _Page(
+        [
+            _read_object(item)
+            for item in lenient_json.split_array(fields['items'])
+        ],
+        msgspec.json.decode(fields['storeRevision'], type=int),
+        msgspec.json.decode(fields.get('hasMore', b'false'), type=bool),
+    )
+
+
+def _read_events(data: bytes) -> _Events:
+    fields = lenient_json.split_object(data)
+    rows = map(
+        lenient_json.split_object, lenient_json.split_array(fields['events'])
+    )
+    return _Events(
+        msgspec.json.decode(fields['storeRevision'], type=int),
+        [
+            _Event(
+                _read_object(row['object']),
+                msgspec.json.decode(row.get('deleted', b'false'), type=bool),
+            )
+            for row in rows
+        ],
+    )
+
+
+def _read_object(data: bytes) -> _Object:
+    """Decode an object; what cannot be decoded of it is left out."""
+    fields = lenient_json.split_object(data)
+    return _Object(
+        msgspec.json.decode(fields['metadata'], type=_Metadata),
+        _read_value(fields.get('spec', b'null')),
+        _read_value(fields.get('status', b'null')),
+    )
+
+
+def _read_value(data: bytes) -> typing.Any:
+    try:
+        return msgspec.json.decode(data)
+    except _DECODE_ERRORS:
         return None
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -39,12 +39,14 @@
 
     :ivar error_status: status of every answer, ``None`` to answer normally
     :ivar silent: whether calls are never answered
+    :ivar raw: JSON that answers have in place of the texts ``@NAME``, by name
     """
 
     def __init__(self, memory=None):
         self.memory = memory or record_fakes.MemoryRecords()
         self.error_status = None
         self.silent = False
+        self.raw = {}
         path = '/persimmonpass/objects/{kind}'
         self.app = applications.Starlette(
             routes=[
@@ -78,6 +80,12 @@
             'status': row.status,
         }
 
+    def _respond(self, body):
+        text = json.dumps(body)
+        for name, raw in self.raw.items():
+            text = text.replace(f'"@{name}"', raw)
+        return responses.Response(text, media_type='application/json')
+
     async def _answer(self, request, outcome):
         if isinstance(outcome, result.Ok):
             key = (
@@ -86,7 +94,7 @@
             )
             row = self.memory.rows.get(key)
             body = {} if row is None else self._encode(row)
-            return responses.JSONResponse(body)
+            return self._respond(body)
         event = outcome.err_value.event
         if event == events.STORE_OUTCOME_UNKNOWN:
             await anyio.sleep_forever()
@@ -110,7 +118,7 @@
             if isinstance(outcome, result.Err):
                 lost = outcome.err_value.event == events.STORE_HISTORY_LOST
                 return responses.Response(status_code=410 if lost else 503)
-            return responses.JSONResponse(
+            return self._respond(
                 {
                     'storeRevision': outcome.ok_value.version,
                     'events': [
@@ -124,7 +132,7 @@
             return responses.Response(status_code=503)
         after = request.query_params.get('after', '')
         rows = [row for row in outcome.ok_value.records if row.name > after]
-        return responses.JSONResponse(
+        return self._respond(
             {
                 'items': [self._encode(row) for row in rows[:2]],
                 'hasMore': len(rows) > 2,
