--- a/tests/test_client_accounts.py
+++ b/tests/test_client_accounts.py
@@ -141,9 +141,8 @@
             account=account,
             has_accounts=has_accounts,
         )
-        target = objects.read_target(
-            records.Record('i-1', 1, platform_fakes.Server().entry(), {})
-        )
+        entry = {**platform_fakes.Server().entry(), 'address': '127.0.0.1:1'}
+        target = objects.read_target(records.Record('i-1', 1, entry, {}))
         return [
             (name, value)
             for name, value in wire.encode(call, target, 1.0, None)
