Peers: a message that is too large ends neither a link nor a process

Cause: the refusal of a value by the store (413) counted as an outage, so that peers were asked to make the call. The frame was larger than they accept; the link was closed while it was written, and closing it raised an error of a library below, which ended all links and the process.

Change: a frame beyond the limit is not sent, an answer beyond it becomes a failure, and an unexpected error ends its link only. A call that the store refuses for what it contains is a failure of its own, and no peer is asked.

Evidence: three new cases of tests.test_peer_link failed before (link lost, wrong verdict, task group ended); all pass now.

--- a/src/persimmonpass/controllers/fleet/mirror.py
+++ b/src/persimmonpass/controllers/fleet/mirror.py
@@ -52,6 +52,10 @@
 # After such a call that was not answered, the next one is made after this
 # time: an outage must not cost a call for each caller.
 CONFIRM_RETRY_SECONDS = 0.5
+# Peers accept frames of 4 MB, and the store values of 1 MB. Few records fit
+# without being measured.
+MAX_UPDATE_BYTES = 2_500_000
+UNCOUNTED_RECORDS = 3
 # A watcher may report a version before its notice of the changes arrives, as
 # it sends them to one host after the other.
 UPDATE_GRACE_SECONDS = 0.25
@@ -560,17 +564,47 @@
         """
         if not changed:
             return
-        peer_port.broadcast(
-            self._peers,
-            METHOD_UPDATES,
-            [
-                self._kind,
-                before,
-                self.version,
-                [list(record) for record in changed],
-            ],
-            self._replica_hosts(),
-        )
+        parts = _split_updates(changed)
+        for number, rows in enumerate(parts, 1):
+            # The last update also covers changes of other kinds.
+            is_last = number == len(parts)
+            version = self.version if is_last else rows[-1].version
+            peer_port.broadcast(
+                self._peers,
+                METHOD_UPDATES,
+                [
+                    self._kind,
+                    before,
+                    version,
+                    [list(record) for record in rows],
+                ],
+                self._replica_hosts(),
+            )
+            before = version
+
+
+def _split_updates(
+    changed: list[records.Record],
+) -> list[list[records.Record]]:
+    """Return changes in the order of their versions, in parts for a frame.
+
+    Peers follow from one version to the next, so that records of one version
+    stay together.
+    """
+    if len(changed) <= UNCOUNTED_RECORDS:
+        return [changed]
+    parts: list[list[records.Record]] = [[]]
+    size = 0
+    for record in sorted(changed, key=lambda record: record.version):
+        size += records.encoded_bytes(record)
+        last = parts[-1]
+        if size > MAX_UPDATE_BYTES and last:
+            if record.version > last[-1].version:
+                last = []
+                parts.append(last)
+                size = records.encoded_bytes(record)
+        last.append(record)
+    return parts
 
 
 async def broadcast_freshness(
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -121,6 +121,13 @@
     'The answer to a write was lost; the object is read back to determine '
     'the outcome.',
 )
+STORE_REJECTED = Event(
+    221,
+    'store_rejected',
+    Level.WARNING,
+    'The store refuses a call for what it contains, such as a value that is '
+    'too large; the same call would be refused again.',
+)
 STORE_CONFLICT = Event(
     203,
     'store_conflict',
@@ -233,6 +240,12 @@
 PEER_DISCONNECTED = Event(
     302, 'peer_disconnected', Level.INFO, 'A connection to a peer was lost.'
 )
+FRAME_TOO_LARGE = Event(
+    305,
+    'frame_too_large',
+    Level.WARNING,
+    'A message to a peer is larger than peers accept; it was not sent.',
+)
 PEER_UNREACHABLE = Event(
     303,
     'peer_unreachable',
@@ -619,6 +632,12 @@
 RESULTS_COMMITTED = Event(
     611, 'results_committed', Level.INFO, 'Results of a job were stored.'
 )
+RESULTS_REJECTED = Event(
+    619,
+    'results_rejected',
+    Level.WARNING,
+    'The store rejected results of a job, which are stored in smaller parts.',
+)
 JOB_REFUSED = Event(
     612, 'job_refused', Level.INFO, 'A batch job was not accepted.'
 )
--- a/src/persimmonpass/peers/link.py
+++ b/src/persimmonpass/peers/link.py
@@ -58,7 +58,17 @@
         self._filled = anyio.Event()
 
     def put(self, data: bytes) -> bool:
-        """Add a frame, and return whether there was room for it."""
+        """Add a frame, and return whether it will be sent.
+
+        A peer closes the link when a frame is larger than it accepts.
+        """
+        if len(data) > messages.MAX_FRAME_BYTES:
+            events.log(
+                events.FRAME_TOO_LARGE,
+                bytes=len(data),
+                limit=messages.MAX_FRAME_BYTES,
+            )
+            return False
         if len(self._frames) >= NOTICE_QUEUE_FRAMES:
             return False
         self._frames.append(data)
@@ -289,6 +299,15 @@
                     await self._run_link(link)
                 except _CLOSED:
                     pass
+                except Exception as error:
+                    # One link must not end the others. Closing a connection
+                    # may raise errors of the libraries below.
+                    events.log(
+                        events.TASK_FAILED,
+                        host=self._identity.host,
+                        task=f'link to {link.host}',
+                        message=repr(error),
+                    )
                 finally:
                     self._mark_down(link)
                 if not link.persistent:
--- a/src/persimmonpass/peers/listener.py
+++ b/src/persimmonpass/peers/listener.py
@@ -127,6 +127,16 @@
             return
         with contextlib.suppress(*CLOSED):
             data = _answer(frame.number, outcome)
+            if len(data) > messages.MAX_FRAME_BYTES:
+                events.log(
+                    events.FRAME_TOO_LARGE,
+                    host=self._identity.host,
+                    peer=peer,
+                    method=frame.method,
+                    bytes=len(data),
+                    limit=messages.MAX_FRAME_BYTES,
+                )
+                data = _answer(frame.number, _too_large(len(data)))
             await connection.send(self._traffic.count_sent(data))
 
     def _run_notice(
@@ -171,6 +181,18 @@
             )
 
 
+def _too_large(size: int) -> result.Err[verdicts.Failure]:
+    return result.Err(
+        verdicts.Failure(
+            verdicts.Verdict.MAY_HAVE_RUN,
+            events.FRAME_TOO_LARGE,
+            f'answer of {size} bytes, the limit is {messages.MAX_FRAME_BYTES}',
+            500,
+            RETRY_AFTER_SECONDS,
+        )
+    )
+
+
 def _answer(
     number: int, outcome: result.Result[typing.Any, verdicts.Failure]
 ) -> bytes:
--- a/src/persimmonpass/platform/store.py
+++ b/src/persimmonpass/platform/store.py
@@ -32,6 +32,8 @@
 )
 _MILLISECONDS = 1000
 _OK = frozenset((200, 201))
+# The call is malformed, or its value is too large.
+_REJECTED = frozenset((400, 413, 422))
 
 
 class _Metadata(msgspec.Struct):
@@ -103,7 +105,7 @@
             answer = await client.request(
                 method,
                 f'http://{address}{OBJECTS_PATH}{path}',
-                content=None if body is None else json.dumps(body),
+                content=None if body is None else _encode(body),
                 headers={'content-type': 'application/json'},
                 params=params,
                 timeout=httpx.Timeout(
@@ -119,6 +121,8 @@
             return result.Ok(answer)
         if write and status not in (429, 503) and status >= 500:
             return result.Err(store.outcome_unknown(f'status {status}'))
+        if status in _REJECTED:
+            return result.Err(store.rejected(f'status {status}'))
         return result.Err(store.unavailable(f'status {status}'))
 
     async def list_kind(
@@ -250,6 +254,13 @@
     )
 
 
+def _encode(body: typing.Any) -> bytes:
+    # Escaped letters take up to twice the bytes, and values are limited.
+    return json.dumps(body, ensure_ascii=False).encode(
+        'utf-8', 'surrogatepass'
+    )
+
+
 def _path(kind: str, name: str) -> str:
     return f'/{kind}/{urllib.parse.quote(name, safe="")}'
 
--- a/src/persimmonpass/records.py
+++ b/src/persimmonpass/records.py
@@ -4,6 +4,7 @@
 import collections.abc
 import typing
 
+import cbor2
 import result
 
 from persimmonpass import events
@@ -40,6 +41,11 @@
     return record
 
 
+def encoded_bytes(record: Record) -> int:
+    """Return the size of a record in a message to a peer."""
+    return len(cbor2.dumps(list(record)))
+
+
 class Snapshot(typing.NamedTuple):
     """Records of one kind.
 
--- a/src/persimmonpass/store.py
+++ b/src/persimmonpass/store.py
@@ -133,6 +133,20 @@
     )
 
 
+def rejected(detail: str) -> verdicts.Failure:
+    """Return the failure of a call that the store will never accept.
+
+    :param detail: what the store answered
+    """
+    return verdicts.Failure(
+        verdicts.Verdict.NOT_RUN,
+        events.STORE_REJECTED,
+        f'the object store rejected the call: {detail}',
+        503,
+        RETRY_AFTER_SECONDS,
+    )
+
+
 def outcome_unknown(detail: str) -> verdicts.Failure:
     """Return the failure of a write that may have taken effect.
 
--- a/tests/record_fakes.py
+++ b/tests/record_fakes.py
@@ -1,6 +1,7 @@
 """A store of records in memory, with fault switches."""
 
 import collections
+import json
 
 import anyio
 import result
@@ -28,11 +29,13 @@
     :ivar delayed: writes whose answer was lost and which
         :meth:`apply_delayed_writes` lets take effect
     :ivar calls: number of calls by name
+    :ivar value_bytes: size of the largest value, ``None`` for no limit
     """
 
     def __init__(self):
         self.rows = {}
         self.version = 1
+        self.value_bytes = None
         self.outage = False
         self.silent_watches = False
         self.holds_watches = False
@@ -108,6 +111,10 @@
         return result.Ok(self.version)
 
     async def _create(self, kind, name, data):
+        size = len(json.dumps(data, ensure_ascii=False).encode())
+        if self.value_bytes is not None and size > self.value_bytes:
+            self.calls['create'] += 1
+            return result.Err(store.rejected('status 413'))
         return await self._write(
             'create',
             (kind, name),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -322,16 +322,17 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(pages):
+async def connected(pages, status=200):
     """Connect a client to a store that answers with pages, in order.
 
+    :param status: status of the answers
     :returns: the port, and the URLs of the calls
     """
     asked = []
 
     def answer(request):
         asked.append(request.url)
-        return httpx.Response(200, content=pages[len(asked) - 1].encode())
+        return httpx.Response(status, content=pages[len(asked) - 1].encode())
 
     transport = httpx.MockTransport(answer)
     calls = budget.Budget(1e6, 1e6)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import unittest
+from unittest import mock
 
 import anyio
 import anyio.abc
@@ -34,6 +35,7 @@
             'echo': self._echo,
             'wait': self._wait,
             'raise': self._raise,
+            'grow': self._grow,
             'note': port.NoticeHandler(self._note),
         }
         self.links = link.Peers(listener.Identity(name, secret), handlers)
@@ -49,6 +51,9 @@
         await self.release.wait()
         return result.Ok(payload)
 
+    async def _grow(self, peer, payload):
+        return result.Ok('x' * payload)
+
     async def _raise(self, peer, payload):
         raise ValueError(payload)
 
@@ -128,6 +133,50 @@
         answered = await a.call('note', 7)
         self.assertIs(verdicts.Verdict.NOT_RUN, answered.err_value.verdict)
 
+    @on_links()
+    async def test_frame_that_is_too_large(self, a, b):
+        """Guards against a frame that ends the link, or the process."""
+        await a.call('echo')
+        b.calls.clear()
+        large = 'x' * messages.MAX_FRAME_BYTES
+        answered = await a.call('echo', large)
+        self.assertIs(verdicts.Verdict.NOT_RUN, answered.err_value.verdict)
+        self.assertFalse(a.links.port.notify('b', 'note', large))
+        port.broadcast(a.links.port, 'note', large)
+        self.assertEqual(result.Ok('next'), await a.call('echo', 'next'))
+        self.assertEqual([('a', 'next')], b.calls)
+
+    @on_links()
+    async def test_answer_that_is_too_large(self, a, b):
+        """The call fails, and the others on the link go on."""
+        slow = []
+
+        async def wait():
+            slow.append(await a.call('wait', 'slow'))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            await until(lambda: b.calls)
+            answered = await a.call('grow', messages.MAX_FRAME_BYTES)
+            self.assertIs(
+                verdicts.Verdict.MAY_HAVE_RUN, answered.err_value.verdict
+            )
+            b.release.set()
+        self.assertEqual([result.Ok('slow')], slow)
+
+    @on_links()
+    async def test_link_that_fails_in_an_unexpected_way(self, a, b):
+        """Guards against an error of a library that ends the process."""
+        await a.call('echo')
+        failing = mock.patch.object(
+            link.Peers, '_read_answers', side_effect=AttributeError('resume')
+        )
+        with failing:
+            a.links._links['b'].reset.set()
+            await anyio.sleep(2 * link.RECONNECT_SECONDS)
+        await anyio.sleep(2 * link.RECONNECT_SECONDS)
+        self.assertEqual(result.Ok('next'), await a.call('echo', 'next'))
+
     @on_links()
     async def test_slow_handler_does_not_break_the_link(self, a, b):
         async def wait():
