Batch: sizes of results are counted in bytes

Cause: the limit of a group of results counted letters, and letters beyond ASCII were sent to the store as escapes of six bytes. The group was larger than a value of the store, which refused it for ever.

Change: results, groups and pages are measured as encoded text. A group that the store rejects is stored in halves; an output that does not fit alone ends its item as failed.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -257,7 +257,7 @@
         reader = exchange.EventReader()
         next_event_by = anyio.current_time() + FIRST_EVENT_TIMEOUT_SECONDS
         is_answered = False
-        size = sum(map(len, item.text.texts))
+        size = sum(len(text.encode()) for text in item.text.texts)
         while True:
             left = next_event_by - anyio.current_time()
             with anyio.fail_after(max(0.0, left)):
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -671,7 +671,7 @@
         for item in sorted(items, key=lambda item: item.done_at):
             if item.outcome is None:
                 continue
-            size += len(item.outcome.output)
+            size += item.outcome.encoded_bytes
             if results and size > MAX_GROUP_BYTES:
                 break
             results.append(item.outcome)
--- a/src/persimmonpass/controllers/batch/job_log.py
+++ b/src/persimmonpass/controllers/batch/job_log.py
@@ -190,6 +190,8 @@
                 if stored.is_ok() or stored.err_value.status == NOT_FOUND:
                     return stored
                 failure = stored.err_value
+            if failure.event == events.STORE_REJECTED:
+                return self._refuse(job, UNAVAILABLE, failure.message)
             unknown = unknown or (
                 failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
             )
@@ -360,7 +362,7 @@
         results: list[job_records.ItemResult] = []
         size = 0
         for item_result in state.results[after:]:
-            size += len(item_result.output)
+            size += item_result.encoded_bytes
             if results and size > MAX_PAGE_BYTES:
                 break
             results.append(item_result)
@@ -411,6 +413,9 @@
     ) -> bool:
         """Append results to a job's log, except those that it contains.
 
+        Results that the store rejects are too large together, so that half of
+        them are stored first. An output that is too large alone fails.
+
         :returns: ``True`` if the log contains all results or the job is
             gone; ``False`` if the caller has to try again
         """
@@ -439,6 +444,8 @@
                 version=written.ok_value,
             )
             return True
+        if written.err_value.event == events.STORE_REJECTED:
+            return await self._commit_rejected(job_id, missing)
         if written.err_value.event != events.STORE_CONFLICT:
             return False
         found = await self._port.get(job_records.KIND, name)
@@ -447,6 +454,27 @@
         self._copy().apply_record(found.ok_value)
         return False
 
+    async def _commit_rejected(
+        self, job_id: str, rejected: list[job_records.ItemResult]
+    ) -> bool:
+        """Append a part of the results that the store has rejected."""
+        events.log(
+            events.RESULTS_REJECTED,
+            host=self._host,
+            job=job_id,
+            items=len(rejected),
+            bytes=sum(row.encoded_bytes for row in rejected),
+        )
+        if len(rejected) > 1:
+            await self.commit(job_id, rejected[: len(rejected) // 2])
+            return False
+        if not rejected[0].output:
+            return False
+        failed = job_records.ItemResult(
+            rejected[0].item, job_records.State.FAILED
+        )
+        return await self.commit(job_id, [failed])
+
     async def _find(
         self, job_id: str, account: str | None
     ) -> result.Result[job_state.JobState, verdicts.Failure]:
--- a/src/persimmonpass/job_records.py
+++ b/src/persimmonpass/job_records.py
@@ -76,6 +76,11 @@
     state: State
     output: str = ''
 
+    @property
+    def encoded_bytes(self) -> int:
+        """Size of the output as the store and the callers get it."""
+        return len(msgspec.json.encode(self.output))
+
 
 class Change(typing.NamedTuple):
     """A change of a job that one record describes.
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -1,6 +1,7 @@
 """Fakes of the platform: its store and its model servers, over HTTP."""
 
 import asyncio
+import base64
 import contextlib
 import contextvars
 import json
@@ -101,6 +102,7 @@
         status = {
             events.STORE_CONFLICT: 409,
             events.STORE_NOT_FOUND: 404,
+            events.STORE_REJECTED: 413,
         }.get(event, 503)
         return responses.Response(status_code=status)
 
@@ -443,6 +445,11 @@
     }
 
 
+def encode_body(text):
+    """Return a text as the body of an item."""
+    return base64.b64encode(text.encode()).decode()
+
+
 def submission(count=3, body='eA==', **item):
     """Return the body of a request that submits a job.
 
