Batch: items of accounts whose names are in no Latin script run

Cause: the headers of an item were encoded as Latin-1, also the one with the name of the account. Online requests fall back to UTF-8 for it.

Change: one function encodes the name of an account for both. Other values that Latin-1 lacks letters of still fail their item.

Evidence: test_item_of_an_account_is_run_2_not failed before (failed instead of completed) and passes now; the item and an online request carry the same bytes.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -113,7 +113,7 @@
         """
         job_item = job.items[key[1]]
         try:
-            headers = encode_headers(job_item)
+            headers = encode_headers(job_item, account or '')
             call = exchange.Call(
                 job_item.id,
                 'POST',
@@ -370,9 +370,23 @@
         )
 
 
-def encode_headers(item: job_records.Item) -> exchange.Headers:
-    """Return the headers of an item as a request carries them."""
+def encode_headers(
+    item: job_records.Item, account: str, errors: str = 'strict'
+) -> exchange.Headers:
+    """Return the headers of an item as a request carries them.
+
+    :param account: account of the job, which a header of the item names;
+        empty for none
+    :param errors: what becomes of characters that Latin-1 lacks, in other
+        values than the account's name
+    :raises ValueError: for such a character, unless ``errors`` says otherwise
+    """
     return [
-        (name.encode('latin-1'), value.encode('latin-1'))
+        (
+            name.encode('latin-1', errors),
+            exchange.encode_name(value)
+            if account and value == account
+            else value.encode('latin-1', errors),
+        )
         for name, value in item.headers
     ]
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -121,7 +121,7 @@
         self._holds = item_holds.ItemHolds(
             ports.crash_parts,
             lambda item: ports.targets.read_prompt_parts(
-                item_attempt.encode_headers(item)
+                item_attempt.encode_headers(item, '', 'replace')
             ),
         )
         self._sent_counts: dict[str, dict[tuple[str, int], int]] = {}
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -22,6 +22,17 @@
 _EVENT_DATA = b'data:'
 
 
+def encode_name(name: str) -> bytes:
+    """Encode the name of an account as the value of a header.
+
+    A name that Latin-1 lacks characters of is encoded as UTF-8.
+    """
+    try:
+        return name.encode('latin-1')
+    except UnicodeEncodeError:
+        return name.encode()
+
+
 class Call(typing.NamedTuple):
     """A caller's request, which is passed on unchanged.
 
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -150,7 +150,7 @@
         (b'Expect-Instance', target.name.encode('latin-1')),
     ]
     if call.account:
-        headers.append((b'Tenant', _encode_name(call.account)))
+        headers.append((b'Tenant', exchange.encode_name(call.account)))
     if resume_after is not None:
         headers.append((b'Last-Event-Id', str(resume_after).encode()))
     if call.body or call.method not in _NO_BODY_METHODS:
@@ -158,14 +158,6 @@
     return headers
 
 
-def _encode_name(name: str) -> bytes:
-    """Encode a name; one that Latin-1 lacks characters of, as UTF-8."""
-    try:
-        return name.encode('latin-1')
-    except UnicodeEncodeError:
-        return name.encode()
-
-
 def decode(
     call: exchange.Call, status: int, headers: exchange.Headers
 ) -> exchange.ResponseHead:
--- a/tests/test_item_attempt.py
+++ b/tests/test_item_attempt.py
@@ -15,6 +15,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass import job_records
+from persimmonpass.platform import wire
 from persimmonpass import routes
 from persimmonpass.targets import opaque
 from tests import fakes
@@ -23,6 +24,7 @@
 expand = parameterized.parameterized.expand
 TARGET = blackboard.Target('t', '10.0.0.1:80', 'engine', 'a', {})
 ROUTE = routes.Route('jobs', 'h', '/jobs/', routes.Kind.JOB, (), 15.0, 0.4, 3)
+CALL = exchange.Call('c', 'POST', 'h', b'/jobs/x', [], b'')
 JOB = job_records.Job(
     'j',
     'jobs',
@@ -48,6 +50,7 @@
 
     @contextlib.asynccontextmanager
     async def open(self, call, target, seconds, resume_after=None, **_):
+        self.call = call
         head = exchange.ResponseHead(200, [], False, False, True, True)
         first = (resume_after or 0) + 1
         yield result.Ok(opaque.Answer(head, self._read(first)))
@@ -107,6 +110,53 @@
         fakes.run(test)
 
 
+class TestAccountOfItem(unittest.TestCase):
+    @expand(
+        [('Latin', 'acme'), ('accent', '\xe9t\xe9'), ('not', 'Glynd\u0175r')]
+    )
+    def test_item_of_an_account_is_run(self, _, account):
+        """Guards against items that fail for the name of their account."""
+
+        async def test():
+            targets = _Targets(1, 0.01)
+            attempts = item_attempt.ItemAttempts(
+                'host',
+                targets,
+                platform_fakes.target_stats_of(),
+                target_paths.TargetPaths(
+                    'host',
+                    'a',
+                    target_paths.PathPorts(
+                        blackboard.Blackboard(),
+                        fakes.Network().port('host'),
+                        lambda: ['host'],
+                    ),
+                ),
+                crash_parts.CrashParts(
+                    'host', fakes.Network().port('host'), lambda: ['host']
+                ),
+                gateway_metrics.GatewayMetrics(),
+            )
+            item = item_attempt.LocalItem()
+            item.text.claim(item_text.Source(1, 'host'))
+            headers = wire.item_headers(
+                CALL._replace(account=account, has_accounts=True),
+                {'Model': 'm'},
+            )
+            job = JOB._replace(items=[JOB.items[0]._replace(headers=headers)])
+            await attempts.run(('j', 0), item, job, ROUTE, TARGET, account)
+            self.assertIs(job_records.State.COMPLETED, item.outcome.state)
+            self.assertEqual(account, targets.call.account)
+            sent = dict(wire.encode(targets.call, TARGET, 1.0, None))
+            online = CALL._replace(account=account, has_accounts=True)
+            self.assertEqual(
+                dict(wire.encode(online, TARGET, 1.0, None))[b'Tenant'],
+                sent[b'Tenant'],
+            )
+
+        fakes.run(test)
+
+
 class TestMalformedItem(unittest.TestCase):
     @expand(
         [
