Batch: waiting tokens near their limit are counted on a current copy

Callers would see: jobs accepted beyond the limit of a route, or refused with 429 for items that are done, at a host whose copy of the jobs is old after the loss of the hosts that watch the store.

Change: above half of the limit the copy is made current first, which costs a call only if it was not complete within 0.8 s. result_checks.py is named copy_checks.py now.

Evidence: test_jobs_accepted_elsewhere_count (three offsets) and test_results_stored_elsewhere_count failed before and pass now.

--- a/src/persimmonpass/controllers/batch/result_checks.py
+++ b/src/persimmonpass/controllers/batch/copy_checks.py
@@ -1,9 +1,10 @@
-"""Tells whether a job can have results that the copy on this host lacks.
+"""Tells whether the copy of the jobs on this host is current.
 
 A caller that has read a result at one host must find it at all hosts soon
 after. A copy that was complete a moment ago shows this by itself, and an older
 one mostly becomes current while a caller waits a little. Only while the hosts
-that watch the store are lost is the store asked for the changes.
+that watch the store are lost is the store asked for the changes. Tokens that
+wait near their limit are counted on a current copy, too.
 """
 
 import anyio
@@ -43,6 +44,12 @@
     with anyio.move_on_after(REPORT_WAIT_SECONDS):
         while not is_settled():
             await anyio.sleep(POLL_SECONDS)
-    if is_settled():
-        return True
+    return is_settled() or await make_current(copy)
+
+
+async def make_current(copy: mirror.Mirror) -> bool:
+    """Ask the store for what a copy lacks, unless it is current.
+
+    :returns: whether the copy has all changes that another host may have shown
+    """
     return await copy.confirm(anyio.current_time() - MAX_AGE_SECONDS)
--- a/src/persimmonpass/controllers/batch/job_log.py
+++ b/src/persimmonpass/controllers/batch/job_log.py
@@ -10,8 +10,8 @@
 import anyio
 import result
 
+from persimmonpass.controllers.batch import copy_checks
 from persimmonpass.controllers.batch import job_accounts
-from persimmonpass.controllers.batch import result_checks
 from persimmonpass.controllers.fleet import mirror
 from persimmonpass import events
 from persimmonpass import job_records
@@ -47,6 +47,8 @@
 ANSWER_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.4
 MAX_PAGE_BYTES = 900_000
+# Above this share of a limit, waiting tokens are counted on a current copy.
+COUNT_CHECK_SHARE = 0.5
 NOT_FOUND = 404
 TOO_MANY = 429
 UNAVAILABLE = 503
@@ -149,6 +151,11 @@
         account = self.accounts.account_of(job)
         tokens = job_state.count_tokens(job.items)
         waiting = self.accounts.waiting_tokens(job.route, account, job.id)
+        if waiting + tokens > COUNT_CHECK_SHARE * max_waiting_tokens > 0:
+            await copy_checks.make_current(self._copy())
+            if self._has_job(job.id):
+                return await self._report_stored(job, 'known')
+            waiting = self.accounts.waiting_tokens(job.route, account, job.id)
         if max_waiting_tokens and waiting + tokens > max_waiting_tokens:
             if account is None:
                 return self._refuse(
@@ -351,7 +358,7 @@
             self._is_complete(state)
             or (
                 self._is_current()
-                and await result_checks.confirm(self._copy(), state, after)
+                and await copy_checks.confirm(self._copy(), state, after)
             )
         ):
             return result.Err(
--- a/tests/test_result_reads.py
+++ b/tests/test_result_reads.py
@@ -199,6 +199,45 @@
 
         self.run_fleet(test)
 
+    @expand([(0.0,), (0.4,), (0.9,)])
+    def test_jobs_accepted_elsewhere_count(self, offset):
+        """Guards against a limit that is counted on an old copy."""
+
+        async def test(fleet):
+            await anyio.sleep(offset)
+            lose_power(fleet)
+            limit = test_job_log.MAX_WAITING_TOKENS
+            for number in range(2):
+                accepted = await fleet.logs['writer'].accept(
+                    test_job_log.make_job(f'more{number}'),
+                    limit,
+                    anyio.current_time() + 4,
+                )
+                self.assertTrue(accepted.is_ok())
+            await anyio.sleep(SETTLE_SECONDS)
+            refused = await fleet.logs['reader'].accept(
+                test_job_log.make_job('last'), limit, anyio.current_time() + 4
+            )
+            self.assertEqual(429, refused.err_value.status)
+
+        self.run_fleet(test)
+
+    def test_results_stored_elsewhere_count(self):
+        """A job that fits is not refused for items that are done."""
+
+        async def test(fleet):
+            limit = 40
+            lose_power(fleet)
+            for number in range(3):
+                await fleet.commit(f'j-{number}')
+            await anyio.sleep(SETTLE_SECONDS)
+            accepted = await fleet.logs['reader'].accept(
+                test_job_log.make_job('next'), limit, anyio.current_time() + 4
+            )
+            self.assertTrue(accepted.is_ok())
+
+        self.run_fleet(test)
+
     def test_refused_read_is_logged(self):
         async def test(fleet):
             fleet.memory.outage = True
