Batch: the shared reserve is summed up once for a choice

Cause: for each target of one slot the free slots of all others were added up, which grows with the square of the number of targets.

Change: the sum over all targets is made once; a target's own slots are taken off.

--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -240,31 +240,11 @@
     return load.slots - own_reserve(load) - load.online - load.batch
 
 
-def leaves_reserve(
-    load: TargetLoad,
-    loads: collections.abc.Collection[TargetLoad],
-    waiting: int,
-) -> bool:
-    """Return whether online requests have a free slot after one more item.
-
-    A target without a reserve of its own relies on the free slots of the other
-    targets. If there is no other target, an online request has to wait until
-    the item is stopped; items would never run otherwise.
-
-    :param loads: load of all usable targets of the service
-    :param waiting: online requests of all hosts that wait for a slot
-    """
-    if own_reserve(load):
-        return True
-    others = [other for other in loads if other.name != load.name]
-    if not others:
-        return not waiting
-    spare = sum(
-        max(0, other.slots - other.online - other.batch)
-        for other in others
-        if other.allowance is None or other.allowance.may_send
-    )
-    return spare >= RESERVE_SLOTS + waiting
+def free_online_slots(load: TargetLoad) -> int:
+    """Return how many slots of a target an online request finds free."""
+    if load.allowance is not None and not load.allowance.may_send:
+        return 0
+    return max(0, load.slots - load.online - load.batch)
 
 
 def pick_target(
@@ -274,18 +254,31 @@
 ) -> str | None:
     """Return the target with the most free slots, or ``None`` if all are full.
 
+    A target without a reserve of its own relies on the free slots of the other
+    targets. If there is no other target, an online request has to wait until
+    the item is stopped; items would never run otherwise.
+
     :param loads: load of all usable targets of the service
     :param software: software that the target must have, ``None`` for any
     :param waiting: online requests of all hosts that wait for a slot
     """
     loads = list(loads)
+    spare = sum(map(free_online_slots, loads))
+
+    def leaves_reserve(load: TargetLoad) -> bool:
+        if own_reserve(load):
+            return True
+        if len(loads) == 1:
+            return not waiting
+        return spare - free_online_slots(load) >= RESERVE_SLOTS + waiting
+
     best = max(
         (
             load
             for load in loads
             if software in (None, load.software)
             and free_slots(load) > 0
-            and leaves_reserve(load, loads, waiting)
+            and leaves_reserve(load)
         ),
         key=free_slots,
         default=None,
