--- a/tests/test_item_attempt.py
+++ b/tests/test_item_attempt.py
@@ -64,6 +64,25 @@
             yield f'id: {number}\ndata: x-{number}\n\n'.encode()
 
 
+def make_attempts(targets):
+    """Return the attempts of a host that reaches all targets."""
+    paths = target_paths.PathPorts(
+        blackboard.Blackboard(),
+        fakes.Network().port('host'),
+        lambda: ['host'],
+    )
+    return item_attempt.ItemAttempts(
+        'host',
+        targets,
+        platform_fakes.target_stats_of(),
+        target_paths.TargetPaths('host', 'a', paths),
+        crash_parts.CrashParts(
+            'host', fakes.Network().port('host'), lambda: ['host']
+        ),
+        gateway_metrics.GatewayMetrics(),
+    )
+
+
 class TestItemAttempt(unittest.TestCase):
     @expand(
         [
@@ -77,24 +96,7 @@
         """A reader that lags holds a slot that the target has freed."""
 
         async def test():
-            attempts = item_attempt.ItemAttempts(
-                'host',
-                _Targets(count, pace),
-                platform_fakes.target_stats_of(),
-                target_paths.TargetPaths(
-                    'host',
-                    'a',
-                    target_paths.PathPorts(
-                        blackboard.Blackboard(),
-                        fakes.Network().port('host'),
-                        lambda: ['host'],
-                    ),
-                ),
-                crash_parts.CrashParts(
-                    'host', fakes.Network().port('host'), lambda: ['host']
-                ),
-                gateway_metrics.GatewayMetrics(),
-            )
+            attempts = make_attempts(_Targets(count, pace))
             item = item_attempt.LocalItem()
             item.text.claim(item_text.Source(1, 'host'))
             began = anyio.current_time()
@@ -119,24 +121,7 @@
 
         async def test():
             targets = _Targets(1, 0.01)
-            attempts = item_attempt.ItemAttempts(
-                'host',
-                targets,
-                platform_fakes.target_stats_of(),
-                target_paths.TargetPaths(
-                    'host',
-                    'a',
-                    target_paths.PathPorts(
-                        blackboard.Blackboard(),
-                        fakes.Network().port('host'),
-                        lambda: ['host'],
-                    ),
-                ),
-                crash_parts.CrashParts(
-                    'host', fakes.Network().port('host'), lambda: ['host']
-                ),
-                gateway_metrics.GatewayMetrics(),
-            )
+            attempts = make_attempts(targets)
             item = item_attempt.LocalItem()
             item.text.claim(item_text.Source(1, 'host'))
             headers = wire.item_headers(
