--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -89,9 +89,12 @@
 
 
 class Host:
-    """A gateway process that can be restarted with the same settings."""
+    """A gateway process that can be restarted with the same settings.
 
-    def __init__(self, folder, number, store):
+    :ivar log_path: file of its log lines, if they are kept
+    """
+
+    def __init__(self, folder, number, store, has_log=False):
         fields = _free_addresses()
         self.address = fields['front']
         self._path = pathlib.Path(folder) / f'host-{number}.yaml'
@@ -99,6 +102,8 @@
             SETTINGS.format(number=number, store=store, **fields)
         )
         self._process = None
+        self.log_path = self._path.with_suffix('.log')
+        self._has_log = has_log
         self.start()
 
     def start(self):
@@ -106,11 +111,13 @@
             **os.environ,
             'PERSIMMONPASS_SETTINGS': str(self._path),
         }
-        self._process = subprocess.Popen(
-            [sys.executable, LAUNCHER, 'host', self.address],
-            env=environment,
-            stdout=subprocess.DEVNULL,
-        )
+        log_path = self.log_path if self._has_log else os.devnull
+        with open(log_path, 'ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, LAUNCHER, 'host', self.address],
+                env=environment,
+                stdout=log,
+            )
 
     def send(self, number):
         self._process.send_signal(number)
