Drain: connections to targets stay open until the HTTP servers are closed

Callers saw answers that broke off, 502 for requests that had run, and 500 a second after the drain of a host had ended; only routes with one attempt showed it, since another target goes on with the others. The gateway closed its connections to targets and cancelled its controllers as soon as the drain was over, while its HTTP server served for up to a second more, so that the process ended 8.2 s after SIGTERM, past its grace of 8 s.

The HTTP servers now close first, within the part of the grace that is kept for it, and the rest is taken down after the last of them. Evidence before: tests.test_planned_stops, events 515, 517 (ReadError), 519, 543 at 7.2 s or at the end of a confirmed drain.

--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -70,6 +70,10 @@
 # Part of the grace period that is kept back: requests in progress have to end
 # this long before the host is killed.
 STOP_MARGIN_SECONDS = 0.8
+# Both run at the same time, within that part. Requests have their final answer
+# before; callers that do not read it are cut.
+HTTP_GRACE_SECONDS = 0.4
+DEREGISTER_SECONDS = 0.4
 MAX_STORE_CONNECTIONS = 200
 # How long a host that has just started waits for the list of members, to know
 # whether it belongs to the core.
@@ -198,13 +202,29 @@
             await tasks.start(self._peers.serve, self._sockets['peer'])
             for task in self._background_tasks():
                 tasks.start_soon(servers.keep_running, task, options.host)
+            await self._serve_until_stopped(tasks)
+            await self._targets.aclose()
+            tasks.cancel_scope.cancel()
+        self._spans.shut_down()
+
+    async def _serve_until_stopped(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Serve HTTP until the drain has ended and all servers are closed.
+
+        Requests need the controllers and the connections to targets until
+        the last server has closed.
+
+        :param tasks: runs the controllers
+        """
+        options = self._options
+        async with anyio.create_task_group() as fronts:
             for name, app in self._front_end.apps().items():
                 if name in self._sockets:
-                    tasks.start_soon(
+                    fronts.start_soon(
                         servers.serve_http,
                         app,
                         self._sockets[name],
                         self._stopped,
+                        HTTP_GRACE_SECONDS,
                     )
             events.log(
                 events.DAEMON_STARTED,
@@ -218,10 +238,8 @@
             await self._drain.started.wait()
             await self._drain.run()
             self._stopped.set()
-            await self._membership.deregister()
-            await self._targets.aclose()
-            tasks.cancel_scope.cancel()
-        self._spans.shut_down()
+            with anyio.move_on_after(DEREGISTER_SECONDS):
+                await self._membership.deregister()
 
     def _build_fleet_controllers(self, client: httpx.AsyncClient) -> None:
         """Make the controllers of peers, records, jobs and membership."""
