Drain: persimmonpassd turns late requests away and closes its servers first

Callers that stayed at a host that stopped got 500, or a connection that closed, for calls in progress at the limit of the drain: their new calls kept the drain from ending, and the controllers were cancelled while the HTTP servers went on for a second.

The daemon asks the drain before it begins a request, refuses late ones with the verdict not_run, ends those in progress at the limit with 504 and may_have_run, and cancels its controllers after the servers have closed. tests.test_daemon_stops: before, calls of six callers got 500 at the limit; now each has an answer, the drain is confirmed before its limit and the process exits with 0. tests.test_drain passes unchanged.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -17,6 +17,7 @@
 from persimmonpass.api import completions
 from persimmonpass.api import jobs
 from persimmonpass.api import ports as caller_ports
+from persimmonpass.api import stops
 from persimmonpass import auth
 from persimmonpass.controllers.fleet import config
 from persimmonpass.controllers.online import keys as key_controller
@@ -147,7 +148,7 @@
         )
     checked = _make_online_request(
         account.ok_value, request, found, raw.ok_value, uuid.uuid4().hex
-    )
+    ).and_then(lambda online: _accept(ports, online, True))
     return checked.map(
         lambda online_request: (
             online_requests.CompletionRequest(
@@ -194,10 +195,21 @@
     content = f'{request.method} {path}\n'.encode() + raw.ok_value
     checked = _make_online_request(
         account.ok_value, request, found, content, uuid.uuid4().hex
-    )
+    ).and_then(lambda online: _accept(ports, online, not runs_once))
     return checked.map(lambda online_request: (online_request, call))
 
 
+def _accept(
+    ports: caller_ports.CallerPorts,
+    online_request: online_requests.OnlineRequest,
+    may_repeat: bool,
+) -> result.Result[online_requests.OnlineRequest, verdicts.Failure]:
+    """Turn a request away that a host which stops might not finish."""
+    if ports.accepts(online_request.limit_seconds, may_repeat):
+        return result.Ok(online_request)
+    return result.Err(stops.turned_away())
+
+
 def _make_online_request(
     account: auth.Account,
     request: requests.Request,
--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -19,6 +19,8 @@
 
     :ivar key_calls: calls to the owners of idempotency keys
     :ivar entry_ttl_seconds: how long callers may cache an entry answer
+    :ivar accepts: takes the longest that a request may take, in seconds, and
+        whether it may be repeated; returns whether this host takes it
     """
 
     board: blackboard.Blackboard
@@ -28,6 +30,7 @@
     counters: metrics.Metrics
     spans: tracing.Tracing
     entry_ttl_seconds: float
+    accepts: collections.abc.Callable[[float, bool], bool]
 
 
 class OperatorPorts(typing.NamedTuple):
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -18,6 +18,7 @@
 from persimmonpass.api import drain_middleware
 from persimmonpass.api import operator
 from persimmonpass.api import ports
+from persimmonpass.api import stops
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers.batch import batch
@@ -162,19 +163,21 @@
                 tasks.start_soon(
                     servers.keep_running, task, self._options.host
                 )
-            tasks.start_soon(self._serve, self._drain_middleware, 0)
-            tasks.start_soon(self._serve, self._operator_app(), 2)
-            events.log(
-                events.DAEMON_STARTED,
-                host=self._options.host,
-                **self.addresses._asdict(),
-            )
-            task_status.started(self.addresses)
-            tasks.start_soon(self._announce_ready)
-            await self._drain.started.wait()
-            await self._drain.run()
-            self._stopped.set()
-            await self._membership.deregister()
+            # Requests need the controllers until the servers have closed.
+            async with anyio.create_task_group() as fronts:
+                fronts.start_soon(self._serve, self._drain_middleware, 0)
+                fronts.start_soon(self._serve, self._operator_app(), 2)
+                events.log(
+                    events.DAEMON_STARTED,
+                    host=self._options.host,
+                    **self.addresses._asdict(),
+                )
+                task_status.started(self.addresses)
+                tasks.start_soon(self._announce_ready)
+                await self._drain.started.wait()
+                await self._drain.run()
+                self._stopped.set()
+                await self._membership.deregister()
             tasks.cancel_scope.cancel()
         self.spans.shut_down()
 
@@ -354,7 +357,7 @@
         return [member.host for member in members]
 
     def _caller_app(self) -> types.ASGIApp:
-        return caller.make_app(
+        app = caller.make_app(
             ports.CallerPorts(
                 self.board,
                 self._online.online,
@@ -363,8 +366,17 @@
                 self.counters,
                 self.spans,
                 self._options.entry_ttl_seconds,
+                self._accepts,
             )
         )
+        return stops.make_app(
+            app,
+            lambda: self._accepts(0.0, True),
+            self._drain.cancelled_at_end,
+        )
+
+    def _accepts(self, allowed_seconds: float, may_repeat: bool) -> bool:
+        return self._drain.accepts(allowed_seconds, may_repeat=may_repeat)
 
     def _operator_app(self) -> types.ASGIApp:
         return operator.make_app(
