--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -11,6 +11,7 @@
 import httpx
 import parameterized
 
+from tests import link_fakes
 from tests import platform_fakes
 from tests import stop_load
 from tests import test_platform_soak as soak
@@ -213,6 +214,56 @@
         server.pace_seconds = LONG_PACE_SECONDS if is_long else PACE_SECONDS
 
 
+class TestTunnels(unittest.TestCase):
+    @parameterized.parameterized.expand([(seed,) for seed in SEEDS])
+    def test_stop_cuts_no_stream_that_a_peer_carries(self, seed):
+        """Guards against tunnels that end while a target pauses."""
+
+        async def test():
+            async with platform_fakes.fleet(
+                (*HOSTS, 'three'),
+                4,
+                configuration(),
+                services=('notes', 'notes', 'long', 'long'),
+            ) as fleet:
+                set_paces(fleet.servers)
+                load = stop_load.Load('two', seed)
+                stack = contextlib.ExitStack()
+                links = stack.enter_context(
+                    link_fakes.links(
+                        lambda: {server.address for server in fleet.servers}
+                    )
+                )
+                log = stack.enter_context(stop_load.logged())
+                with stack:
+                    links.cut['two'] = link_fakes.RESETS
+                    paths = fleet.hosts['two']._paths
+                    while paths.lost_count < len(fleet.servers):
+                        await fleet.post('/notes/1', host='two')
+                    async with anyio.create_task_group() as tasks:
+                        for name, call in callers_of(
+                            load, fleet.addresses['two'], ('long',)
+                        ):
+                            tasks.start_soon(call, name)
+                        await anyio.sleep(WARM_UP_SECONDS)
+                        await anyio.sleep(load.rng.random())
+                        tunnels = fleet.hosts['one']._tunnels._tunnels
+                        self.assertTrue(tunnels)
+                        stopped_at = anyio.current_time()
+                        fleet.hosts['one'].drain()
+                        with anyio.fail_after(15):
+                            await fleet.stopped['one'].wait()
+                        await anyio.sleep(SERIES_SECONDS)
+                        tasks.cancel_scope.cancel()
+                # Streams that still run are the other host's.
+                load.attempts = [
+                    each for each in load.attempts if each.ended_at
+                ]
+                check_requests(self, load, stopped_at, fleet.servers, log)
+
+        platform_fakes.run(test)
+
+
 @contextlib.asynccontextmanager
 async def processes(count):
     """Run a fleet whose hosts are processes; yield hosts and targets."""
