--- a/tests/stop_load.py
+++ b/tests/stop_load.py
@@ -20,8 +20,8 @@
 GRACE_SECONDS = 8.0
 # Bounds of the users' rules on requests around a stop.
 SLACK_SECONDS = 0.2
-LATE_SEND_SECONDS = 3.0
-LAST_WORK_SECONDS = GRACE_SECONDS * 5 / 6
+LATE_SEND_SHARE = 3 / 8
+LAST_WORK_SHARE = 5 / 6
 DEADLINE_SECONDS = 5.0
 RECONNECT_SECONDS = 0.03
 ANSWER_SECONDS = 12.0
@@ -101,31 +101,39 @@
 
 
 def head_of(attempt, method='POST', **headers):
-    """Return the head of a request."""
+    """Return the head of a request.
+
+    :param headers: further headers; ``{id}`` stands for the request's id
+    """
     lines = [
         f'{method} {attempt.path} HTTP/1.1',
         f'Host: {platform_fakes.HOST}',
         f'Request-Id: {attempt.id}',
         f'Deadline-Ms: {1000 * DEADLINE_SECONDS:.0f}',
         *(
-            f'{name.replace("_", "-")}: {text}'
+            f'{name.replace("_", "-")}: {text}'.format(id=attempt.id)
             for name, text in headers.items()
         ),
     ]
     return '\r\n'.join([*lines, '', '']).encode()
 
 
-def plain_parts(attempt, body):
+def id_as_body(attempt):
+    """Return a body that is its request's own."""
+    return attempt.id.encode()
+
+
+def plain_parts(attempt, body, **headers):
     """Return a request with a length as one part."""
-    return [head_of(attempt, Content_Length=len(body)) + body]
+    return [head_of(attempt, Content_Length=len(body), **headers) + body]
 
 
-def chunked_parts(attempt, body, count):
+def chunked_parts(attempt, body, count, **headers):
     """Return the parts of a request whose body is sent in chunks."""
     size = -(-len(body) // count)
     chunks = [body[at : at + size] for at in range(0, len(body), size)]
     return [
-        head_of(attempt, Transfer_Encoding='chunked'),
+        head_of(attempt, Transfer_Encoding='chunked', **headers),
         *(b'%x\r\n%s\r\n' % (len(chunk), chunk) for chunk in chunks),
         b'0\r\n\r\n',
     ]
@@ -204,7 +212,14 @@
 
 
 def caller(
-    load, address, path, keeps=True, pauses=(0.0, 0.05), chunk_pauses=None
+    load,
+    address,
+    path,
+    keeps=True,
+    pauses=(0.0, 0.05),
+    chunk_pauses=None,
+    make_body=id_as_body,
+    **headers,
 ):
     """Return a function that calls until it is cancelled.
 
@@ -212,8 +227,13 @@
     :param pauses: range of the pauses between requests, in seconds
     :param chunk_pauses: range of the pauses between the chunks of a body;
         ``None`` for bodies with a length
+    :param make_body: takes a request; returns its body
+    :param headers: further headers
     """
 
+    def pause():
+        return load.rng.uniform(*chunk_pauses)
+
     async def call(name):
         connection = None
         await anyio.sleep(load.rng.uniform(0.0, pauses[1]))
@@ -223,17 +243,13 @@
                 await anyio.sleep(RECONNECT_SECONDS)
                 continue
             attempt = load.make_attempt(name, path)
-            body = attempt.id.encode()
+            body = make_body(attempt)
             if chunk_pauses:
-                parts = chunked_parts(attempt, body, load.rng.randint(2, 4))
-                await exchange(
-                    connection,
-                    attempt,
-                    parts,
-                    lambda: load.rng.uniform(*chunk_pauses),
-                )
+                count = load.rng.randint(2, 4)
+                parts = chunked_parts(attempt, body, count, **headers)
             else:
-                await exchange(connection, attempt, plain_parts(attempt, body))
+                parts = plain_parts(attempt, body, **headers)
+            await exchange(connection, attempt, parts, pause)
             if not (keeps and attempt.is_whole):
                 await connection.stream.aclose()
                 connection = None
@@ -327,12 +343,13 @@
         eliot.remove_destination(log.add)
 
 
-def is_lost(attempt, stopped_at, ran, finished):
+def is_lost(attempt, stopped_at, ran, finished, grace=GRACE_SECONDS):
     """Return whether a request counts as cut by a stop.
 
     :param stopped_at: clock when the host was told to stop
     :param ran: ids of the requests that targets ran
     :param finished: ids of the requests whose answers targets sent whole
+    :param grace: seconds that a host has for its stop
     """
     if attempt.is_whole or attempt.last_at is None:
         return False
@@ -345,11 +362,10 @@
     was_at_work = (
         attempt.id in ran
         and attempt.id not in finished
-        and attempt.ended_at - stopped_at >= LAST_WORK_SECONDS
-    )
-    return not (
-        was_at_work and attempt.last_at - stopped_at <= LATE_SEND_SECONDS
+        and attempt.ended_at - stopped_at >= LAST_WORK_SHARE * grace
     )
+    is_early = attempt.last_at - stopped_at <= LATE_SEND_SHARE * grace
+    return not (was_at_work and is_early)
 
 
 def describe(attempt, stopped_at, ran, log):
