Entry: while all hosts leave, callers are sent to the last that began to

Callers were sent to hosts at the end of their drain, which then cut what they had just accepted. Entry answers fall back to leaving hosts when no host is alive, to all of them, also to those whose peers had confirmed that their address is no longer given out.

Now only the hosts that began to leave last are named, which still have time. tests.test_entry: 2 of the 4 new cases fail without it.

--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -98,7 +98,11 @@
     async def show_entry(request: requests.Request) -> responses.Response:
         zone = request.query_params.get('availability_zone', '')
         board = ports.board
-        hosts = entry.hosts_of(board.members.rows(), board.host_loads.get)
+        hosts = entry.hosts_of(
+            board.members.rows(),
+            board.host_loads.get,
+            ports.seconds_in_state,
+        )
         ttl = ports.entry_ttl_seconds
         return responses.JSONResponse(
             {
--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -21,6 +21,8 @@
     :ivar entry_ttl_seconds: how long callers may cache an entry answer
     :ivar accepts: takes the longest that a request may take, in seconds, and
         whether it may be repeated; returns whether this host takes it
+    :ivar seconds_in_state: takes a host; returns the time since it was seen
+        to enter its membership state
     """
 
     board: blackboard.Blackboard
@@ -31,6 +33,7 @@
     spans: tracing.Tracing
     entry_ttl_seconds: float
     accepts: collections.abc.Callable[[float, bool], bool]
+    seconds_in_state: collections.abc.Callable[[str], float]
 
 
 class OperatorPorts(typing.NamedTuple):
--- a/src/persimmonpass/controllers/fleet/membership.py
+++ b/src/persimmonpass/controllers/fleet/membership.py
@@ -174,6 +174,10 @@
             if row.state == 'dead' and row.host not in long_dead
         ]
 
+    def seconds_in_state(self, host: str) -> float:
+        """Return the time since a host was seen to enter its state."""
+        return self._view.seconds_in_state(host, anyio.current_time())
+
     def mark_alive(self) -> None:
         """Mark this host as alive, which adds it to the entry answers."""
         if self.me.state == 'starting':
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -367,6 +367,7 @@
                 self.spans,
                 self._options.entry_ttl_seconds,
                 self._accepts,
+                self._membership.seconds_in_state,
             )
         )
         return stops.make_app(
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -543,6 +543,7 @@
                 self._drain.cancelled_at_end,
                 self._initialized,
                 self._core,
+                self._membership.seconds_in_state,
                 self._paths,
                 self._errors,
                 self._tunnels,
--- a/src/persimmonpass/gateway_front.py
+++ b/src/persimmonpass/gateway_front.py
@@ -67,6 +67,8 @@
         requests in progress are ended, because this host stops
     :ivar initialized: set once the configuration and targets are known
     :ivar core: returns the hosts to which callers are sent
+    :ivar seconds_in_state: takes a host; returns the time since it was seen
+        to enter its membership state
     :ivar paths: the links of this host to targets
     :ivar errors: targets that answer with errors
     :ivar tunnels: connections to targets that this host keeps for peers
@@ -92,6 +94,7 @@
     cancelled_at_stop: drain.CancelledAtEnd
     initialized: anyio.Event
     core: collections.abc.Callable[[], collections.abc.Collection[str]]
+    seconds_in_state: collections.abc.Callable[[str], float]
     paths: target_paths.TargetPaths
     errors: error_answers.ErrorAnswers
     tunnels: tunnel.Tunnels
@@ -240,7 +243,9 @@
         """
         board = self._ports.board
         rows = [row for row in board.members.rows() if row.caller_address]
-        hosts = entry.hosts_of(rows, board.host_loads.get)
+        hosts = entry.hosts_of(
+            rows, board.host_loads.get, self._ports.seconds_in_state
+        )
         chosen = set(self._ports.core())
         alive = [
             row for row in hosts if row.host in chosen and row.state == 'alive'
--- a/src/persimmonpass/policy/entry.py
+++ b/src/persimmonpass/policy/entry.py
@@ -14,6 +14,7 @@
     :ivar address: address for callers
     :ivar state: membership state, such as ``alive``
     :ivar load: requests in progress, or ``None`` if unknown
+    :ivar seconds_in_state: time since the host was seen to enter its state
     """
 
     host: str
@@ -21,16 +22,20 @@
     availability_zone: str
     state: str
     load: int | None
+    seconds_in_state: float = 0.0
 
 
 def hosts_of(
     members: collections.abc.Iterable[blackboard.Member],
     loads: collections.abc.Callable[[str], int | None],
+    seconds_in_state: collections.abc.Callable[[str], float],
 ) -> list[EntryHost]:
     """Return the members as hosts that may accept callers.
 
     :param loads: returns the requests in progress at a host, or ``None`` if
         unknown
+    :param seconds_in_state: returns the time since a host was seen to enter
+        its state
     """
     return [
         EntryHost(
@@ -39,6 +44,7 @@
             member.availability_zone,
             member.state,
             loads(member.host),
+            seconds_in_state(member.host),
         )
         for member in members
     ]
@@ -66,6 +72,9 @@
 
 
 PREFERRED_STATES = ('alive', 'suspect', 'leaving')
+# A host that stops takes requests only while they can end before it does.
+# Hosts that began to leave this much before the last one have less time.
+LEAVING_SPREAD_SECONDS = 0.5
 
 
 def order(
@@ -78,7 +87,8 @@
 
     Hosts with less load are more likely to come early. Suspect hosts are
     returned only if no host is alive, and leaving hosts only if no host is
-    alive or suspect. Starting and dead hosts are never returned.
+    alive or suspect; of these, the ones that began to leave last. Starting and
+    dead hosts are never returned.
 
     :param hosts: all known hosts
     :param availability_zone: zone of the caller, or empty
@@ -91,6 +101,8 @@
         usable = [host for host in known if host.state == state]
         if usable:
             break
+    if usable and usable[0].state == 'leaving':
+        usable = _newest(usable)
     loads = [host.load for host in usable if host.load is not None]
     mean = sum(loads) / len(loads) if loads else 0.0
 
@@ -100,3 +112,13 @@
         return far, -((1 - draw()) ** (load + 1))
 
     return [host.address for host in sorted(usable, key=rank)][:limit]
+
+
+def _newest(leaving: list[EntryHost]) -> list[EntryHost]:
+    """Return the hosts that began to leave last."""
+    least = min(host.seconds_in_state for host in leaving)
+    return [
+        host
+        for host in leaving
+        if host.seconds_in_state <= least + LEAVING_SPREAD_SECONDS
+    ]
--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -287,6 +287,13 @@
             and now - self._state_since[row.host] >= seconds
         ]
 
+    def seconds_in_state(self, host: str, now: float) -> float:
+        """Return the time since the row of a host changed.
+
+        :param now: local clock in seconds
+        """
+        return now - self._state_since.get(host, now)
+
     def forget(self, host: str) -> None:
         """Remove a dead host from the view."""
         self._rows.pop(host, None)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -17,8 +17,8 @@
 NOTICE_SECONDS = occupancy.SILENCE_SECONDS + occupancy.REPEAT_SECONDS
 
 
-def host(name, zone='near', state='alive', load=0):
-    return entry.EntryHost(name, name, zone, state, load)
+def host(name, zone='near', state='alive', load=0, seconds=0.0):
+    return entry.EntryHost(name, name, zone, state, load, seconds)
 
 
 class TestEntry(unittest.TestCase):
@@ -45,6 +45,28 @@
         order = entry.order(hosts, '', random.Random(1).random)
         self.assertEqual(expected, set(order))
 
+    @parameterized.parameterized.expand(
+        [
+            # seconds since each host began to leave, those that are named
+            ('all at once', {'a': 0.0, 'b': 0.3}, {'a', 'b'}),
+            ('in turn', {'a': 3.9, 'b': 2.6, 'c': 1.3}, {'c'}),
+            (
+                'the last two together',
+                {'a': 4.0, 'b': 1.2, 'c': 1.0},
+                {'b', 'c'},
+            ),
+            ('one long ago', {'a': 6.0}, {'a'}),
+        ]
+    )
+    def test_of_leaving_hosts_the_last_are_named(self, _, seconds, expected):
+        """Guards against callers sent to hosts that are about to end."""
+        hosts = [
+            host(name, state='leaving', seconds=since)
+            for name, since in seconds.items()
+        ]
+        order = entry.order(hosts, '', random.Random(1).random)
+        self.assertEqual(expected, set(order))
+
     def test_near_first(self):
         hosts = [host('far', 'other'), host('near-1', load=9), host('near-2')]
         draw = random.Random(1).random
