Targets: close connections on which bytes followed the answer

Callers saw: with persimmonpassd, the body of an earlier answer of a plain service as the answer to the next call on the connection; with the gateway and with engines, a request that failed or ran at another target, because the answer that it found named another request.

Cause: the pool uses a connection again if its socket has nothing to read. A copy that came with the answer was no longer in the socket: the HTTP library had read it and kept it for the next request, or it was in the event loop's queue, because the loop receives up to four times as much as the library reads.

--- a/src/persimmonpass/targets/connections.py
+++ b/src/persimmonpass/targets/connections.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import contextlib
-import re
 import ssl
 import typing
 
@@ -10,18 +9,21 @@
 import httpx
 
 from persimmonpass.peers import tunnel
+from persimmonpass.targets import framing
 
 # Interim answers of a target that sends them without end are parsed without a
 # pause, which holds up the event loop.
 MAX_INTERIM_BYTES = 16_384
 
-# The HTTP library ends a head at the same bytes.
-_HEAD_END = re.compile(rb'\n\r?\n')
+# The event loop receives no more bytes at once. The rest of longer ones would
+# be kept where the pool doesn't see it.
+_MAX_RECEIVED_BYTES = 262_144
 _STATUS_LINE_START = b'HTTP/'
 # The status line up to the status, as in ``HTTP/1.1 100``.
 _STATUS_START = 9
 _STATUS_END = 12
 _SWITCHING_PROTOCOLS = b'101'
+_HEAD_REQUEST = b'HEAD '
 
 
 class RelayBrokenError(httpx.ReadError):
@@ -78,7 +80,7 @@
                 self._in_body = True
                 self._unread = b''
                 return
-            end = _HEAD_END.search(data, start)
+            end = framing.HEAD_END.search(data, start)
             size = (end.end() if end else len(data)) - start
             if self._size + size > MAX_INTERIM_BYTES:
                 raise httpcore.RemoteProtocolError(
@@ -93,13 +95,25 @@
 
 
 class _Stream(httpcore.AsyncNetworkStream):
-    """A connection that bounds the interim answers to each request."""
+    """A connection that bounds the interim answers to each request.
+
+    After an answer that anything follows it is closed, since that would be
+    taken for the answer to the next request.
+    """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._interim = _InterimBytes()
+        self._end = framing.AnswerEnd()
+        self._is_writing = False
+        self._unread = b''
         self._is_retired = False
 
+    @property
+    def _is_clean(self) -> bool:
+        """Whether the last answer may be followed by another one."""
+        return self._end.is_exact and not self._unread and not self._is_retired
+
     def retire(self) -> None:
         """Let the pool close the connection after the present request."""
         self._is_retired = True
@@ -112,13 +126,24 @@
         :raises httpcore.RemoteProtocolError: if the interim answers are too
             long
         """
-        data = await self._stream.read(max_bytes, timeout)
+        self._is_writing = False
+        if not self._unread:
+            self._unread = await self._stream.read(
+                max(max_bytes, _MAX_RECEIVED_BYTES), timeout
+            )
+        data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
         self._interim.add(data)
+        self._end.add(data)
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send bytes of a request, whose answer has not been read."""
         self._interim = _InterimBytes()
+        if not self._is_writing:
+            self._is_writing = True
+            self._end = framing.AnswerEnd(
+                has_no_body=buffer.startswith(_HEAD_REQUEST)
+            )
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -138,7 +163,7 @@
 
     def get_extra_info(self, info: str) -> typing.Any:
         """Return details of the connection."""
-        if info == 'is_readable' and self._is_retired:
+        if info == 'is_readable' and not self._is_clean:
             # The pool takes an idle connection that can be read for closed.
             return True
         return self._stream.get_extra_info(info)
