Tunnels: see bytes that arrive while a connection is idle

Callers saw: a request of a host that reaches its target through a peer failed or ran at another target, because the copy of an earlier answer stood where its own was due.

Cause: the pool asks an idle connection whether anything can be read. A tunnel said no as long as it was open, although messages had arrived.

Why it works: messages and bytes that have not been read count as readable, as on a direct connection.

Other processes on the machine may call a port that was theirs before; this is suspected, not shown.

--- a/src/persimmonpass/peers/tunnel.py
+++ b/src/persimmonpass/peers/tunnel.py
@@ -267,9 +267,13 @@
         _abort(self._connection)
 
     def get_extra_info(self, info: str) -> typing.Any:
-        """Return whether the connection has ended, which the pool asks for."""
+        """Return whether bytes or the end of the connection have arrived."""
         if info == 'is_readable':
-            return self._connection.state is not websockets.State.OPEN
+            return (
+                bool(self._unread)
+                or len(self._connection.recv_messages.frames) > 0
+                or self._connection.state is not websockets.State.OPEN
+            )
         return None
 
 
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -15,8 +15,11 @@
 import httpcore
 import httpx
 import parameterized
+import websockets.asyncio.client
+import websockets.asyncio.server
 
 from persimmonpass import blackboard
+from persimmonpass.peers import tunnel
 from persimmonpass.targets import connections
 from persimmonpass.targets import engine
 from persimmonpass.targets import framing
@@ -198,13 +201,11 @@
 
     @expand(COPIES)
     def test_next_call_gets_its_own_answer(self, _, form, delay):
-        numbers = itertools.count()
-
         async def answer(reader, writer):
             with contextlib.suppress(ConnectionError, EOFError):
                 while True:
-                    await reader.readuntil(b'\r\n\r\n')
-                    body = b'%d ' % next(numbers)
+                    text = await reader.readuntil(b'\r\n\r\n')
+                    body = text.split(b' ')[1]
                     text = form(b'HTTP/1.1 200 OK\r\n', body)
                     await write_twice(writer, text, delay)
             writer.close()
@@ -212,15 +213,66 @@
         async def test(target, client):
             calls = service.connect(client, client)
             for number in range(CALLS):
-                request = service.ServiceCall('GET', '/', {}, b'')
+                request = service.ServiceCall('GET', f'/{number}', {}, b'')
                 answered = await calls.call(target, request, 2.0)
                 found = answered.ok_value.body
-                self.assertEqual(b'%d' % number, found.strip())
+                self.assertEqual(b'/%d' % number, found)
                 await asyncio.sleep(0.06)
 
         run_client(test, answer)
 
 
+class TestSecondAnswersThroughTunnels(unittest.TestCase):
+    """A copy that had come through a tunnel met the next request."""
+
+    @expand(COPIES)
+    def test_next_request_gets_its_own_answer(self, _, form, delay):
+        async def answer(reader, writer):
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    text = await reader.readuntil(b'\r\n\r\n')
+                    body = text.split(b' ')[1]
+                    text = form(b'HTTP/1.1 200 OK\r\n', body)
+                    await write_twice(writer, text, delay)
+            writer.close()
+
+        async def test(target, _):
+            tunnels = tunnel.Tunnels('two', lambda _: True)
+            handler = tunnels.handlers[tunnel.METHOD_OPEN]
+
+            async def serve(connection):
+                await handler.serve('one', target.address, connection)
+
+            async with websockets.asyncio.server.serve(
+                serve, '127.0.0.1', 0
+            ) as server:
+                port = server.sockets[0].getsockname()[1]
+
+                async def open_tunnel(host, address):
+                    return await websockets.asyncio.client.connect(
+                        f'ws://127.0.0.1:{port}'
+                    )
+
+                transport = connections.Transport(
+                    httpx.Limits(max_connections=None),
+                    pools.make_plain_http_context(),
+                    tunnel.Backend('two', open_tunnel),
+                )
+                for number in range(CALLS):
+                    found = await transport.handle_async_request(
+                        httpx.Request(
+                            'GET', f'http://{target.address}/{number}'
+                        )
+                    )
+                    body = await found.aread()
+                    await found.aclose()
+                    self.assertEqual(b'/%d' % number, body)
+                    await asyncio.sleep(0.06)
+                await transport.aclose()
+
+        run_client(test, answer)
+
+
 class TestSecondAnswersOfEngines(unittest.TestCase):
     """A second copy of a stream failed the next request."""
 
