Services: send each call on a new connection

Callers of persimmonpassd saw: the answer of an earlier call, with status 200, as the answer to theirs.

Cause: answers of plain services name no call. A copy that a service writes when the next call has been sent on the connection can't be told from its answer, and no wait shows that none will come.

Evidence: tests.test_second_answers, test_call_that_meets_a_copy, failed in 1 of 2 cases (the copy with the next answer); where half of the copy came before the next call, the check for bytes after an answer has closed the connection already.

Why it works: calls ask the service to close the connection, so that the HTTP library never gives it to another call. This holds for refusals, too, which no longer need a rule of their own. The test of that rule counted that other answers keep their connection; it now counts that none does.

--- a/src/persimmonpass/targets/service.py
+++ b/src/persimmonpass/targets/service.py
@@ -9,7 +9,6 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
-from persimmonpass.targets import connections
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
@@ -86,6 +85,9 @@
             for name, value in request.headers.items()
             if name.lower() not in DROPPED_HEADERS
         }
+        # Answers name no call, so that the copy of one on a kept connection
+        # can't be told from the answer to the next call.
+        headers['Connection'] = 'close'
         chosen_client = fresh_client if once else client
         tracker = engine.SendTracker()
         detail = 'no answer in time'
@@ -119,9 +121,6 @@
     target: blackboard.Target, answer: httpx.Response
 ) -> result.Result[Answer, verdicts.Failure]:
     """Return an answer with any status, or a failure if it is leaving."""
-    if answer.status_code == engine.HTTP_UNAVAILABLE:
-        # A copy of the refusal must not answer the next call.
-        connections.retire(answer)
     await answer.aread()
     if engine.is_leaving(answer.status_code, answer.content):
         return result.Err(engine.target_leaving(target))
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -221,6 +221,30 @@
 
         run_client(test, answer)
 
+    @expand([('whole', 0), ('half before it', 30)])
+    def test_call_that_meets_a_copy_gets_its_own_answer(self, _, size):
+        async def answer(reader, writer):
+            copy = b''
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    text = await reader.readuntil(b'\r\n\r\n')
+                    body = text.split(b' ')[1]
+                    writer.write(copy[size:])
+                    copy = with_length(b'HTTP/1.1 200 OK\r\n', body)
+                    writer.write(copy)
+                    writer.write(copy[:size])
+                    await writer.drain()
+            writer.close()
+
+        async def test(target, client):
+            calls = service.connect(client, client)
+            for number in range(CALLS):
+                request = service.ServiceCall('GET', f'/{number}', {}, b'')
+                answered = await calls.call(target, request, 2.0)
+                self.assertEqual(b'/%d' % number, answered.ok_value.body)
+
+        run_client(test, answer)
+
 
 class TestSecondAnswersThroughTunnels(unittest.TestCase):
     """A copy that had come through a tunnel met the next request."""
@@ -374,6 +398,8 @@
             with anyio.fail_after(8):
                 await test(target, client)
         server.close()
+        # Until the connections of the target have ended.
+        await asyncio.sleep(0.01)
 
     asyncio.run(main())
 
--- a/tests/test_target_clients.py
+++ b/tests/test_target_clients.py
@@ -187,8 +187,8 @@
 
         run(test, OK, CLOSE, OK, OK)
 
-    def test_connection_is_not_used_after_a_refusal(self):
-        """The service may write the refusal again, before the next answer."""
+    def test_no_connection_is_used_twice(self):
+        """The service may write an answer again, before the next one."""
 
         async def test(target, clients, raw):
             async with pools.make_client(keep_connections=True) as client:
@@ -198,7 +198,7 @@
                 answer = await port.call(target, CALL, TIMEOUT_SECONDS)
                 self.assertEqual(200, answer.ok_value.status)
                 await port.call(target, CALL, TIMEOUT_SECONDS)
-            self.assertEqual(2, raw.connections)
+            self.assertEqual(3, raw.connections)
 
         run(test, LEAVING, OK, OK)
 
