Orders: send each order on a new connection

The operator saw: an order that an engine carried out was reported as refused with an outdated fencing number, with the verdict NOT_RUN, or with the state after an earlier order.

Cause: answers to orders name no order, like those of plain services. A copy of an earlier answer, written with the next one, was taken for the answer.

Evidence: tests.test_second_answers.TestSecondAnswersToOrders failed in 2 of 2 cases.

Why it works: orders ask the engine to close the connection, so that no connection carries two of them. They are rare.

--- a/src/persimmonpass/targets/orders.py
+++ b/src/persimmonpass/targets/orders.py
@@ -13,6 +13,9 @@
 from persimmonpass import verdicts
 
 STATE_TIMEOUT_SECONDS = 2.0
+# Answers name no call, so that the copy of one on a kept connection can't be
+# told from the answer to the next call.
+_HEADERS = {'Connection': 'close'}
 ORDER_TIMEOUT_SECONDS = 30.0
 
 
@@ -91,7 +94,9 @@
     ) -> result.Result[State, verdicts.Failure]:
         url = f'http://{target.address}/v1/orders'
         try:
-            answer = await client.request(method, url, **options)
+            answer = await client.request(
+                method, url, headers=_HEADERS, **options
+            )
             if answer.status_code == 409:
                 return result.Err(fenced(target.name))
             answer.raise_for_status()
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -23,6 +23,7 @@
 from persimmonpass.targets import connections
 from persimmonpass.targets import engine
 from persimmonpass.targets import framing
+from persimmonpass.targets import orders
 from persimmonpass.targets import pools
 from persimmonpass.targets import service
 from tests import platform_fakes
@@ -336,6 +337,38 @@
         run_client(test, answer)
 
 
+class TestSecondAnswersToOrders(unittest.TestCase):
+    """A copy of an answer was taken for the answer to the next order."""
+
+    @expand([('refusal', 409), ('state', 200)])
+    def test_order_that_meets_a_copy_gets_its_own_answer(self, _, status):
+        async def answer(reader, writer):
+            copy = b''
+            with contextlib.suppress(ConnectionError, EOFError):
+                while True:
+                    text = await reader.readuntil(b'\r\n\r\n')
+                    size = text.lower().partition(b'content-length: ')[2]
+                    body = await reader.readexactly(int(size.split()[0]))
+                    is_first = b'"fence":1' in body
+                    head = b'HTTP/1.1 %d X\r\n' % (status if is_first else 200)
+                    writer.write(copy)
+                    copy = with_length(head, body)
+                    writer.write(copy)
+                    await writer.drain()
+            writer.close()
+
+        async def test(target, client):
+            port = orders.connect(client)
+            await port.send(target, orders.Order((), 'both', 1))
+            for fence in (2, 3):
+                order = orders.Order((), 'both', fence)
+                answered = await port.send(target, order)
+                self.assertTrue(answered.is_ok(), answered)
+                self.assertEqual(fence, answered.ok_value.fence)
+
+        run_client(test, answer)
+
+
 class TestSecondAnswersAtGateways(unittest.TestCase):
     """A second copy of an answer failed the next request."""
 
