Targets: reject a head that broke off and goes on with another answer

Callers saw, if a target broke off in the head of an answer and then wrote another answer on the connection: the status of the first one with the headers and the body of the second, for example 200 for an answer that is 500.

Cause: a status line may stand in the reason phrase or in the value of a field. Up to the break, the head of the first answer is valid, and the fields of the second one complete it.

Why it works: a status line behind the first line is accepted only if no field name stands both before and after it, and none within the first line.

--- a/src/persimmonpass/targets/framing.py
+++ b/src/persimmonpass/targets/framing.py
@@ -3,11 +3,15 @@
 import collections.abc
 import re
 
+import httpcore
+
 MAX_LINE_BYTES = 16_384
 
 HEAD_END = re.compile(rb'\n\r?\n')
 _TRAILER_END = re.compile(rb'\r?\n|[\s\S]*?\n\r?\n')
 _STATUS = slice(9, 12)
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5][0-9]{2}\b')
+_FIELD_NAME = re.compile(rb'^([^\s:]+):', re.MULTILINE)
 _SWITCHING_PROTOCOLS = 101
 _NO_BODY = (204, 304)
 
@@ -44,7 +48,11 @@
         return not (self._read_next or self._left or self._unread)
 
     def add(self, data: bytes) -> None:
-        """Add bytes that have arrived."""
+        """Add bytes that have arrived.
+
+        :raises httpcore.RemoteProtocolError: if the head has broken off and
+            another one goes on in its place
+        """
         self._unread += data
         while self._unread:
             if self._left:
@@ -60,6 +68,8 @@
             return False
         head = self._unread[: end.end()]
         self._unread = self._unread[end.end() :]
+        if _has_second_head(head):
+            raise httpcore.RemoteProtocolError('two heads of answers in one')
         fields = {
             name.strip().lower(): value.strip().lower()
             for name, _, value in (
@@ -118,3 +128,20 @@
         """Skip bytes of an answer that ends with its connection."""
         self._unread = b''
         return True
+
+
+def _has_second_head(head: bytes) -> bool:
+    """Return whether a head broke off and another one follows.
+
+    A field may hold a status line of another answer. A second head repeats
+    the names of fields, too.
+    """
+    second = _STATUS_LINE.search(head, 1)
+    if second is None:
+        return False
+    first, rest = head[: second.start()], head[second.start() :]
+    names = [
+        {name.lower() for name in _FIELD_NAME.findall(part)}
+        for part in (first, rest)
+    ]
+    return b'\n' not in first or not names[0].isdisjoint(names[1])
