Online: an error does not end the attempts of a stream that has begun

Callers saw: a stream broke off although another target could have gone on with it; the log counted the request as abandoned, as if the caller had left.

Cause: after a break, an answer without events (an error below 500, one of the last attempt, a page, a redirect) was passed on as the whole answer. Its head was started a second time in the middle of the caller's stream. The HTTP server happened to refuse that with an exception, which ended the request.

Why it works: once a stream has begun, only a stream can continue it. Any other answer is a failed run; further targets are tried as far as the route allows, and then the connection closes without the end of the answer.

--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -317,6 +317,10 @@
             return self._handle_failure(
                 request, target, _server_error(target, head.status)
             )
+        if request.started and not head.is_stream:
+            return self._handle_failure(
+                request, target, _no_continuation(target, head.status)
+            )
         try:
             if head.is_stream:
                 await self._forward_events(
@@ -603,6 +607,15 @@
     )
 
 
+def _no_continuation(
+    target: blackboard.Target, status: int
+) -> verdicts.Failure:
+    failure = _server_error(target, status)
+    return failure._replace(
+        message=f'{failure.message}, which cannot continue a stream'
+    )
+
+
 def _refused_part() -> verdicts.Failure:
     return verdicts.Failure(
         verdicts.Verdict.NOT_RUN,
