Tunnels: a host that stops waits for the requests that it carries

Callers of a host that reaches its targets through a peer saw their stream cut when that peer was stopped: its drain took a tunnel without bytes for a second as not in use, and a sound stream may pause for longer. A plain answer that takes longer than a second was lost in the same way.

The test plays one answer longer than before, since each of its 8 callers got one answer and its minimum is more than 8.

--- a/src/persimmonpass/peers/tunnel.py
+++ b/src/persimmonpass/peers/tunnel.py
@@ -1,9 +1,10 @@
 """Connections to targets through a peer, over WebSockets of their own.
 
 A host that cannot reach a target opens a tunnel to a peer that can. The peer
-connects to the target and copies bytes in both directions without reading
-them, so that requests and answers are the same as on a direct connection, and
-so is their back pressure. Links with control messages carry none of it.
+connects to the target and copies bytes in both directions unchanged, so that
+requests and answers are the same as on a direct connection, and so is their
+back pressure. It only follows where answers end, to know which tunnels carry a
+request. Links with control messages carry none of it.
 """
 
 import collections.abc
@@ -20,16 +21,16 @@
 from persimmonpass import events
 from persimmonpass.peers import listener
 from persimmonpass.peers import port
+from persimmonpass.targets import framing
 
 METHOD_OPEN = 'tunnel.open'
 # Tunnels that a host keeps for its peers.
 MAX_TUNNELS = 256
 # Shorter than the time that the other host waits for the connection.
 CONNECT_TIMEOUT_SECONDS = 0.25
-# A tunnel without bytes for this time is not in use.
-IDLE_SECONDS = 1.0
 CLOSE_TIMEOUT_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 262_144
+_HEAD_REQUEST = b'HEAD '
 
 # Codes with which a tunnel is closed. Any other one means that the tunnel
 # itself has failed, which says nothing about the target.
@@ -48,13 +49,31 @@
 
 
 class _Tunnel:
-    """A tunnel that a peer has opened.
-
-    :ivar used_at: local clock at the last bytes, in seconds
-    """
+    """A tunnel that a peer has opened."""
 
     def __init__(self) -> None:
-        self.used_at = anyio.current_time()
+        self._is_answered = True
+        self._end = framing.AnswerEnd()
+
+    @property
+    def is_in_use(self) -> bool:
+        """Whether it carries a request whose answer has not ended."""
+        return not self._is_answered
+
+    def record_request(self, data: bytes) -> None:
+        """Record bytes of a request, which are sent to the target."""
+        if self._is_answered:
+            self._is_answered = False
+            self._end = framing.AnswerEnd(
+                has_no_body=data.startswith(_HEAD_REQUEST)
+            )
+
+    def record_answer(self, data: bytes) -> None:
+        """Record bytes of an answer, which are sent to the peer."""
+        with contextlib.suppress(httpcore.RemoteProtocolError):
+            # The peer reads the same bytes and judges them.
+            self._end.add(data)
+        self._is_answered = self._end.is_exact
 
 
 class Tunnels:
@@ -79,9 +98,8 @@
 
     @property
     def in_use(self) -> int:
-        """Number of tunnels on which bytes have been sent lately."""
-        since = anyio.current_time() - IDLE_SECONDS
-        return sum(tunnel.used_at > since for tunnel in self._tunnels)
+        """Number of tunnels that carry a request."""
+        return sum(tunnel.is_in_use for tunnel in self._tunnels)
 
     async def _serve(
         self,
@@ -140,7 +158,7 @@
         *listener.CLOSED, anyio.BrokenResourceError, anyio.ClosedResourceError
     ):
         async for data in connection:
-            tunnel.used_at = anyio.current_time()
+            tunnel.record_request(typing.cast(bytes, data))
             await target.send(typing.cast(bytes, data))
 
 
@@ -156,8 +174,8 @@
         try:
             while True:
                 data = await target.receive()
-                tunnel.used_at = anyio.current_time()
                 await connection.send(data)
+                tunnel.record_answer(data)
         except anyio.EndOfStream:
             pass
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -23,8 +23,9 @@
     *map(int, os.environ.get('STOP_SEEDS', '1:2').split(':', maxsplit=1))
 )
 PACE_SECONDS = 0.05
-# A whole answer of these targets takes 4.5 s.
-LONG_PACE_SECONDS = 4.5 / platform_fakes.TOKENS
+# Time of a whole answer of slow targets.
+LONG_SECONDS = 4.5
+LONG_PACE_SECONDS = LONG_SECONDS / platform_fakes.TOKENS
 WARM_UP_SECONDS = 1.0
 SERIES_SECONDS = 1.0
 SETTLE_SECONDS = 20.0
@@ -253,7 +254,8 @@
                         fleet.hosts['one'].drain()
                         with anyio.fail_after(15):
                             await fleet.stopped['one'].wait()
-                        await anyio.sleep(SERIES_SECONDS)
+                        # The callers get another answer each.
+                        await anyio.sleep(LONG_SECONDS + SERIES_SECONDS)
                         tasks.cancel_scope.cancel()
                 # Streams that still run are the other host's.
                 load.attempts = [
