Targets: drop answers to earlier requests on a connection

Callers of the gateway saw: 502, or an answer of another target later than needed, when a target wrote an answer once more and the copy came where the answer to the next request on the connection was due. The target had run that request, and was counted as having crashed at it.

Cause: the id tells that an answer isn't the one that is due, but the connection was then closed, with the answer that followed.

Why it works: an answer that bears the id of an earlier request on the same connection, and not that of the present one, is skipped up to its end, once for each earlier request. Any other answer is passed on and judged as before, so that a skipped answer can only make room for the one that is due. Direct connections and tunnels share the code; the time limits of the head apply meanwhile.

--- a/src/persimmonpass/targets/connections.py
+++ b/src/persimmonpass/targets/connections.py
@@ -10,6 +10,7 @@
 
 from persimmonpass.peers import tunnel
 from persimmonpass.targets import framing
+from persimmonpass.targets import late_answers
 
 # Interim answers of a target that sends them without end are parsed without a
 # pause, which holds up the event loop.
@@ -23,7 +24,6 @@
 _STATUS_START = 9
 _STATUS_END = 12
 _SWITCHING_PROTOCOLS = b'101'
-_HEAD_REQUEST = b'HEAD '
 
 
 class RelayBrokenError(httpx.ReadError):
@@ -101,8 +101,14 @@
     taken for the answer to the next request.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(
+        self,
+        stream: httpcore.AsyncNetworkStream,
+        read_id: late_answers.ReadId,
+    ) -> None:
         self._stream = stream
+        self._read_id = read_id
+        self._late = late_answers.LateAnswers(read_id)
         self._interim = _InterimBytes()
         self._end = framing.AnswerEnd()
         self._is_writing = False
@@ -127,10 +133,13 @@
             long
         """
         self._is_writing = False
-        if not self._unread:
-            self._unread = await self._stream.read(
+        while not self._unread:
+            received = await self._stream.read(
                 max(max_bytes, _MAX_RECEIVED_BYTES), timeout
             )
+            if not received:
+                return b''
+            self._unread = self._late.drop(received)
         data, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
         self._interim.add(data)
         self._end.add(data)
@@ -141,8 +150,9 @@
         self._interim = _InterimBytes()
         if not self._is_writing:
             self._is_writing = True
+            self._late.begin(buffer)
             self._end = framing.AnswerEnd(
-                has_no_body=buffer.startswith(_HEAD_REQUEST)
+                has_no_body=buffer.startswith(framing.HEAD_REQUEST)
             )
         await self._stream.write(buffer, timeout)
 
@@ -158,7 +168,10 @@
     ) -> httpcore.AsyncNetworkStream:
         """Return the connection with TLS."""
         return _Stream(
-            await self._stream.start_tls(ssl_context, server_hostname, timeout)
+            await self._stream.start_tls(
+                ssl_context, server_hostname, timeout
+            ),
+            self._read_id,
         )
 
     def get_extra_info(self, info: str) -> typing.Any:
@@ -172,8 +185,13 @@
 class _Backend(httpcore.AsyncNetworkBackend):
     """Opens connections that bound interim answers."""
 
-    def __init__(self, backend: httpcore.AsyncNetworkBackend) -> None:
+    def __init__(
+        self,
+        backend: httpcore.AsyncNetworkBackend,
+        read_id: late_answers.ReadId,
+    ) -> None:
         self._backend = backend
+        self._read_id = read_id
 
     async def connect_tcp(
         self,
@@ -187,7 +205,8 @@
         return _Stream(
             await self._backend.connect_tcp(
                 host, port, timeout, local_address, socket_options
-            )
+            ),
+            self._read_id,
         )
 
     async def sleep(self, seconds: float) -> None:
@@ -219,19 +238,23 @@
         limits: httpx.Limits,
         context: ssl.SSLContext,
         backend: httpcore.AsyncNetworkBackend | None = None,
+        read_id: late_answers.ReadId = lambda headers: '',
     ) -> None:
         """Create a pool without connections.
 
         :param limits: limits of the pool
         :param context: TLS context
         :param backend: opens the connections if they are not direct
+        :param read_id: tells late answers from the one that is due
         """
         self._pool = httpcore.AsyncConnectionPool(
             ssl_context=context,
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
             keepalive_expiry=limits.keepalive_expiry,
-            network_backend=_Backend(backend or httpcore.AnyIOBackend()),
+            network_backend=_Backend(
+                backend or httpcore.AnyIOBackend(), read_id
+            ),
         )
 
     async def handle_async_request(
--- a/src/persimmonpass/targets/framing.py
+++ b/src/persimmonpass/targets/framing.py
@@ -7,6 +7,7 @@
 
 MAX_LINE_BYTES = 16_384
 
+HEAD_REQUEST = b'HEAD '
 HEAD_END = re.compile(rb'\n\r?\n')
 _TRAILER_END = re.compile(rb'\r?\n|[\s\S]*?\n\r?\n')
 _STATUS = slice(9, 12)
@@ -16,6 +17,16 @@
 _NO_BODY = (204, 304)
 
 
+def read_fields(head: bytes) -> list[tuple[bytes, bytes]]:
+    """Return the names and values of a head, the last of which is empty."""
+    return [
+        (name.strip(), value.strip())
+        for name, _, value in (
+            line.partition(b':') for line in head.split(b'\n')[1:]
+        )
+    ]
+
+
 class AnswerEnd:
     """Tells whether an answer and nothing else has arrived.
 
@@ -40,12 +51,22 @@
         )
 
     @property
-    def is_exact(self) -> bool:
-        """Whether the answer has ended with the last byte.
+    def has_ended(self) -> bool:
+        """Whether all of the answer has arrived.
 
         Never true if this cannot be told.
         """
-        return not (self._read_next or self._left or self._unread)
+        return not (self._read_next or self._left)
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the end of the answer."""
+        return self._unread if self.has_ended else b''
+
+    @property
+    def is_exact(self) -> bool:
+        """Whether the answer has ended with the last byte."""
+        return self.has_ended and not self._unread
 
     def add(self, data: bytes) -> None:
         """Add bytes that have arrived.
@@ -71,10 +92,7 @@
         if _has_second_head(head):
             raise httpcore.RemoteProtocolError('two heads of answers in one')
         fields = {
-            name.strip().lower(): value.strip().lower()
-            for name, _, value in (
-                line.partition(b':') for line in head.split(b'\n')[1:]
-            )
+            name.lower(): value.lower() for name, value in read_fields(head)
         }
         try:
             status = int(head[_STATUS])
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -131,14 +131,16 @@
             ),
             keepalive_expiry=KEEPALIVE_EXPIRY_SECONDS,
         )
-        make_pool = None
+        backend = None
         if helper is not None:
             backend = tunnel.Backend(helper, self._open_tunnel)
 
-            def make_pool(
-                limits: httpx.Limits, context: ssl.SSLContext
-            ) -> httpx.AsyncBaseTransport:
-                return connections.Transport(limits, context, backend)
+        def make_pool(
+            limits: httpx.Limits, context: ssl.SSLContext
+        ) -> httpx.AsyncBaseTransport:
+            return connections.Transport(
+                limits, context, backend, self._wire.read_id
+            )
 
         found = pools.TargetPools(limits, self._context, make_pool)
         self._pools[helper, kept] = found
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -417,6 +417,64 @@
         test_target_faults.run(test)
 
 
+class TestLateAnswersAtGateways(unittest.TestCase):
+    """A request failed because a copy of an earlier answer met it."""
+
+    @expand(
+        [
+            (f'{path[1:-1]} {form.__name__} {name}', path, form, size)
+            for path in ('/notes/', '/plain/')
+            for form in (with_length, chunked)
+            for name, size in (('at once', 10_000), ('in parts', 40))
+        ]
+    )
+    def test_request_gets_its_own_answer(self, _, path, form, size):
+        copies = {}
+
+        async def answer(target, fields, writer):
+            head = HEAD % (200, fields[b'request-id'])
+            body = b'id: 1\ndata: %s\n\n' % fields[b'request-id']
+            if path == '/notes/':
+                head += b'Content-Type: text/event-stream\r\n'
+            text = copies.pop(writer, b'')
+            copies[writer] = form(head, body)
+            text += copies[writer]
+            for start in range(0, len(text), size):
+                writer.write(text[start : start + size])
+                await writer.drain()
+                await asyncio.sleep(0.002)
+            return True
+
+        async def test(raw):
+            raw.fleet.store.memory.put(
+                'config',
+                'main',
+                platform_fakes.configuration(
+                    2,
+                    [
+                        platform_fakes.route('/notes/', maxAttempts=1),
+                        platform_fakes.route(
+                            '/plain/', 'idempotent', maxAttempts=1
+                        ),
+                    ],
+                ),
+            )
+            target = await raw.add('i-late', answer)
+            await asyncio.sleep(0.3)
+            ids = [f'r{number}' for number in range(CALLS)]
+            for request_id in ids:
+                found = await raw.fleet.post(
+                    f'{path}1', **{'Request-Id': request_id}
+                )
+                self.assertEqual(200, found.status_code)
+                self.assertEqual(request_id, found.headers['request-id'])
+                self.assertIn(request_id.encode(), found.content)
+            self.assertEqual(ids, target.requests)
+            self.assertEqual(1, len(copies))
+
+        test_target_faults.run(test)
+
+
 def run_client(test, answer):
     """Run ``test(target, client)`` while a target serves.
 
