Online: only the next event continues a stream that broke off

Callers saw: after a break, their stream went on with an error's text, with the text of another run, or without the events between two runs, and ended as if it were complete.

Cause: the first event of the next target's answer was not compared with the last one that the caller has. Events of a run that had ignored the id and began again were skipped up to it, and joined from there; later events and events without an id were passed on.

Evidence: raw targets and a raw caller, 11 streams that are no continuation.

Why it works: the first event must have the id after the last one; otherwise the run failed, and the next target is tried. Comments are dropped there. The answer itself was read, so that the run is no sign of a crash.

--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -319,7 +319,9 @@
             )
         if request.started and not head.is_stream:
             return self._handle_failure(
-                request, target, _no_continuation(target, head.status)
+                request,
+                target,
+                _no_continuation(target, f'status {head.status}'),
             )
         try:
             if head.is_stream:
@@ -328,6 +330,10 @@
                 )
             else:
                 await self._forward_body(request, answer, recall)
+        except exceptions.NotContinuedError as error:
+            return self._handle_failure(
+                request, target, _no_continuation(target, str(error))
+            )
         except (httpx.HTTPError, TimeoutError, ValueError) as error:
             return self._handle_failure(
                 request, target, _incomplete_answer(target, error)
@@ -345,7 +351,7 @@
         can_resend: bool,
         recall: crash_parts.Recall,
     ) -> None:
-        reader = exchange.EventReader()
+        reader = exchange.EventReader(request.last_id)
         route = request.route
         stall_seconds = max(MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds)
         first = True
@@ -608,11 +614,13 @@
 
 
 def _no_continuation(
-    target: blackboard.Target, status: int
+    target: blackboard.Target, detail: str
 ) -> verdicts.Failure:
-    failure = _server_error(target, status)
-    return failure._replace(
-        message=f'{failure.message}, which cannot continue a stream'
+    return verdicts.Failure(
+        verdicts.Verdict.RAN,
+        events.TARGET_FAILED,
+        f'target {target.name} did not continue a stream: {detail}',
+        BAD_GATEWAY,
     )
 
 
--- a/src/persimmonpass/exceptions.py
+++ b/src/persimmonpass/exceptions.py
@@ -23,3 +23,7 @@
 
 class CallerStalledError(BrokenAnswerError):
     """The caller took no bytes of its answer for some time."""
+
+
+class NotContinuedError(PersimmonpassError):
+    """A target's answer does not go on where a broken stream ended."""
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from persimmonpass import blackboard
+from persimmonpass import exceptions
 
 Headers = list[tuple[bytes, bytes]]
 MAX_EVENT_BYTES = 1_000_000
@@ -187,7 +188,13 @@
     An event that is not complete is kept until the rest of it is fed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, after: int | None = None) -> None:
+        """Create a reader without bytes.
+
+        :param after: id of the event that the first one has to follow;
+            ``None`` if the stream may begin with any event
+        """
+        self._after = after
         self._partial = b''
         self._without_id = 0
 
@@ -201,6 +208,8 @@
 
         :raises ValueError: if an event is longer than allowed, or if more
             events than allowed have no id
+        :raises NotContinuedError: if the first event is not the one that has
+            to follow
         """
         *complete, partial = (self._partial + data).split(EVENT_END)
         longest = max(map(len, (*complete, partial)))
@@ -213,16 +222,28 @@
         found: list[Event] = []
         for part in complete:
             event = _read_event(part + EVENT_END)
-            found.append(event)
             self._without_id += event.id is None
             if self._without_id > MAX_EVENTS_WITHOUT_ID:
                 raise ValueError(
                     f'expected events with ids, got {self._without_id} '
                     f'without one; {MAX_EVENTS_WITHOUT_ID} are allowed'
                 )
+            if self._after is not None:
+                if _is_comment(event.raw):
+                    continue
+                if event.id != self._after + 1:
+                    raise exceptions.NotContinuedError(
+                        f'expected event {self._after + 1}, got {event.id}'
+                    )
+                self._after = None
+            found.append(event)
         return found
 
 
+def _is_comment(raw: bytes) -> bool:
+    return all(line[:1] in (b'', b':') for line in raw.split(b'\n'))
+
+
 def _read_event(raw: bytes) -> Event:
     number: int | None = None
     data: list[bytes] = []
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -70,6 +70,7 @@
 # A stream that breaks off within its third event.
 CUT = chunked(event(1), event(2), PARTIAL, ends=False)
 GOOD = chunked(event(3), event(4))
+VERSIONED = b'weight-versions: 2\n' + event(3)
 
 # Answers that cannot continue a stream after its second event.
 ERRORS = [
@@ -91,6 +92,20 @@
     ('page without length', unframed(ERROR_EVENT, 200, b'text/html')),
     ('empty page', whole(b'', 200, TEXT)),
 ]
+# Streams that cannot continue one after its second event.
+STREAMS = [
+    ('text', chunked(ERROR)),
+    ('paragraph', chunked(ERROR + b'\n\n')),
+    ('error event', chunked(b'event: error\ndata: %s\n\n' % ERROR)),
+    ('later start', chunked(event(4))),
+    ('start again', chunked(events_from(1, 4, b'y'))),
+    ('cut event', chunked(PARTIAL, ends=False)),
+    ('cut event at end', chunked(PARTIAL)),
+    ('nothing', chunked(ends=False)),
+    ('head cut', head()[:-20]),
+    ('head only', head()),
+    ('of another request', head(name=b'z') + b'Content-Length: 0\r\n\r\n'),
+]
 
 
 class ScriptedTargets:
@@ -245,7 +260,7 @@
 
 
 class TestJoinedStreams(unittest.TestCase):
-    @expand(ERRORS)
+    @expand(ERRORS + STREAMS)
     def test_stream_that_cannot_continue_is_cut(self, _, answer):
         async def test(fleet, targets):
             with logged(events.REQUEST_BROKEN) as found:
@@ -258,7 +273,7 @@
 
         run_with_targets([CUT, answer], 2, test)
 
-    @expand(ERRORS)
+    @expand(ERRORS + STREAMS)
     def test_third_target_continues_a_stream(self, _, answer):
         async def test(fleet, targets):
             received = await call_raw(fleet)
@@ -272,6 +287,34 @@
 
         run_with_targets([CUT, answer, GOOD], 3, test)
 
+    @expand(
+        [
+            # Answer that goes on after the second event; rest of the stream
+            ('events', GOOD, events_from(3)),
+            ('comments first', chunked(b': a\n\n', event(3)), event(3)),
+            ('event with version', chunked(VERSIONED), VERSIONED),
+            (
+                'comment later',
+                chunked(event(3), b':\n\n'),
+                event(3) + b':\n\n',
+            ),
+            ('with length', whole(events_from(3)), events_from(3)),
+            ('ends with connection', unframed(events_from(3)), events_from(3)),
+            ('no more events', chunked(), b''),
+            ('no more events, with length', whole(b''), b''),
+        ]
+    )
+    def test_stream_goes_on_at_another_target(self, _, answer, rest):
+        async def test(fleet, targets):
+            received = await call_raw(fleet)
+            self.assertEqual(
+                (200, BEGUN + rest), (received.status, received.body)
+            )
+            self.assertTrue(received.is_complete)
+            self.assertEqual([(b'r', 0), (b'r', 2)], targets.requests)
+
+        run_with_targets([CUT, answer], 2, test)
+
 
 if __name__ == '__main__':
     unittest.main()
