Online: a stream is not run again after an event without an id

Callers saw: a stream that broke off after an event without an id went on with a run from the start, or with events that came before that one.

Cause: such an event left the last id as it was, or unset, and the next target was asked for what follows that id.

Evidence: raw targets and a raw caller; 2 of 2 cases fail before and pass after. 8 of 8 cases in which the caller itself resumes pass before and after: it gets the target's answer as it is, or 502 if that does not go on there.

Why it works: no id names the place after such an event, so that the stream ends there without its end, and the caller can tell.

The log collector of the tests drops what was logged before it was added.

--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -417,7 +417,7 @@
                 request.route.kind.value
             ).observe(seconds)
         await request.caller.send(event.raw, True)
-        if event.id is not None:
+        if not event.is_comment:
             request.last_id = event.id
 
     async def _forward_body(
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -181,6 +181,12 @@
     id: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no lines but comments."""
+        lines = self.raw.split(b'\n')
+        return all(line[:1] in (b'', b':') for line in lines)
+
 
 class EventReader:
     """Splits a stream of bytes into events.
@@ -229,7 +235,7 @@
                     f'without one; {MAX_EVENTS_WITHOUT_ID} are allowed'
                 )
             if self._after is not None:
-                if _is_comment(event.raw):
+                if event.is_comment:
                     continue
                 if event.id != self._after + 1:
                     raise exceptions.NotContinuedError(
@@ -240,10 +246,6 @@
         return found
 
 
-def _is_comment(raw: bytes) -> bool:
-    return all(line[:1] in (b'', b':') for line in raw.split(b'\n'))
-
-
 def _read_event(raw: bytes) -> Event:
     number: int | None = None
     data: list[bytes] = []
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -15,7 +15,8 @@
     :ivar started_at: local clock at the arrival, in seconds
     :ivar deadline: local clock at the deadline, in seconds
     :ivar sent_at: local clock when it was last sent to a target, in seconds
-    :ivar last_id: id of the last event that was sent to the caller
+    :ivar last_id: id of the last event that was sent to the caller; ``None``
+        before the first and if it has none
     :ivar started: whether the head of the answer was sent to the caller
     :ivar runs: attempts that may have run at a target
     :ivar refusals: attempts that a target refused
@@ -82,7 +83,12 @@
 
     @property
     def can_run_again(self) -> bool:
-        """Whether the request may be sent to another target."""
+        """Whether the request may be sent to another target.
+
+        A stream cannot go on after an event without an id.
+        """
         if not self.runs:
             return True
+        if self.started and self.last_id is None:
+            return False
         return self.route.repeatable and self.runs < self.route.max_attempts
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -232,6 +232,8 @@
             found.append(message)
 
     eliot.add_destinations(collect)
+    # The first destination is given all messages so far.
+    found.clear()
     try:
         yield found
     finally:
@@ -315,6 +317,48 @@
 
         run_with_targets([CUT, answer], 2, test)
 
+    @expand(
+        [
+            # Events before the break
+            ('no ids', b'data: a\n\ndata: b\n\n'),
+            ('no id at the end', BEGUN + b'data: b\n\n'),
+        ]
+    )
+    def test_stream_without_id_is_not_run_again(self, _, begun):
+        async def test(fleet, targets):
+            received = await call_raw(fleet)
+            self.assertEqual((200, begun), (received.status, received.body))
+            self.assertFalse(received.is_complete)
+            self.assertEqual([(b'r', 0)], targets.requests)
+
+        script = [chunked(begun, ends=False), chunked(events_from(1)), GOOD]
+        run_with_targets(script, 3, test)
+
+    @expand(
+        [
+            # Answer to the caller's own resumption, what the caller gets
+            ('error', whole(ERROR, 500, TEXT), 500, ERROR),
+            ('not found', whole(ERROR, 404, TEXT), 404, ERROR),
+            ('page', whole(ERROR, 200, TEXT), 200, ERROR),
+            ('rest', GOOD, 200, events_from(3)),
+            ('no more events', chunked(), 200, b''),
+            ('later start', chunked(event(4)), 502, b''),
+            ('start again', chunked(events_from(1)), 502, b''),
+            ('error event', chunked(b'data: error\n\n'), 502, b''),
+        ]
+    )
+    def test_resumed_request_gets_the_answer(self, _, answer, status, body):
+        async def test(fleet, targets):
+            await call_raw(fleet)
+            received = await call_raw(
+                fleet, 's', **{'Last-Event-Id': '2', 'Resumes': 'r'}
+            )
+            self.assertEqual((status, body), (received.status, received.body))
+            self.assertTrue(received.is_complete)
+            self.assertEqual([(b'r', 0), (b's', 2)], targets.requests)
+
+        run_with_targets([CUT, answer], 1, test)
+
 
 if __name__ == '__main__':
     unittest.main()
