--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -70,6 +70,7 @@
 # A stream that breaks off within its third event.
 CUT = chunked(event(1), event(2), PARTIAL, ends=False)
 GOOD = chunked(event(3), event(4))
+VERSIONED = b'weight-versions: 2\n' + event(3)
 
 # Answers that cannot continue a stream after its second event.
 ERRORS = [
@@ -91,6 +92,20 @@
     ('page without length', unframed(ERROR_EVENT, 200, b'text/html')),
     ('empty page', whole(b'', 200, TEXT)),
 ]
+# Streams that cannot continue one after its second event.
+STREAMS = [
+    ('text', chunked(ERROR)),
+    ('paragraph', chunked(ERROR + b'\n\n')),
+    ('error event', chunked(b'event: error\ndata: %s\n\n' % ERROR)),
+    ('later start', chunked(event(4))),
+    ('start again', chunked(events_from(1, 4, b'y'))),
+    ('cut event', chunked(PARTIAL, ends=False)),
+    ('cut event at end', chunked(PARTIAL)),
+    ('nothing', chunked(ends=False)),
+    ('head cut', head()[:-20]),
+    ('head only', head()),
+    ('of another request', head(name=b'z') + b'Content-Length: 0\r\n\r\n'),
+]
 
 
 class ScriptedTargets:
@@ -217,6 +232,8 @@
             found.append(message)
 
     eliot.add_destinations(collect)
+    # The first destination is given all messages so far.
+    found.clear()
     try:
         yield found
     finally:
@@ -245,7 +262,7 @@
 
 
 class TestJoinedStreams(unittest.TestCase):
-    @expand(ERRORS)
+    @expand(ERRORS + STREAMS)
     def test_stream_that_cannot_continue_is_cut(self, _, answer):
         async def test(fleet, targets):
             with logged(events.REQUEST_BROKEN) as found:
@@ -258,7 +275,7 @@
 
         run_with_targets([CUT, answer], 2, test)
 
-    @expand(ERRORS)
+    @expand(ERRORS + STREAMS)
     def test_third_target_continues_a_stream(self, _, answer):
         async def test(fleet, targets):
             received = await call_raw(fleet)
@@ -272,6 +289,76 @@
 
         run_with_targets([CUT, answer, GOOD], 3, test)
 
+    @expand(
+        [
+            # Answer that goes on after the second event; rest of the stream
+            ('events', GOOD, events_from(3)),
+            ('comments first', chunked(b': a\n\n', event(3)), event(3)),
+            ('event with version', chunked(VERSIONED), VERSIONED),
+            (
+                'comment later',
+                chunked(event(3), b':\n\n'),
+                event(3) + b':\n\n',
+            ),
+            ('with length', whole(events_from(3)), events_from(3)),
+            ('ends with connection', unframed(events_from(3)), events_from(3)),
+            ('no more events', chunked(), b''),
+            ('no more events, with length', whole(b''), b''),
+        ]
+    )
+    def test_stream_goes_on_at_another_target(self, _, answer, rest):
+        async def test(fleet, targets):
+            received = await call_raw(fleet)
+            self.assertEqual(
+                (200, BEGUN + rest), (received.status, received.body)
+            )
+            self.assertTrue(received.is_complete)
+            self.assertEqual([(b'r', 0), (b'r', 2)], targets.requests)
+
+        run_with_targets([CUT, answer], 2, test)
+
+    @expand(
+        [
+            # Events before the break
+            ('no ids', b'data: a\n\ndata: b\n\n'),
+            ('no id at the end', BEGUN + b'data: b\n\n'),
+        ]
+    )
+    def test_stream_without_id_is_not_run_again(self, _, begun):
+        async def test(fleet, targets):
+            received = await call_raw(fleet)
+            self.assertEqual((200, begun), (received.status, received.body))
+            self.assertFalse(received.is_complete)
+            self.assertEqual([(b'r', 0)], targets.requests)
+
+        script = [chunked(begun, ends=False), chunked(events_from(1)), GOOD]
+        run_with_targets(script, 3, test)
+
+    @expand(
+        [
+            # Answer to the caller's own resumption, what the caller gets
+            ('error', whole(ERROR, 500, TEXT), 500, ERROR),
+            ('not found', whole(ERROR, 404, TEXT), 404, ERROR),
+            ('page', whole(ERROR, 200, TEXT), 200, ERROR),
+            ('rest', GOOD, 200, events_from(3)),
+            ('no more events', chunked(), 200, b''),
+            ('later start', chunked(event(4)), 502, b''),
+            ('start again', chunked(events_from(1)), 502, b''),
+            ('error event', chunked(b'data: error\n\n'), 502, b''),
+        ]
+    )
+    def test_resumed_request_gets_the_answer(self, _, answer, status, body):
+        async def test(fleet, targets):
+            await call_raw(fleet)
+            received = await call_raw(
+                fleet, 's', **{'Last-Event-Id': '2', 'Resumes': 'r'}
+            )
+            self.assertEqual((status, body), (received.status, received.body))
+            self.assertTrue(received.is_complete)
+            self.assertEqual([(b'r', 0), (b's', 2)], targets.requests)
+
+        run_with_targets([CUT, answer], 1, test)
+
 
 if __name__ == '__main__':
     unittest.main()
