--- a/tests/test_partial_answers.py
+++ b/tests/test_partial_answers.py
@@ -149,6 +149,53 @@
         run(test)
 
 
+class TestCutHeads(unittest.TestCase):
+    """A request whose answer broke off in its head had no other attempt."""
+
+    @expand(
+        [
+            (f'{part} {how}', size, how)
+            for part, size in (
+                ('status line', 7),
+                ('name', 24),
+                ('value', 55),
+                ('blank line', 91),
+            )
+            for how in ('closed', 'reset', 'silent')
+        ]
+    )
+    def test_request_goes_on_at_another_target(self, _, size, how):
+        async def cut(target, fields, writer):
+            writer.write(HEAD[:size])
+            await writer.drain()
+            if how == 'silent':
+                await asyncio.sleep(5)
+            if how == 'reset':
+                test_target_faults.reset(writer)
+            return False
+
+        async def test(raw):
+            target = await raw.add('i-cut', cut)
+
+            async def add_sound():
+                while not target.requests:
+                    await anyio.sleep(0.01)
+                await raw.add('i-sound', test_target_faults.answer_in_full)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(add_sound)
+                answer = await raw.fleet.post(
+                    '/notes/1', **{'Request-Id': 'r'}
+                )
+            self.assertEqual(200, answer.status_code)
+            self.assertEqual(
+                test_target_faults.EVENTS, answer.content.count(b'data: x-')
+            )
+            self.assertEqual(['r'], target.requests)
+
+        test_target_faults.run(test)
+
+
 class TestInterruptedAnswers(unittest.TestCase):
     """An answer that broke off was continued by another answer."""
 
