Targets: the end of an answer is found in linear time

The search for the end of an answer cut off each chunk that it had read, which copied all bytes behind it: 66 kB of chunks of 16 bytes took 11.2 ms, and time grew with the square of what arrives at once.

--- a/src/persimmonpass/targets/framing.py
+++ b/src/persimmonpass/targets/framing.py
@@ -15,6 +15,7 @@
 _FIELD_NAME = re.compile(rb'^([^\s:]+):', re.MULTILINE)
 _SWITCHING_PROTOCOLS = 101
 _NO_BODY = (204, 304)
+_LINE_END = b'\r\n'
 _EVENT_STREAM = b'text/event-stream'
 _EVENT_END = b'\n\n'
 
@@ -43,7 +44,10 @@
             says, as the answer to a ``HEAD`` request
         """
         self._has_no_body = has_no_body
-        self._unread = b''
+        # Bytes that have arrived, and how many of them have been read. Cutting
+        # off each part that was read would copy the rest for each chunk.
+        self._received = b''
+        self._at = 0
         # Bytes of a body of known length that are still to come.
         self._left = 0
         # The head, if a copy of it would not break the framing of the body,
@@ -57,6 +61,10 @@
             self._read_head
         )
 
+    @property
+    def _unread(self) -> bytes:
+        return self._received[self._at :]
+
     @property
     def has_ended(self) -> bool:
         """Whether all of the answer has arrived.
@@ -73,7 +81,7 @@
     @property
     def is_exact(self) -> bool:
         """Whether the answer has ended with the last byte."""
-        return self.has_ended and not self._unread
+        return self.has_ended and self._at == len(self._received)
 
     def add(self, data: bytes) -> None:
         """Add bytes that have arrived.
@@ -81,22 +89,23 @@
         :raises httpcore.RemoteProtocolError: if the head has broken off and
             another one goes on in its place, or if the body contains the head
         """
-        self._unread += data
-        while self._unread:
+        self._received = self._unread + data
+        self._at = 0
+        while self._at < len(self._received):
             if self._left:
-                self._check_body(self._unread, self._left)
-                size = min(self._left, len(self._unread))
+                self._check_body(self._left)
+                size = min(self._left, len(self._received) - self._at)
                 self._left -= size
-                self._unread = self._unread[size:]
+                self._at += size
             elif self._read_next is None or not self._read_next():
                 break
 
     def _read_head(self) -> bool:
-        end = HEAD_END.search(self._unread)
+        end = HEAD_END.search(self._received, self._at)
         if end is None:
             return False
-        head = self._unread[: end.end()]
-        self._unread = self._unread[end.end() :]
+        head = self._received[self._at : end.end()]
+        self._at = end.end()
         if _has_second_head(head):
             raise httpcore.RemoteProtocolError('two heads of answers in one')
         fields = {
@@ -126,7 +135,7 @@
             self._read_next = self._skip
         return True
 
-    def _check_body(self, data: bytes, left: int) -> None:
+    def _check_body(self, left: int) -> None:
         """Check that the answer is not written once more within its body.
 
         Behind an event of a stream the copy does no harm: its events have
@@ -136,7 +145,7 @@
         """
         if not self._head:
             return
-        body = self._tail + data
+        body = self._tail + self._unread
         left += len(self._tail)
         while 0 <= (start := body.find(self._head)) < left:
             if not self._is_event_stream or not body.startswith(
@@ -149,38 +158,39 @@
         self._tail = body[-len(self._head) - len(_EVENT_END) + 1 :]
 
     def _read_chunk(self) -> bool:
-        line, end, rest = self._unread.partition(b'\r\n')
-        if not end:
+        end = self._received.find(_LINE_END, self._at)
+        if end < 0:
             return self._wait_for_line()
-        self._unread = rest
+        line = self._received[self._at : end]
+        self._at = end + len(_LINE_END)
         try:
             size = int(line.partition(b';')[0], 16)
         except ValueError:
             self._read_next = self._skip
             return True
         if size:
-            self._left = size + len(end)
+            self._left = size + len(_LINE_END)
         else:
             self._read_next = self._read_trailer
         return True
 
     def _read_trailer(self) -> bool:
-        end = _TRAILER_END.match(self._unread)
+        end = _TRAILER_END.match(self._received, self._at)
         if end is None:
             return self._wait_for_line()
-        self._unread = self._unread[end.end() :]
+        self._at = end.end()
         self._read_next = None
         return True
 
     def _wait_for_line(self) -> bool:
-        if len(self._unread) > MAX_LINE_BYTES:
+        if len(self._received) - self._at > MAX_LINE_BYTES:
             self._read_next = self._skip
         return False
 
     def _skip(self) -> bool:
         """Skip bytes of an answer that ends with its connection."""
-        self._check_body(self._unread, len(self._unread))
-        self._unread = b''
+        self._check_body(len(self._unread))
+        self._at = len(self._received)
         return True
 
 
