--- a/tests/stop_load.py
+++ b/tests/stop_load.py
@@ -40,7 +40,9 @@
 
     :ivar first_at: clock when its first byte was sent
     :ivar last_at: clock when its last byte was sent, ``None`` if never
-    :ivar ended_at: clock when the answer or the connection had ended
+    :ivar ended_at: clock when the answer or the connection had ended, or
+        when the caller was cancelled
+    :ivar is_open: whether neither the answer nor the connection ended
     :ivar status: status of the answer, ``None`` if there was no whole head
     :ivar has_bytes: whether any byte of an answer came
     :ivar is_whole: whether the whole answer came
@@ -55,6 +57,7 @@
         self.first_at = 0.0
         self.last_at = None
         self.ended_at = 0.0
+        self.is_open = True
         self.status = None
         self.headers = {}
         self.has_bytes = False
@@ -188,18 +191,25 @@
     attempt.is_reused = connection.used > 0
     connection.used += 1
     attempt.first_at = anyio.current_time()
-    with contextlib.suppress(
-        anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError
-    ):
-        with contextlib.suppress(anyio.BrokenResourceError):
-            for number, part in enumerate(parts):
-                if number:
-                    await anyio.sleep(pause())
-                await connection.stream.send(part)
-            attempt.last_at = anyio.current_time()
-        with anyio.fail_after(ANSWER_SECONDS):
-            await _read_answer(connection, attempt)
-    attempt.ended_at = anyio.current_time()
+    try:
+        with contextlib.suppress(
+            anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError
+        ):
+            await _send(connection, attempt, parts, pause)
+            with anyio.fail_after(ANSWER_SECONDS):
+                await _read_answer(connection, attempt)
+        attempt.is_open = False
+    finally:
+        attempt.ended_at = anyio.current_time()
+
+
+async def _send(connection, attempt, parts, pause):
+    with contextlib.suppress(anyio.BrokenResourceError):
+        for number, part in enumerate(parts):
+            if number:
+                await anyio.sleep(pause())
+            await connection.stream.send(part)
+        attempt.last_at = anyio.current_time()
 
 
 async def connect(address):
@@ -369,10 +379,7 @@
 
 
 def describe(attempt, stopped_at, ran, log):
-    """Return a line that tells how a request went, with its log lines.
-
-    Times are in seconds since the host was told to stop.
-    """
+    """Return a line on a request; times are in seconds since the stop."""
     lines = '; '.join(
         f'{number}@{at - stopped_at:.2f} '
         + ' '.join(
@@ -390,11 +397,3 @@
         f'runs={ran[attempt.id]} status={attempt.status} '
         f'whole={attempt.is_whole} bytes={len(attempt.body)} [{lines}]'
     )
-
-
-def expected_stream(attempt):
-    """Return the whole answer of a target to a request."""
-    return ''.join(
-        f'id: {n}\ndata: {attempt.id}-{n}\n\n'
-        for n in range(1, platform_fakes.TOKENS + 1)
-    ).encode()
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -99,6 +99,14 @@
     ]
 
 
+def expected_stream(attempt):
+    """Return the whole answer of a target to a request."""
+    return ''.join(
+        f'id: {n}\ndata: {attempt.id}-{n}\n\n'
+        for n in range(1, platform_fakes.TOKENS + 1)
+    ).encode()
+
+
 def faults_of(attempt, runs):
     """Return what is wrong with a request that was not cut.
 
@@ -113,7 +121,7 @@
         faults.append('failed')
     is_stream = attempt.path.endswith(('/1', '/2', '/3', '/4'))
     if is_stream and attempt.is_whole and attempt.status == 200:
-        if attempt.body != stop_load.expected_stream(attempt):
+        if attempt.body != expected_stream(attempt):
             faults.append('not its answer')
     return faults
 
@@ -259,7 +267,7 @@
                         tasks.cancel_scope.cancel()
                 # Streams that still run are the other host's.
                 load.attempts = [
-                    each for each in load.attempts if each.ended_at
+                    each for each in load.attempts if not each.is_open
                 ]
                 check_requests(self, load, stopped_at, fleet.servers, log)
 
