Jobs: a backup host replaces the text of an item that starts again

Seen: a backup host had the first events of one run of an item and the later ones of another (x-1, x-2, y-3), and would have gone on with that text.

Cause: a run with too long an output drops the item's events, but the count of events that backup hosts have was kept. They were then sent only the events of the new run beyond that count.

Why it works: the count belongs to one start of the text. After another start the text is sent from its first event, which replaces the old one, wherever the events were dropped.

--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -124,7 +124,9 @@
                 item_attempt.encode_headers(item, '', 'replace')
             ),
         )
-        self._sent_counts: dict[str, dict[tuple[str, int], int]] = {}
+        self._sent_counts: dict[
+            str, dict[tuple[str, int], tuple[int, int]]
+        ] = {}
         self._progress_sent_at = 0.0
         self._wake = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -239,7 +241,10 @@
         for peer, sent_counts in self._sent_counts.items():
             rows = []
             for key, item in self._items.items():
-                count = sent_counts.get(key, 0)
+                restarts, count = sent_counts.get(key, (0, 0))
+                if restarts != item.text.restarts:
+                    # Backup hosts replace their text by that of the new run.
+                    count = 0
                 if item.outcome is None and len(item.text.texts) > count:
                     rows.append(
                         [
@@ -251,7 +256,10 @@
                             item.text.origin,
                         ]
                     )
-                    sent_counts[key] = len(item.text.texts)
+                    sent_counts[key] = (
+                        item.text.restarts,
+                        len(item.text.texts),
+                    )
             for key in set(sent_counts) - set(self._items):
                 del sent_counts[key]
             if rows:
@@ -534,9 +542,6 @@
                 events=len(item.text.texts),
             )
             item.text.restart()
-            # Backup hosts replace their text by the one of the new run.
-            for sent_counts in self._sent_counts.values():
-                sent_counts.pop(key, None)
         if choice.target is not None:
             item.waits_since = None
         return choice.target
--- a/src/persimmonpass/item_text.py
+++ b/src/persimmonpass/item_text.py
@@ -32,9 +32,11 @@
     stopped at different events, and each resumes after its own last event.
 
     :ivar texts: data of the events
-    :ivar last_id: id of the last event; ``None`` before the first
+    :ivar last_id: id of the last event; ``None`` before the first and if it
+        has none
     :ivar source: the source that last wrote the text
     :ivar origin: software that produced the events; ``None`` before the first
+    :ivar restarts: how often all events were dropped
     """
 
     def __init__(self) -> None:
@@ -42,6 +44,7 @@
         self.last_id: int | None = None
         self.source = NO_SOURCE
         self.origin: stream_versions.Origin | None = None
+        self.restarts = 0
 
     def claim(self, source: Source) -> None:
         """Start a run on this host; updates of earlier sources are refused."""
@@ -52,6 +55,7 @@
         self.texts = []
         self.last_id = None
         self.origin = None
+        self.restarts += 1
 
     def add(
         self,
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -17,6 +17,10 @@
 expand = parameterized.parameterized.expand
 
 EVENTS = 4
+# Stands for a pause in an answer.
+PAUSE = b'%PAUSE%'
+PAUSE_SECONDS = 0.5
+TOO_LONG = b'x' * 950_000
 ERROR = b'internal error: out of memory'
 # An error that contains the event which the stream needs next.
 ERROR_EVENT = b'<html>\n\nid: 3\ndata: error\n\n</html>'
@@ -70,6 +74,13 @@
 # A stream that breaks off within its third event.
 CUT = chunked(event(1), event(2), PARTIAL, ends=False)
 GOOD = chunked(event(3), event(4))
+
+
+def rest_of_stream(after):
+    """Return an answer with the events after one."""
+    return chunked(events_from(after + 1))
+
+
 VERSIONED = b'weight-versions: 2\n' + event(3)
 
 # Answers that cannot continue a stream after its second event.
@@ -129,10 +140,10 @@
             entry = platform_fakes.Server(f'i-{number}')
             entry.address = f'127.0.0.1:{port}'
             fleet.store.memory.put('servers', entry.name, entry.entry())
-        board = fleet.hosts['one'].board
         with anyio.fail_after(5):
-            while len(board.targets.rows()) < count:
-                await anyio.sleep(0.01)
+            for host in fleet.hosts.values():
+                while len(host.board.targets.rows()) < count:
+                    await anyio.sleep(0.01)
 
     def close(self):
         """Stop listening."""
@@ -153,11 +164,14 @@
                 request_id = fields[b'request-id']
                 number = min(len(self.requests), len(self._script) - 1)
                 answer = self._script[number]
-                self.requests.append(
-                    (request_id, int(fields.get(b'last-event-id', b'0')))
-                )
-                writer.write(answer.replace(b'%ID%', request_id))
-                await writer.drain()
+                after = int(fields.get(b'last-event-id', b'0'))
+                self.requests.append((request_id, after))
+                if not isinstance(answer, bytes):
+                    answer = answer(after)
+                for part in answer.split(PAUSE):
+                    writer.write(part.replace(b'%ID%', request_id))
+                    await writer.drain()
+                    await asyncio.sleep(PAUSE_SECONDS * (PAUSE in answer))
                 # Every answer is the last of its connection, so that one
                 # without its end breaks off.
                 return
@@ -240,7 +254,7 @@
         eliot.remove_destination(collect)
 
 
-def run_with_targets(script, attempts, test, count=4):
+def run_with_targets(script, attempts, test, count=4, hosts=('one',)):
     """Run a test with a host and scripted targets."""
 
     async def main():
@@ -250,7 +264,7 @@
                 platform_fakes.route('/jobs/', 'batch', maxAttempts=attempts),
             ]
         )
-        async with platform_fakes.fleet(count=0, config=config) as fleet:
+        async with platform_fakes.fleet(hosts, 0, config) as fleet:
             targets = ScriptedTargets(script)
             await targets.start(fleet, count)
             try:
@@ -360,5 +374,43 @@
         run_with_targets([CUT, answer], 1, test)
 
 
+class TestJoinedTexts(unittest.TestCase):
+    def check_item(self, script):
+        """Check the text of an item whose targets answer by a script."""
+
+        async def test(fleet, targets):
+            body = platform_fakes.submission(1)
+            await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+            page = await fleet.results('j', 1)
+            (row,) = page['results']
+            self.assertEqual('completed', row['state'])
+            self.assertEqual('x-1\nx-2\nx-3\nx-4', row['output'])
+
+        run_with_targets([*script, rest_of_stream], 3, test)
+
+    def test_backup_host_does_not_join_texts_of_two_runs(self):
+        begun = chunked(event(1), event(2), ends=False)
+        script = [
+            begun + PAUSE + chunk(TOO_LONG) + chunk(b'0\r\n\r\n'),
+            chunked(events_from(1, 3, b'y'), ends=False) + PAUSE + PAUSE,
+        ]
+
+        async def test(fleet, targets):
+            body = platform_fakes.submission(1)
+            await fleet.post('/jobs/j', body, **{'Request-Id': 'j'})
+            backups = set()
+            with anyio.fail_after(10):
+                while len(backups) < 2:
+                    await anyio.sleep(0.01)
+                    for host in fleet.hosts.values():
+                        item = host._runner._items.get(('j', 0))
+                        texts = item.text.texts if item is not None else []
+                        if not host._runner._role.is_runner and texts:
+                            backups.add(tuple(texts))
+            self.assertEqual({('x-1', 'x-2'), ('y-1', 'y-2', 'y-3')}, backups)
+
+        run_with_targets(script, 3, test, hosts=('one', 'two'))
+
+
 if __name__ == '__main__':
     unittest.main()
