Jobs: only the next event continues an item's text

Seen: results listed as completed whose text had an error's text, the text of another run or events twice, or that ended at the break.

Cause: the first event of a resumed run was not compared with the last event of the text: events without an id were appended, and a run that had begun again was joined at the first new id. An answer of status 200 that is no stream counted as one, even without any event. After an event without an id the item was run from the start and its text appended.

Why it works: the reader of events checks the first one, as for online streams. An answer without that type needs events with ids. A text whose last event has no id is dropped before the next run.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -13,6 +13,7 @@
 from persimmonpass.controllers.targets import target_paths
 from persimmonpass.controllers.targets import target_stats
 from persimmonpass import events
+from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
@@ -212,6 +213,16 @@
         try:
             origin = stream_versions.Origin(target.service, target.software)
             await self._collect(call, item, answer, origin, recall)
+        except exceptions.NotContinuedError as error:
+            failure = verdicts.Failure(
+                verdicts.Verdict.RAN,
+                events.TARGET_FAILED,
+                f'did not continue the text: {error}',
+                BAD_GATEWAY,
+            )
+            return self._record_failure(
+                call, item, target, failure, events_before, began
+            )
         except (httpx.HTTPError, TimeoutError, ValueError) as error:
             failure = verdicts.Failure(
                 verdicts.Verdict.MAY_HAVE_RUN,
@@ -247,14 +258,16 @@
     ) -> None:
         """Append the events of an answer to an item's text.
 
-        Events that the text contains already are skipped.
+        Events that a run repeats are skipped.
 
         :param origin: software of the target
+        :raises NotContinuedError: if the answer is no stream, or if its first
+            event does not follow the text
         :raises ValueError: if an event is missing or incomplete, or if the
             output is too long
         :raises TimeoutError: if the next event does not arrive in time
         """
-        reader = exchange.EventReader()
+        reader = exchange.EventReader(item.text.last_id)
         next_event_by = anyio.current_time() + FIRST_EVENT_TIMEOUT_SECONDS
         is_answered = False
         size = sum(len(text.encode()) for text in item.text.texts)
@@ -279,6 +292,8 @@
                     anyio.current_time() + EVENT_GAP_TIMEOUT_SECONDS
                 )
             for event in found:
+                if event.id is None and not answer.head.is_stream:
+                    raise exceptions.NotContinuedError('not a stream')
                 if event.id is not None and item.text.last_id is not None:
                     if event.id <= item.text.last_id:
                         continue
@@ -293,6 +308,8 @@
                     self._crash_parts.record_answer(call.prompt_parts)
         if reader.has_partial_event:
             raise ValueError('answer ended within an event')
+        if not is_answered and not answer.head.is_stream:
+            raise exceptions.NotContinuedError('not a stream')
 
     def _record_failure(
         self,
@@ -308,10 +325,13 @@
             target.name, failure.message, unreachable=not_run
         )
         pause = RETRY_SECONDS
-        if not not_run:
+        may_have_run = failure.verdict is verdicts.Verdict.MAY_HAVE_RUN
+        if may_have_run:
             self._target_paths.record_broken(target.name)
+        if not not_run:
             has_answered = len(item.text.texts) > events_before
-            if not has_answered and failure.status == BAD_GATEWAY:
+            is_crash = may_have_run and failure.status == BAD_GATEWAY
+            if not has_answered and is_crash:
                 self._crash_parts.record_crash(
                     call.id,
                     target.name,
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -594,6 +594,9 @@
         target: blackboard.Target,
     ) -> None:
         started_at = anyio.current_time()
+        if item.text.last_id is None:
+            # No run can go on after an event without an id.
+            item.text.restart()
         events_before = len(item.text.texts)
         item.text.claim(self._role.source)
         scope = item.scope or anyio.CancelScope()
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -388,6 +388,10 @@
 
         run_with_targets([*script, rest_of_stream], 3, test)
 
+    @expand([row for row in ERRORS + STREAMS if row[0] != 'invalid'])
+    def test_text_has_only_events_that_continue_it(self, _, answer):
+        self.check_item([CUT, answer])
+
     def test_backup_host_does_not_join_texts_of_two_runs(self):
         begun = chunked(event(1), event(2), ends=False)
         script = [
@@ -411,6 +415,18 @@
 
         run_with_targets(script, 3, test, hosts=('one', 'two'))
 
+    def test_page_is_no_text(self):
+        self.check_item([whole(ERROR_EVENT, 200, b'text/html')])
+
+    @expand(
+        [
+            ('no ids', b'data: x-1\n\ndata: x-2\n\n'),
+            ('no id at the end', event(1) + b'data: x-2\n\n'),
+        ]
+    )
+    def test_text_without_id_is_run_from_the_start(self, _, begun):
+        self.check_item([chunked(begun, ends=False)])
+
 
 if __name__ == '__main__':
     unittest.main()
