An answer without events and without an end continues no stream

Callers saw: a stream that had broken off ended as if it were complete, when the next target closed its connection after the head of a stream without length; items were listed as completed with the text up to the break.

Cause: such an answer counts as whole when its connection ends, and one without events counted as a run with nothing left to send.

Streams and items whose next answer is empty in chunks or with a length still end.

Why it works: a run that states its end has said that nothing is left. The end of a connection says nothing, so that the run counts as failed, as long as it has not sent the next event.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -310,6 +310,8 @@
             raise ValueError('answer ended within an event')
         if not is_answered and not answer.head.is_stream:
             raise exceptions.NotContinuedError('not a stream')
+        if reader.waits_for_first and not answer.head.states_end:
+            raise exceptions.NotContinuedError('no event and no stated end')
 
     def _record_failure(
         self,
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -384,6 +384,8 @@
                 next_event_by = anyio.current_time() + stall_seconds
         if reader.has_partial_event:
             raise ValueError('the stream ended within an event')
+        if reader.waits_for_first and not answer.head.states_end:
+            raise exceptions.NotContinuedError('no event and no stated end')
         if not request.started:
             await self._start(request, answer.head)
         await request.caller.send(b'', False)
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -97,6 +97,8 @@
     :ivar rate_limits: requests a second that the target takes from all hosts,
         one for each time that the answer names it; not a number for a value
         that cannot be read
+    :ivar states_end: whether the answer has a length or is in chunks, so that
+        its end can be told from the end of its connection
     """
 
     status: int
@@ -107,6 +109,7 @@
     is_stream: bool
     is_leaving: bool = False
     rate_limits: tuple[float, ...] = ()
+    states_end: bool = True
 
 
 class WirePort(typing.NamedTuple):
@@ -204,6 +207,11 @@
         self._partial = b''
         self._without_id = 0
 
+    @property
+    def waits_for_first(self) -> bool:
+        """Whether the event that has to follow has not arrived."""
+        return self._after is not None
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the bytes so far end within an event."""
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -29,6 +29,8 @@
         b'te', b'trailer', b'transfer-encoding', b'upgrade',
     )
 )  # fmt: skip
+# Headers by which the end of a body is known before its connection ends.
+_BODY_ENDS = frozenset((b'content-length', b'transfer-encoding'))
 # Headers that are set for each target instead of being passed on.
 _REPLACED_HEADERS = frozenset(
     (DEADLINE_MS, LAST_EVENT_ID, EXPECT_INSTANCE, REQUEST_ID)
@@ -197,6 +199,7 @@
             for name, value in headers
             if name.lower() == SERVER_LIMIT
         ),
+        states_end=not found.keys().isdisjoint(_BODY_ENDS),
     )
 
 
--- a/tests/test_joined_streams.py
+++ b/tests/test_joined_streams.py
@@ -116,6 +116,8 @@
     ('head cut', head()[:-20]),
     ('head only', head()),
     ('of another request', head(name=b'z') + b'Content-Length: 0\r\n\r\n'),
+    ('end of connection', unframed(b'')),
+    ('comment without length', unframed(b': a\n\n')),
 ]
 
 
