--- a/src/persimmonpass/api/stops.py
+++ b/src/persimmonpass/api/stops.py
@@ -7,6 +7,7 @@
 from persimmonpass.api import answers
 from persimmonpass.controllers.fleet import drain
 from persimmonpass import events
+from persimmonpass import exchange
 from persimmonpass import verdicts
 
 GATEWAY_TIMEOUT = 504
@@ -16,12 +17,14 @@
     app: types.ASGIApp,
     accepts: collections.abc.Callable[[], bool],
     cancelled_at_end: drain.CancelledAtEnd,
+    read_key: collections.abc.Callable[[exchange.Headers], str],
 ) -> types.ASGIApp:
     """Wrap the application for callers.
 
     :param accepts: returns whether this host takes any new request
     :param cancelled_at_end: returns a scope that is cancelled when the
         requests in progress are ended
+    :param read_key: takes the headers of a request; returns its key
     """
 
     async def stopping_app(
@@ -41,7 +44,7 @@
             has_started = True
             await send(message)
 
-        with cancelled_at_end() as request:
+        with cancelled_at_end(read_key(list(scope['headers']))) as request:
             await app(scope, receive, send_recorded)
         if request.cancelled_caught and not has_started:
             ended = answers.make_failure_response(_ended())
--- a/src/persimmonpass/controllers/fleet/drain.py
+++ b/src/persimmonpass/controllers/fleet/drain.py
@@ -27,9 +27,10 @@
 # request reaches this host.
 ANSWER_MARGIN_SECONDS = 0.5
 
-# Makes a scope in which a request runs until the drain ends.
+# Takes the id of a request; makes a scope in which it runs until the drain
+# ends.
 CancelledAtEnd = collections.abc.Callable[
-    [], contextlib.AbstractContextManager[anyio.CancelScope]
+    [str], contextlib.AbstractContextManager[anyio.CancelScope]
 ]
 
 
@@ -94,7 +95,7 @@
         self._confirmed_at = 0.0
         self._began: float | None = None
         self._was_published = True
-        self._requests: set[anyio.CancelScope] = set()
+        self._requests: dict[anyio.CancelScope, str] = {}
 
     def accepts(self, allowed_seconds: float, *, may_repeat: bool) -> bool:
         """Return whether this host takes a new request.
@@ -119,17 +120,40 @@
 
     @contextlib.contextmanager
     def cancelled_at_end(
-        self,
+        self, key: str
     ) -> collections.abc.Iterator[anyio.CancelScope]:
-        """Run a request in a scope that is cancelled when the drain ends."""
+        """Run a request in a scope that is cancelled when the drain ends.
+
+        :param key: id of the request, for the log
+        """
         with anyio.CancelScope() as scope:
-            self._requests.add(scope)
+            self._requests[scope] = key
             try:
                 if self.has_ended:
-                    scope.cancel()
+                    self._cancel(scope)
                 yield scope
             finally:
-                self._requests.discard(scope)
+                del self._requests[scope]
+
+    def _cancel(self, request: anyio.CancelScope) -> None:
+        events.log(
+            events.REQUEST_ENDED_BY_STOP,
+            host=self._host,
+            key=self._requests[request],
+        )
+        request.cancel()
+
+    @property
+    def was_stopped(self) -> bool:
+        """Whether an operator ended it before it was over."""
+        return self._stopped
+
+    @property
+    def left_seconds(self) -> float:
+        """Time until the limit of the drain."""
+        if self._began is None:
+            return self._limit
+        return self._began + self._limit - anyio.current_time()
 
     def stop(self) -> None:
         """End the drain at once, even if requests are in progress."""
@@ -166,7 +190,7 @@
         )
         self.has_ended = True
         for request in list(self._requests):
-            request.cancel()
+            self._cancel(request)
         if reason != 'confirmed':
             events.log(
                 events.DRAIN_UNCONFIRMED,
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -129,7 +129,7 @@
             with self._ports.spans.span(
                 'request', request=call.id, route=route.name
             ):
-                with self._ports.cancelled_at_stop() as scope:
+                with self._ports.cancelled_at_stop(call.id) as scope:
                     outcome = await self._serve(request)
                 if scope.cancelled_caught:
                     outcome = 'abandoned'
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -374,6 +374,7 @@
             app,
             lambda: self._accepts(0.0, True),
             self._drain.cancelled_at_end,
+            caller.read_key,
         )
 
     def _accepts(self, allowed_seconds: float, may_repeat: bool) -> bool:
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -440,6 +440,13 @@
     'This host stops and might not finish the request in time; it has not '
     'run, and other hosts take it.',
 )
+REQUEST_ENDED_BY_STOP = Event(
+    545,
+    'request_ended_by_stop',
+    Level.WARNING,
+    'A request was still in progress when the drain ended, and gets its final '
+    'answer: 503 if it has not run. An answer that had started is cut.',
+)
 REQUEST_UNANSWERED = Event(
     543,
     'request_unanswered',
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -32,6 +32,8 @@
 # Closing a connection with unread bytes resets it, and the caller may lose the
 # answer. Less than the grace period of a host that stops.
 DROP_SECONDS = 3.0
+# The same at the end of a stop.
+STOP_DROP_SECONDS = 0.2
 # How long a caller may take to read what one send waits for, which is at most
 # the buffers of its connection, about 100 kB.
 CALLER_STALL_SECONDS = 5.0
@@ -159,11 +161,18 @@
                 found.err_value.retry_after_seconds,
             )
             return
-        with ports.cancelled_at_stop() as scope:
+        with ports.cancelled_at_stop(head.id) as scope:
             body = await _read_body(receive, ports.max_body_bytes())
         if scope.cancelled_caught:
             # Nothing ran, as the request was not read whole.
-            await caller.answer(503)
+            await _refuse_head(
+                caller,
+                receive,
+                ports.max_body_bytes(),
+                503,
+                0.0,
+                STOP_DROP_SECONDS,
+            )
             return
         if body is _BodyError.CUT:
             return
@@ -203,6 +212,7 @@
     limit: int,
     status: int,
     retry_after_seconds: float | None = None,
+    drop_seconds: float = DROP_SECONDS,
 ) -> None:
     """Refuse a request whose body has not been read.
 
@@ -211,9 +221,10 @@
     of the request has not ended by then.
 
     :param limit: largest number of bytes of the body that are read
+    :param drop_seconds: how long they are read
     """
     await caller.start_refusal(status, retry_after_seconds)
-    with anyio.move_on_after(DROP_SECONDS):
+    with anyio.move_on_after(drop_seconds):
         if await _drop_body(receive, limit):
             return
     # The server's queue of received messages is bounded. If it is full, the
@@ -267,7 +278,7 @@
     if route is not None and route.kind is not routes.Kind.JOB:
         await ports.serve(call, route, caller.port)
         return
-    with ports.cancelled_at_stop() as scope:
+    with ports.cancelled_at_stop(call.id) as scope:
         if route is None:
             await _serve_job_call(ports, call, caller)
         else:
