Servers: a stop waits for answers that are being read, but not for ever

The gateway gave its HTTP server 0.4 s after a drain, however early the drain had ended. It now gives it the time up to the limit.

The server is now cancelled 0.1 s after its grace.

--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -71,7 +71,7 @@
 # this long before the host is killed.
 STOP_MARGIN_SECONDS = 0.8
 # Both run at the same time, within that part. Requests have their final answer
-# before; callers that do not read it are cut.
+# before; callers that have not read it then are cut.
 HTTP_GRACE_SECONDS = 0.4
 DEREGISTER_SECONDS = 0.4
 MAX_STORE_CONNECTIONS = 200
@@ -224,7 +224,7 @@
                         app,
                         self._sockets[name],
                         self._stopped,
-                        HTTP_GRACE_SECONDS,
+                        self._http_grace_seconds,
                     )
             events.log(
                 events.DAEMON_STARTED,
@@ -241,6 +241,15 @@
             with anyio.move_on_after(DEREGISTER_SECONDS):
                 await self._membership.deregister()
 
+    def _http_grace_seconds(self) -> float:
+        """Return how long callers may go on to read answers after the drain.
+
+        A drain that ends before its limit leaves them the rest of that time.
+        """
+        if self._drain.was_stopped or not self._drain.has_ended:
+            return HTTP_GRACE_SECONDS
+        return max(0.0, self._drain.left_seconds) + HTTP_GRACE_SECONDS
+
     def _build_fleet_controllers(self, client: httpx.AsyncClient) -> None:
         """Make the controllers of peers, records, jobs and membership."""
         options, platform = self._options, self._platform
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -15,6 +15,8 @@
 BACKLOG = 1024
 RESTART_SECONDS = 0.5
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
+# Time beyond the grace in which a server closes its connections.
+CLOSE_SECONDS = 0.1
 # Time for requests on connections that were accepted last.
 LAST_REQUESTS_SECONDS = 0.05
 # The default lets the kernel take megabytes for each caller that does not
@@ -43,18 +45,22 @@
     app: types.ASGIApp,
     listener: socket.socket,
     stopped: anyio.Event,
-    grace_seconds: float = SHUTDOWN_TIMEOUT_SECONDS,
+    grace_seconds: collections.abc.Callable[[], float] = (
+        lambda: SHUTDOWN_TIMEOUT_SECONDS
+    ),
     context: ssl.SSLContext | None = None,
 ) -> None:
     """Serve an application on a bound socket until an event is set.
 
     Hypercorn does not shut down cleanly when it is cancelled. It is therefore
     shielded from cancellation, and a cancelled server closes its connections
-    in the same way as a stopped one.
+    in the same way as a stopped one. It is cancelled all the same if it does
+    not end in time, as it waits for callers that do not read their answer.
 
     :param listener: listening socket; the server takes it over and closes it
     :param stopped: event that stops the server
-    :param grace_seconds: how long open connections may go on after that
+    :param grace_seconds: returns how long open connections may go on after
+        that
     :param context: TLS context, which may load other certificates later;
         ``None`` for no TLS
     """
@@ -63,30 +69,40 @@
     options.bind = [f'fd://{descriptor}']
     options.accesslog = None
     options.errorlog = None
-    options.graceful_timeout = grace_seconds
     options.shutdown_timeout = SHUTDOWN_TIMEOUT_SECONDS
     options.backlog = BACKLOG
     closing = anyio.Event()
-    is_open = True
+    closed = anyio.Event()
+    serving = anyio.CancelScope(shield=True)
 
     async def serve() -> None:
-        nonlocal is_open
         try:
-            with anyio.CancelScope(shield=True):
+            with serving:
                 await hypercorn.asyncio.serve(
                     app, options, shutdown_trigger=closing.wait, mode='asgi'
                 )
+        except asyncio.InvalidStateError:
+            # Raised by a cancelled shutdown, instead of the cancellation.
+            if not serving.cancel_called:
+                raise
         finally:
-            is_open = False
+            closed.set()
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
         try:
             await stopped.wait()
         finally:
-            if is_open:
-                await _stop_accepting(descriptor)
-            closing.set()
+            with anyio.CancelScope(shield=True):
+                if not closed.is_set():
+                    await _stop_accepting(descriptor)
+                options.graceful_timeout = grace_seconds()
+                closing.set()
+                with anyio.move_on_after(
+                    options.graceful_timeout + CLOSE_SECONDS
+                ):
+                    await closed.wait()
+            serving.cancel()
 
 
 async def _stop_accepting(descriptor: int) -> None:
@@ -99,8 +115,7 @@
     :param descriptor: the listening socket
     """
     asyncio.get_running_loop().remove_reader(descriptor)
-    with anyio.CancelScope(shield=True):
-        await anyio.sleep(LAST_REQUESTS_SECONDS)
+    await anyio.sleep(LAST_REQUESTS_SECONDS)
 
 
 async def keep_running(
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -1,9 +1,14 @@
 """Requests that reach an HTTP server as it closes."""
 
+import contextlib
+import math
+import socket
 import time
 import unittest
 
 import anyio
+import anyio.to_thread
+import parameterized
 
 from persimmonpass import servers
 from tests import platform_fakes
@@ -16,6 +21,8 @@
 WORK_SECONDS = 0.001
 # Until the end of a connection that the server has closed is seen.
 SETTLE_SECONDS = 0.05
+# More than the buffers of a connection hold.
+LARGE_BYTES = 4_000_000
 
 
 class App:
@@ -84,5 +91,66 @@
         platform_fakes.run(test)
 
 
+class TestCallersThatReadLate(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            # seconds after the stop in which the caller reads nothing,
+            # whether it gets its answer
+            ('within the grace', 0.5, True),
+            ('never', math.inf, False),
+        ]
+    )
+    def test_server_ends_within_its_grace(self, _, pause, is_whole):
+        """Guards against stops that a caller holds up, and cut answers."""
+        grace = 1.0
+
+        async def app(scope, receive, send):
+            if scope['type'] != 'http':
+                return
+            length = str(LARGE_BYTES).encode()
+            headers = [(b'content-length', length), (b'connection', b'close')]
+            start = {'type': 'http.response.start', 'status': 200}
+            await send({**start, 'headers': headers})
+            body = b'x' * LARGE_BYTES
+            await send({'type': 'http.response.body', 'body': body})
+
+        async def test():
+            stopped = anyio.Event()
+            listener = servers.listen('127.0.0.1:0')
+            servers.limit_callers(listener)
+            ip, _, port = servers.address_of(listener).rpartition(':')
+            received = 0
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    servers.serve_http, app, listener, stopped, lambda: grace
+                )
+                call = socket.create_connection((ip, int(port)))
+                call.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+                call.sendall(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                await anyio.sleep(0.2)
+                stopped.set()
+                began = anyio.current_time()
+                if pause < math.inf:
+                    await anyio.sleep(pause)
+                    received = await anyio.to_thread.run_sync(read_all, call)
+            seconds = anyio.current_time() - began
+            call.close()
+            self.assertLess(
+                seconds, grace + servers.LAST_REQUESTS_SECONDS + 1.0
+            )
+            self.assertEqual(is_whole, received >= LARGE_BYTES)
+
+        platform_fakes.run(test)
+
+
+def read_all(call):
+    """Return how many bytes come until the connection ends."""
+    received = 0
+    with contextlib.suppress(ConnectionError):
+        while data := call.recv(65_536):
+            received += len(data)
+    return received
+
+
 if __name__ == '__main__':
     unittest.main()
