--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -19,6 +19,10 @@
 
     :ivar key_calls: calls to the owners of idempotency keys
     :ivar entry_ttl_seconds: how long callers may cache an entry answer
+    :ivar accepts: takes the longest that a request may take, in seconds, and
+        whether it may be repeated; returns whether this host takes it
+    :ivar seconds_in_state: takes a host; returns the time since it was seen
+        to enter its membership state
     """
 
     board: blackboard.Blackboard
@@ -28,6 +32,8 @@
     counters: metrics.Metrics
     spans: tracing.Tracing
     entry_ttl_seconds: float
+    accepts: collections.abc.Callable[[float, bool], bool]
+    seconds_in_state: collections.abc.Callable[[str], float]
 
 
 class OperatorPorts(typing.NamedTuple):
