--- a/src/persimmonpass/controllers/fleet/drain.py
+++ b/src/persimmonpass/controllers/fleet/drain.py
@@ -97,6 +97,18 @@
         self._was_published = True
         self._requests: dict[anyio.CancelScope, str] = {}
 
+    @property
+    def was_stopped(self) -> bool:
+        """Whether an operator ended it before it was over."""
+        return self._stopped
+
+    @property
+    def left_seconds(self) -> float:
+        """Time until the limit of the drain."""
+        if self._began is None:
+            return self._limit
+        return self._began + self._limit - anyio.current_time()
+
     def accepts(self, allowed_seconds: float, *, may_repeat: bool) -> bool:
         """Return whether this host takes a new request.
 
@@ -143,18 +155,6 @@
         )
         request.cancel()
 
-    @property
-    def was_stopped(self) -> bool:
-        """Whether an operator ended it before it was over."""
-        return self._stopped
-
-    @property
-    def left_seconds(self) -> float:
-        """Time until the limit of the drain."""
-        if self._began is None:
-            return self._limit
-        return self._began + self._limit - anyio.current_time()
-
     def stop(self) -> None:
         """End the drain at once, even if requests are in progress."""
         self._stopped = True
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -88,21 +88,22 @@
         finally:
             closed.set()
 
+    async def close() -> None:
+        if not closed.is_set():
+            await _stop_accepting(descriptor)
+        options.graceful_timeout = grace_seconds()
+        closing.set()
+        with anyio.move_on_after(options.graceful_timeout + CLOSE_SECONDS):
+            await closed.wait()
+        serving.cancel()
+
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
         try:
             await stopped.wait()
         finally:
             with anyio.CancelScope(shield=True):
-                if not closed.is_set():
-                    await _stop_accepting(descriptor)
-                options.graceful_timeout = grace_seconds()
-                closing.set()
-                with anyio.move_on_after(
-                    options.graceful_timeout + CLOSE_SECONDS
-                ):
-                    await closed.wait()
-            serving.cancel()
+                await close()
 
 
 async def _stop_accepting(descriptor: int) -> None:
