Demo: its servers get the time to close as a function

The demo did not end: it passed a number of seconds where serve_http takes a function since, so that the close of its servers failed and was waited for.

--- a/src/persimmonpass/cli/demo.py
+++ b/src/persimmonpass/cli/demo.py
@@ -106,7 +106,7 @@
         listener = servers.listen(LOOPBACK)
         address = servers.address_of(listener)
         self.tasks.start_soon(
-            servers.serve_http, app, listener, stopped, grace_seconds
+            servers.serve_http, app, listener, stopped, lambda: grace_seconds
         )
         return address
 
