--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -212,7 +212,7 @@
     limit: int,
     status: int,
     retry_after_seconds: float | None = None,
-    drop_seconds: float = DROP_SECONDS,
+    drop_seconds: float | None = None,
 ) -> None:
     """Refuse a request whose body has not been read.
 
@@ -221,10 +221,10 @@
     of the request has not ended by then.
 
     :param limit: largest number of bytes of the body that are read
-    :param drop_seconds: how long they are read
+    :param drop_seconds: how long they are read; ``None`` for the usual time
     """
     await caller.start_refusal(status, retry_after_seconds)
-    with anyio.move_on_after(drop_seconds):
+    with anyio.move_on_after(drop_seconds or DROP_SECONDS):
         if await _drop_body(receive, limit):
             return
     # The server's queue of received messages is bounded. If it is full, the
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -262,6 +262,8 @@
         ports = mock.Mock(
             find_route=find_route,
             authenticate=authenticate,
+            accepts=lambda call, route: result.Ok(None),
+            cancelled_at_stop=lambda key: anyio.CancelScope(),
             serve=serve,
             max_body_bytes=lambda: 6,
         )
