Tests: log lines of other modules are not counted as ends of requests

tests.test_request_ends failed when it ran after other modules in one process, since eliot hands what it has buffered to the first destination.

--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -25,6 +25,8 @@
             found.append(message)
 
     eliot.add_destinations(collect)
+    # What was logged before the first destination was added.
+    found.clear()
     try:
         yield found
     finally:
