--- a/review/stand2/kit.py
+++ b/review/stand2/kit.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import resource
 import shlex
 import shutil
 import signal
@@ -324,6 +325,16 @@
         for writer in list(self.tasks):
             writer.transport.abort()
 
+    async def drain(self, seconds):
+        """Report draining, serve for some time, then leave and exit."""
+        self.state = 'draining'
+        self.beat()
+        await asyncio.sleep(seconds)
+        self.store.remove('servers', self.name)
+        self.server.close()
+        for writer in list(self.tasks):
+            writer.close()
+
     async def crash_for(self, seconds):
         """Crash, and start again under a new id at the same address.
 
@@ -479,7 +490,7 @@
                 'cpuShare': 0.537,
                 'cores': 2,
                 'memoryMb': 300,
-                'maxFds': 4100,
+                'maxFds': fleet.max_fds,
                 'linkMbps': 1000.0,
                 'diskMb': 0,
             },
@@ -513,8 +524,15 @@
         for key, address in settings['listen'].items():
             command = command.replace('{{listen.%s}}' % key, address)
         out = open(pathlib.Path(fleet.folder) / f'{self.name}.log', 'a')
+        def limit():
+            # The platform limits the descriptors of each process.
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (fleet.max_fds, fleet.max_fds)
+            )
+
         self.process = await asyncio.create_subprocess_exec(
             *shlex.split(command),
+            preexec_fn=limit,
             cwd=ROOT,
             stdout=out,
             stderr=out,
@@ -538,6 +556,10 @@
             self.process.kill()
             await self.process.wait()
 
+    def descriptors(self):
+        """Return how many descriptors the program has open."""
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
     def log_lines(self):
         """Return what the program has logged."""
         path = pathlib.Path(self.fleet.folder) / f'{self.name}.log'
@@ -581,6 +603,7 @@
         self.store = Store()
         self.zones = zones
         self.bounds = dict(BOUNDS)
+        self.max_fds = 4100
         self.hosts = []
         self.storages = []
         self.engines = []
@@ -865,7 +888,7 @@
     async def whole():
         fleet = None
         try:
-            async with asyncio.timeout(112):
+            async with asyncio.timeout(116):
                 fleet, result = await main(case)
                 return result
         except Exception as error:
