Routes: a service without targets is replaced by another of its route

Cause: the service was drawn from the id's hash among all services of the route, also those without targets, and the draw never changes. Items were passed over without an event.

Change: the draw gives an order of all services. The item runner and the queue take the first one that has a usable target, at each placement. Begun items stay with their service while it is usable.

--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -456,7 +456,7 @@
         self._is_start_postponed = elapsed < START_INTERVAL_SECONDS
         if self._tasks is None or self._is_start_postponed:
             return
-        loads = self._loads_of_free_services()
+        usable, loads = self._loads_of_services()
         if not loads and elapsed < FULL_START_INTERVAL_SECONDS:
             return
         self._items_started_at = now
@@ -473,7 +473,9 @@
             known = self._items.get((pending.job, number))
             if known is not None:
                 known.route_missing_at = None
-            service = routes.pick_service(route, state.job.items[number].id)
+            service = _pick_service(
+                route, state.job.items[number].id, known, usable
+            )
             if service in full_services or service not in loads:
                 continue
             waiting = self._ports.occupied.waiting(service).total
@@ -484,7 +486,9 @@
             key = (pending.job, number)
             item = self._items.setdefault(key, item_attempt.LocalItem())
             if item.text.origin is not None:
-                name = self._pick_to_resume(key, item, service, loads[service])
+                name = self._pick_to_resume(
+                    key, item, route, service, loads[service]
+                )
             target = self._ports.board.targets.get(name) if name else None
             if target is None:
                 continue
@@ -505,6 +509,7 @@
         self,
         key: tuple[str, int],
         item: item_attempt.LocalItem,
+        route: routes.Route,
         service: str,
         loads: list[policy.TargetLoad],
     ) -> str | None:
@@ -513,7 +518,8 @@
         An item whose software has no free slot for long, or has left, starts
         again from its first event.
 
-        :param loads: load of the usable targets, one of which has a free slot
+        :param service: service that runs the item now
+        :param loads: load of its usable targets, one of which has a free slot
         :returns: ``None`` if the item has to wait
         """
         now = anyio.current_time()
@@ -524,7 +530,8 @@
         choice = policy.choose_to_resume(
             loads,
             origin.software if origin and is_same_service else None,
-            is_listed=is_same_service
+            is_listed=origin is not None
+            and origin.service in route.services
             and any(
                 (row.service, row.software) == origin and not row.leaving
                 for row in self._ports.board.targets.rows()
@@ -546,25 +553,34 @@
             item.waits_since = None
         return choice.target
 
-    def _loads_of_free_services(self) -> dict[str, list[policy.TargetLoad]]:
-        """Return the target loads of the services with a free slot."""
+    def _loads_of_services(
+        self,
+    ) -> tuple[set[str], dict[str, list[policy.TargetLoad]]]:
+        """Return the usable services and the target loads of free ones.
+
+        :returns: services with a target that may get items, now or once it
+            has a free slot; loads of the targets of those with a free slot
+        """
         configuration = self._ports.board.routes.get(catalog.ROUTES_KEY)
         if configuration is None:
-            return {}
+            return set(), {}
         services = {
             share.service
             for route in configuration.routes
             for share in route.shares
         }
         loads = {name: self._target_loads(name) for name in services}
-        return {
-            name: rows
-            for name, rows in loads.items()
-            if policy.pick_target(
-                rows, waiting=self._ports.occupied.waiting(name).total
-            )
-            is not None
-        }
+        return (
+            {name for name, rows in loads.items() if rows},
+            {
+                name: rows
+                for name, rows in loads.items()
+                if policy.pick_target(
+                    rows, waiting=self._ports.occupied.waiting(name).total
+                )
+                is not None
+            },
+        )
 
     def _record_missing_route(
         self, pending: policy.Pending, job: job_records.Job, now: float
@@ -689,3 +705,27 @@
         finally:
             self._committing.discard(job_id)
             self._wake_up()
+
+
+def _pick_service(
+    route: routes.Route,
+    item_id: str,
+    item: item_attempt.LocalItem | None,
+    usable: collections.abc.Container[str],
+) -> str:
+    """Return the service that runs an item.
+
+    An item that has begun stays with its service while it can, as another one
+    would start it again.
+
+    :param item: its state, ``None`` if it has none yet
+    :param usable: services with targets that may get items
+    """
+    origin = item.text.origin if item is not None else None
+    if (
+        origin is not None
+        and origin.service in route.services
+        and origin.service in usable
+    ):
+        return origin.service
+    return routes.pick_service(route, item_id, usable)
--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -129,7 +129,7 @@
 
     async def acquire_slot(
         self,
-        service: str,
+        services: tuple[str, ...],
         queued: queueing.QueuedRequest,
         deadline: float,
         excluded: collections.abc.Collection[str] = (),
@@ -140,7 +140,8 @@
         The slot is counted in the occupancy; the caller of this method has to
         release it there.
 
-        :param service: service whose targets may run the request
+        :param services: services whose targets may run the request; one is
+            used only while those before it have no usable target
         :param queued: priority and times of the request
         :param deadline: local clock at which the caller gives up, in seconds
         :param excluded: targets that have failed the request
@@ -148,8 +149,9 @@
         :returns: the target, or a failure that says when to retry
         """
         request = waiting_requests.WaitingRequest(
-            service, queued, excluded, software
+            services, queued, excluded, software
         )
+        service = request.service
         self._requests.append(request)
         if self._shares is not None:
             self._shares.record_request(service, queued.account)
@@ -297,11 +299,11 @@
             return self._refusal(
                 MISSING_VERSION_RETRY_SECONDS, 'no target of the version'
             )
-        capacity = self.capacity(request.service)
-        if not capacity.targets:
+        service = self._serving(request)
+        if not self.capacity(service).targets:
             # Excluded and blocked targets may be usable within milliseconds.
             known = any(
-                row.service == request.service and not row.leaving
+                row.service in request.services and not row.leaving
                 for row in self._board.targets.rows()
             )
             if not known:
@@ -309,12 +311,12 @@
             return None
         if request.queued.started or self._is_shared(request):
             return None
-        ahead = self._occupied.waiting(request.service)
-        wait = self._wait_seconds(ahead.on_time, request.service)
+        ahead = self._occupied.waiting(service)
+        wait = self._wait_seconds(ahead.on_time, service)
         now = anyio.current_time()
         if now + wait <= request.queued.placement_deadline:
             return None
-        wait = self._wait_seconds(ahead.total, request.service)
+        wait = self._wait_seconds(ahead.total, service)
         if wait > left - MIN_SERVICE_SECONDS:
             return self._refusal(wait, 'the queue is longer than the deadline')
         return self._refuse_late(request.service, deadline)
@@ -322,7 +324,7 @@
     def _has_software(self, request: waiting_requests.WaitingRequest) -> bool:
         """Return whether a target of the request's software may serve it."""
         return any(
-            row.service == request.service
+            row.service in request.services
             and row.software == request.software
             and not row.leaving
             and row.name not in request.excluded
@@ -351,7 +353,7 @@
         self._is_dispatching = True
         try:
             now = anyio.current_time()
-            full_services: set[str] = set()
+            full_services: set[tuple[str, ...]] = set()
             ranked = self._rank(now)
             # Slots are left to peers whose requests can still be on time
             # rather than given to late requests here.
@@ -366,10 +368,10 @@
                 ):
                     continue
                 any_target = request.may_use_any_target
-                if request.service in full_services and any_target:
+                if request.services in full_services and any_target:
                     continue
                 if not self._place(request) and any_target:
-                    full_services.add(request.service)
+                    full_services.add(request.services)
         finally:
             self._is_dispatching = False
 
@@ -391,11 +393,31 @@
             ),
         )
 
+    def _serving(self, request: waiting_requests.WaitingRequest) -> str:
+        """Return the first service of a request that has a usable target."""
+        if len(request.services) == 1:
+            return request.service
+        return next(
+            (name for name in request.services if self.candidates(name)),
+            request.service,
+        )
+
+    def _candidates_for(
+        self, request: waiting_requests.WaitingRequest
+    ) -> list[request_placement.Candidate]:
+        """Return the usable targets of the first service that has any."""
+        for service in request.services:
+            found = self.candidates(
+                service, request.excluded, request.software
+            )
+            if found:
+                return found
+        return []
+
     def _place(self, request: waiting_requests.WaitingRequest) -> bool:
-        candidates = self.candidates(
-            request.service, request.excluded, request.software
+        name = request_placement.choose(
+            self._candidates_for(request), self._zone, random.random
         )
-        name = request_placement.choose(candidates, self._zone, random.random)
         if name is None:
             return False
         request.target = self._board.targets.get(name)
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -120,9 +120,8 @@
         :raises BrokenAnswerError: if an answer that has begun cannot be
             finished; the connection must be closed
         """
-        service = routes.pick_service(route, call.id)
         request = request_state.RequestState(
-            call, route, service, caller, anyio.current_time()
+            call, route, caller, anyio.current_time()
         )
         outcome = 'abandoned'
         try:
@@ -216,7 +215,7 @@
     ) -> result.Result[blackboard.Target, verdicts.Failure]:
         """Wait for a slot at a target of the request's service."""
         return await self._ports.queue.acquire_slot(
-            request.service,
+            request.services,
             queueing.QueuedRequest(
                 self._ports.accounts.priority(request),
                 request.started_at,
@@ -249,7 +248,6 @@
             )
             return False
         request.origin = origin
-        request.service = origin.service
         return True
 
     async def _send(
--- a/src/persimmonpass/controllers/online/waiting_requests.py
+++ b/src/persimmonpass/controllers/online/waiting_requests.py
@@ -10,25 +10,34 @@
 
 
 class WaitingRequest:
-    """A request in the queue and the target that was assigned to it."""
+    """A request in the queue and the target that was assigned to it.
+
+    :ivar services: services that may serve it; one serves it only while those
+        before it have no usable target
+    """
 
     def __init__(
         self,
-        service: str,
+        services: tuple[str, ...],
         queued: queueing.QueuedRequest,
         excluded: collections.abc.Collection[str],
         software: str | None,
     ) -> None:
-        self.service = service
+        self.services = services
         self.queued = queued
         self.excluded = excluded
         self.software = software
         self.placed = anyio.Event()
         self.target: blackboard.Target | None = None
 
+    @property
+    def service(self) -> str:
+        """The service in whose queue it waits."""
+        return self.services[0]
+
     @property
     def may_use_any_target(self) -> bool:
-        """Whether each target of the service may serve the request."""
+        """Whether each target of its services may serve the request."""
         return not self.excluded and self.software is None
 
 
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -35,13 +35,11 @@
         self,
         call: exchange.Call,
         route: routes.Route,
-        service: str,
         caller: exchange.CallerPort,
         started_at: float,
     ) -> None:
         self.call = call
         self.route = route
-        self.service = service
         self.caller = caller
         self.started_at = started_at
         allowed = route.timeout_seconds
@@ -62,6 +60,13 @@
         self.tokens = 0
         self.may_run = False
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Services that may serve it, in the order in which they are tried."""
+        if self.origin is not None:
+            return (self.origin.service,)
+        return routes.order_services(self.route, self.call.id)
+
     @property
     def answer_deadline(self) -> float:
         """Local clock until which the caller needs a first event, in seconds.
--- a/src/persimmonpass/routes.py
+++ b/src/persimmonpass/routes.py
@@ -71,6 +71,15 @@
         """Whether a request may run more than once."""
         return self.kind is Kind.IDEMPOTENT or self.resumable
 
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Services that may run a request; the last one if none has a weight.
+
+        A service without a weight is only listed.
+        """
+        weighted = [row.service for row in self.shares if row.weight > 0]
+        return tuple(weighted) or (self.shares[-1].service,)
+
 
 class Service(typing.NamedTuple):
     """A group of equivalent targets.
@@ -161,18 +170,55 @@
         return find(self._job_routes, host, path) or named
 
 
-def pick_service(route: Route, request_id: str) -> str:
-    """Return the service of a request, drawn by the weights of its route.
+def order_services(route: Route, request_id: str) -> tuple[str, ...]:
+    """Return the services of a request, the one that serves it first.
 
-    The draw depends only on the request's id, so that all hosts choose the
-    same service for a request.
+    They are drawn by the weights of the route: the first among all services,
+    the next among the others, as a substitute for one without targets. The
+    draw depends only on the request's id, so that all hosts choose the same
+    service for a request.
     """
     if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
-    drawn = xxhash.xxh64_intdigest(request_id.encode()) / 2**64 * total
-    for share in route.shares:
-        drawn -= share.weight
-        if drawn < 0:
-            return share.service
-    return route.shares[-1].service
+        return (route.shares[0].service,)
+    left = [share for share in route.shares if share.weight > 0]
+    if not left:
+        return route.services
+    point = xxhash.xxh64_intdigest(request_id.encode()) / 2**64
+    found = []
+    while left:
+        share, point = _draw(left, point)
+        left.remove(share)
+        found.append(share.service)
+    return tuple(found)
+
+
+def pick_service(
+    route: Route,
+    request_id: str,
+    usable: collections.abc.Container[str] | None = None,
+) -> str:
+    """Return the service that serves a request; see :func:`order_services`.
+
+    :param usable: services that have targets, ``None`` for all. If it has no
+        service of the route, it is as if all had targets.
+    """
+    order = order_services(route, request_id)
+    if usable is None:
+        return order[0]
+    return next((name for name in order if name in usable), order[0])
+
+
+def _draw(
+    shares: collections.abc.Sequence[Share], point: float
+) -> tuple[Share, float]:
+    """Return the share that a point falls into, and where within the share.
+
+    :param point: uniform in [0, 1), as is the returned one
+    """
+    point *= sum(share.weight for share in shares)
+    for share in shares:
+        if point < share.weight:
+            return share, point / share.weight
+        point -= share.weight
+    # Sums of weights are rounded.
+    return shares[-1], 0.0
--- a/tests/share_load.py
+++ b/tests/share_load.py
@@ -229,7 +229,7 @@
             objective_seconds=OBJECTIVE_SECONDS,
         )
         placed = await queue.acquire_slot(
-            SERVICE, queued, arrived_at + DEADLINE_SECONDS
+            (SERVICE,), queued, arrived_at + DEADLINE_SECONDS
         )
         now = anyio.current_time()
         waited = now - arrived_at
--- a/tests/test_admission_queue.py
+++ b/tests/test_admission_queue.py
@@ -93,7 +93,7 @@
             ),
         )
         placed = await queue.acquire_slot(
-            SERVICE, queued, arrived_at + CALLER_TIMEOUT_SECONDS
+            (SERVICE,), queued, arrived_at + CALLER_TIMEOUT_SECONDS
         )
         waited = anyio.current_time() - arrived_at
         if isinstance(placed, result.Err):
@@ -186,7 +186,9 @@
                 now = anyio.current_time()
                 tasks.start_soon(_release_later, occupied)
                 placed = await queue.acquire_slot(
-                    OTHER, queueing.QueuedRequest(0, now, now + 0.2), now + 2
+                    (OTHER,),
+                    queueing.QueuedRequest(0, now, now + 0.2),
+                    now + 2,
                 )
                 self.assertTrue(placed.is_ok(), placed)
                 tasks.cancel_scope.cancel()
