Retries: a request is given up only while another target is left

Cause: each run without an event after 0.4 s was given up and its target excluded for good, whether another target was left or not; the request then waited for a target that did not exist until its deadline. Refusals and errors of the only target ended the same way.

Change: a run is given up early only while another usable target exists; targets that failed a request are used again if there are no others; the limits double with each run and begin at half of a long objective. The same cause in persimmonpassd (time of a call divided by attempts without a target) and in items (cut before the first event without end).

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -27,7 +27,10 @@
 
 ITEM_TIMEOUT_SECONDS = 60.0
 EVENT_GAP_TIMEOUT_SECONDS = 1.0
+# Doubles with each run in a row that had no event in time, so that items
+# which take all targets longer are finished, too.
 FIRST_EVENT_TIMEOUT_SECONDS = 2.0
+MAX_FIRST_EVENT_TIMEOUT_SECONDS = 16.0
 RETRY_SECONDS = 0.1
 REFUSED_RETRY_SECONDS = 0.3
 UNPROCESSABLE = 422
@@ -49,6 +52,7 @@
     :ivar failures: answers of status 500
     :ivar errors_at: targets that answered it with an error, in order
     :ivar broken_runs: consecutive runs that broke off without an event
+    :ivar late_runs: consecutive runs that had no event in time
     :ivar not_before: when the item may run again, in seconds of the event
         loop's clock
     :ivar waits_since: since when the item waits for a free slot at the
@@ -66,6 +70,7 @@
         self.failures = 0
         self.errors_at: list[str] = []
         self.broken_runs = 0
+        self.late_runs = 0
         self.not_before = 0.0
         self.waits_since: float | None = None
         self.target: str | None = None
@@ -74,6 +79,14 @@
         self.done_at = 0.0
         self.route_missing_at: float | None = None
 
+    @property
+    def first_event_timeout(self) -> float:
+        """Time in which the next run must have an event, in seconds."""
+        return min(
+            MAX_FIRST_EVENT_TIMEOUT_SECONDS,
+            FIRST_EVENT_TIMEOUT_SECONDS * 2.0**self.late_runs,
+        )
+
 
 class ItemAttempts:
     """Runs items at targets."""
@@ -162,7 +175,7 @@
             ITEM_TIMEOUT_SECONDS,
             item.text.last_id,
             repeatable=True,
-            head_seconds=FIRST_EVENT_TIMEOUT_SECONDS,
+            head_seconds=item.first_event_timeout,
         ) as opened:
             if isinstance(opened, result.Err):
                 return self._record_failure(
@@ -268,7 +281,7 @@
         :raises TimeoutError: if the next event does not arrive in time
         """
         reader = exchange.EventReader(item.text.last_id)
-        next_event_by = anyio.current_time() + FIRST_EVENT_TIMEOUT_SECONDS
+        next_event_by = anyio.current_time() + item.first_event_timeout
         is_answered = False
         size = sum(len(text.encode()) for text in item.text.texts)
         while True:
@@ -340,7 +353,12 @@
                     call.prompt_parts,
                     anyio.current_time() - began,
                 )
+            is_late = failure.status == GATEWAY_TIMEOUT
             item.broken_runs = 0 if has_answered else item.broken_runs + 1
+            if has_answered:
+                item.late_runs = 0
+            elif is_late:
+                item.late_runs += 1
             pause = batch_scheduling.retry_pause(item.broken_runs)
         item.not_before = anyio.current_time() + pause
         return failure.message
--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -127,12 +127,29 @@
             )
         return found
 
+    def has_other_target(
+        self,
+        services: collections.abc.Iterable[str],
+        target: str,
+        software: str | None = None,
+    ) -> bool:
+        """Return whether a usable target could take over from another one.
+
+        :param services: services whose targets may run the request
+        :param target: name of the target that has the request
+        :param software: software that the target must have, ``None`` for any
+        """
+        return any(
+            self.candidates(service, (target,), software)
+            for service in services
+        )
+
     async def acquire_slot(
         self,
         services: tuple[str, ...],
         queued: queueing.QueuedRequest,
         deadline: float,
-        excluded: collections.abc.Collection[str] = (),
+        excluded: collections.abc.Sequence[str] = (),
         software: str | None = None,
     ) -> result.Result[blackboard.Target, verdicts.Failure]:
         """Wait for a slot at a target.
@@ -144,7 +161,8 @@
             used only while those before it have no usable target
         :param queued: priority and times of the request
         :param deadline: local clock at which the caller gives up, in seconds
-        :param excluded: targets that have failed the request
+        :param excluded: targets that have failed the request, in order; they
+            are used only if there is no other usable one
         :param software: software that the target must have, ``None`` for any
         :returns: the target, or a failure that says when to retry
         """
@@ -327,7 +345,10 @@
             row.service in request.services
             and row.software == request.software
             and not row.leaving
-            and row.name not in request.excluded
+            and (
+                row.name not in request.excluded
+                or self._target_stats.is_usable(row.name)
+            )
             for row in self._board.targets.rows()
         )
 
@@ -405,13 +426,18 @@
     def _candidates_for(
         self, request: waiting_requests.WaitingRequest
     ) -> list[request_placement.Candidate]:
-        """Return the usable targets of the first service that has any."""
-        for service in request.services:
-            found = self.candidates(
-                service, request.excluded, request.software
-            )
-            if found:
-                return found
+        """Return the usable targets of the first service that has any.
+
+        Targets that have failed the request are tried again if there is no
+        other usable one, the last of them only if it is the only one.
+        """
+        for excluded in (request.excluded, request.excluded[-1:], ()):
+            for service in request.services:
+                found = self.candidates(service, excluded, request.software)
+                if found:
+                    return found
+            if not excluded:
+                break
         return []
 
     def _place(self, request: waiting_requests.WaitingRequest) -> bool:
--- a/src/persimmonpass/controllers/online/attempts.py
+++ b/src/persimmonpass/controllers/online/attempts.py
@@ -106,6 +106,17 @@
         self._counters.retries.labels(service).inc()
         return True
 
+    def count_left(
+        self, context: RequestContext, tried: set[str], limit: int
+    ) -> int:
+        """Return how many further attempts have a target now.
+
+        :param tried: names of the targets that were already tried
+        :param limit: number of further attempts that are allowed
+        """
+        spec = context.online.spec
+        return min(limit, self._chooser.count_usable(spec, tried))
+
     async def pick(
         self,
         context: RequestContext,
--- a/src/persimmonpass/controllers/online/calls.py
+++ b/src/persimmonpass/controllers/online/calls.py
@@ -65,9 +65,13 @@
             tried.add(picked.ok_value.target.name)
             if number == 0:
                 self._attempts.allow(online.service, number)
-            # Each attempt gets an equal share of the time left, so that a
-            # target that does not answer leaves time for the others.
-            time_limit = deadline.left / (limit - number)
+            # Each attempt that has a target gets an equal share of the time
+            # left, so that a target that does not answer leaves time for the
+            # others.
+            others = self._attempts.count_left(
+                context, tried, limit - number - 1
+            )
+            time_limit = deadline.left / (1 + others)
             answered = await self._attempt(
                 picked.ok_value, context, request, time_limit, once
             )
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -42,8 +42,11 @@
 GATEWAY_TIMEOUT = 504
 MIN_SERVER_ERROR = 500
 # A repeatable request without an event after this time is sent to another
-# target. It is several times what a free target takes.
+# target, if there is one. It is several times what a free target takes.
 FIRST_EVENT_SECONDS = 0.4
+# Share of a long objective that may pass until then. Another target can still
+# meet the objective in the rest.
+FIRST_EVENT_SHARE = 0.5
 # Share of the allowed pause between events after which a stalled stream is
 # resumed at another target, so that its next event can still be on time.
 STALL_SHARE = 0.55
@@ -292,10 +295,7 @@
         )
         self._ports.metrics.sends.labels(request.route.kind.value).inc()
         request.sent_at = anyio.current_time()
-        can_resend = (
-            request.route.repeatable
-            and request.runs + 1 < request.route.max_attempts
-        )
+        can_resend = self._can_resend(request, target)
         async with self._ports.targets.open(
             request.call,
             target,
@@ -304,7 +304,7 @@
             repeatable=request.route.repeatable,
             head_seconds=min(
                 request.remaining_seconds,
-                FIRST_EVENT_SECONDS if can_resend else 1e9,
+                _first_event_timeout(request) if can_resend else 1e9,
             ),
         ) as opened:
             if isinstance(opened, result.Err):
@@ -313,6 +313,20 @@
                 request, target, opened.ok_value, can_resend, recall
             )
 
+    def _can_resend(
+        self, request: request_state.RequestState, target: blackboard.Target
+    ) -> bool:
+        """Return whether another target may answer instead of this one."""
+        return (
+            request.route.repeatable
+            and request.runs + 1 < request.route.max_attempts
+            and self._ports.queue.has_other_target(
+                request.services,
+                target.name,
+                request.origin.software if request.origin else None,
+            )
+        )
+
     async def _pass_answer(
         self,
         request: request_state.RequestState,
@@ -329,7 +343,7 @@
         head = answer.head
         if head.is_misdirected:
             self._ports.target_stats.record_replaced(target.name)
-            request.excluded.add(target.name)
+            request.excluded.append(target.name)
             request.refusals += 1
             return _End.NOT_RUN
         if head.not_run:
@@ -379,9 +393,11 @@
     ) -> None:
         reader = exchange.EventReader(request.last_id)
         route = request.route
-        stall_seconds = max(MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds)
+        stall_seconds = _patience(request) * max(
+            MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds
+        )
         first = True
-        next_event_by = request.sent_at + FIRST_EVENT_SECONDS
+        next_event_by = request.sent_at + _first_event_timeout(request)
         while True:
             until = (
                 min(next_event_by, request.deadline)
@@ -503,7 +519,7 @@
         """Handle an answer saying that the target did not run the request."""
         request.refusals += 1
         request.may_run = False
-        request.excluded = {target.name}
+        request.excluded = [target.name]
         self._ports.target_stats.record_failure(target.name, 'refused')
         events.log(
             events.REQUEST_RETRIED,
@@ -530,7 +546,7 @@
         if not not_run or not self._ports.target_paths.is_reachable(
             target.name
         ):
-            request.excluded.add(target.name)
+            request.excluded.append(target.name)
         if failure.verdict is verdicts.Verdict.MAY_HAVE_RUN:
             self._ports.target_paths.record_broken(target.name)
         if not not_run:
@@ -642,6 +658,24 @@
     await exchange.refuse(request.caller, status, retry_after_seconds)
 
 
+def _patience(request: request_state.RequestState) -> int:
+    """Return by which factor the time limits of a run are longer.
+
+    They double with each run. If all targets are slow, a run gets to its end
+    before the attempts are used up.
+    """
+    return int(2**request.runs)
+
+
+def _first_event_timeout(request: request_state.RequestState) -> float:
+    """Return after which time a run without an event goes elsewhere."""
+    usual = max(
+        FIRST_EVENT_SECONDS,
+        FIRST_EVENT_SHARE * request.route.objective_seconds,
+    )
+    return _patience(request) * usual
+
+
 def _server_error(target: blackboard.Target, status: int) -> verdicts.Failure:
     return verdicts.Failure(
         verdicts.Verdict.RAN,
--- a/src/persimmonpass/controllers/online/waiting_requests.py
+++ b/src/persimmonpass/controllers/online/waiting_requests.py
@@ -20,7 +20,7 @@
         self,
         services: tuple[str, ...],
         queued: queueing.QueuedRequest,
-        excluded: collections.abc.Collection[str],
+        excluded: collections.abc.Sequence[str],
         software: str | None,
     ) -> None:
         self.services = services
--- a/src/persimmonpass/controllers/targets/target_chooser.py
+++ b/src/persimmonpass/controllers/targets/target_chooser.py
@@ -78,6 +78,13 @@
         name = self._choose(candidates, self._zone, self._draw)
         return self._board.targets.get(name) if name else None
 
+    def count_usable(self, spec: objects.ServiceSpec, tried: set[str]) -> int:
+        """Return how many targets may still get a request.
+
+        :param tried: names of targets that failed the request
+        """
+        return len(self._usable(spec, tried))
+
     def choose_for_suspect(
         self, spec: objects.ServiceSpec, tried: set[str]
     ) -> blackboard.Target | None:
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -20,7 +20,7 @@
     :ivar started: whether the head of the answer was sent to the caller
     :ivar runs: attempts that may have run at a target
     :ivar refusals: attempts that a target refused
-    :ivar excluded: targets that have failed the request
+    :ivar excluded: targets that have failed the request, in order
     :ivar errors_at: targets that answered it with an error, in order
     :ivar failure: reason of the last failed attempt
     :ivar first_event_seconds: time from the arrival to the first event
@@ -51,7 +51,7 @@
         self.started = False
         self.runs = 0
         self.refusals = 0
-        self.excluded: set[str] = set()
+        self.excluded: list[str] = []
         self.errors_at: list[str] = []
         self.failure: verdicts.Failure | None = None
         self.first_event_seconds: float | None = None
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -219,6 +219,7 @@
     :ivar pace_seconds: time between events
     :ivar cut_after: number of events after which answers break off; ``None``
         for never
+    :ivar cuts_left: how many answers break off so; ``None`` for all
     :ivar crashes_when_cut: whether an answer breaks off because the server
         crashes, so that it refuses connections for a while
     :ivar refuses_all: whether every request is refused as not executed
@@ -255,6 +256,7 @@
         self.recalled = 0
         self.pace_seconds = 0.002
         self.cut_after = None
+        self.cuts_left = None
         self.crashes_when_cut = False
         self.deadly_part = None
         self.crashes = 0
@@ -374,6 +376,15 @@
             self._queue.remove(turn)
         return not left
 
+    def _is_cut(self, number):
+        """Return whether an answer breaks off before an event."""
+        if self.cut_after is None or number <= self.cut_after:
+            return False
+        if self.cuts_left is None:
+            return True
+        self.cuts_left -= 1
+        return self.cuts_left >= 0
+
     async def _stream(self, first, body, send, receive):
         completed = False
 
@@ -385,7 +396,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_disconnect)
             for number in range(first, TOKENS + 1):
-                if self.cut_after is not None and number > self.cut_after:
+                if self._is_cut(number):
                     if self.crashes_when_cut:
                         self.down_until = (
                             anyio.current_time() + self.down_seconds
