Callers: bound what all connections hold together

Callers that send too much or read too little ended a process: it ran out of memory.

Cause: bodies, parser and socket buffers, whole requests and open connections were bounded for one connection and not for all of them. Parts of bodies of two bytes took sixty. Beside that, three leaks: the parser waited for good for room in the queue of an application that had answered without reading a body, connections whose callers never read the rest of an answer were not closed, and one connection could speak HTTP/2 and send a hundred bodies at once.

Change: intake.py counts what connections hold from the arrival of bytes to the end of the answer. Beyond the limits it closes those that hold most or are unused for longest, never one with a whole request, and refuses further large requests with 503. http_server.py serves instead of Hypercorn's own server: smaller buffers, HTTP/1.1 only. The limits follow memoryMb and maxFds of the settings, and new flags of persimmonpassd.

Evidence: tests.test_hostile_callers, real processes with 128 MB and 400 descriptors.

--- a/src/persimmonpass/api/answers.py
+++ b/src/persimmonpass/api/answers.py
@@ -9,6 +9,9 @@
 from starlette import requests
 from starlette import responses
 
+from persimmonpass import events
+from persimmonpass import exchange
+from persimmonpass import intake
 from persimmonpass import objects
 from persimmonpass import verdicts
 
@@ -17,6 +20,7 @@
 RECORDED_HEADER = 'Persimmonpass-Recorded'
 REQUEST_ID_HEADER = 'Persimmonpass-Request-Id'
 MAX_BODY_BYTES = 4_000_000
+NO_ROOM_RETRY_SECONDS = 1.0
 
 Shape = typing.TypeVar('Shape')
 
@@ -45,19 +49,31 @@
     :param limit: largest size in bytes; a larger body fails with status 413
     """
     body = bytearray()
+    if exchange.read_length(request.headers.raw) > limit:
+        return result.Err(_too_long(limit))
     async for chunk in request.stream():
         body += chunk
         if len(body) > limit:
-            return result.Err(
-                verdicts.invalid(
-                    'body',
-                    f'expected at most {limit} bytes, got more',
-                    413,
-                )
+            return result.Err(_too_long(limit))
+    if not intake.find(request.scope).take_whole():
+        return result.Err(
+            verdicts.Failure(
+                verdicts.Verdict.NOT_RUN,
+                events.REQUEST_REFUSED,
+                'the requests in progress hold as much as they may',
+                503,
+                NO_ROOM_RETRY_SECONDS,
             )
+        )
     return result.Ok(bytes(body))
 
 
+def _too_long(limit: int) -> verdicts.Failure:
+    return verdicts.invalid(
+        'body', f'expected at most {limit} bytes, got more', 413
+    )
+
+
 def read_json(
     body: bytes, shape: type[Shape]
 ) -> result.Result[Shape, verdicts.Failure]:
@@ -76,20 +92,31 @@
 
 
 async def read_lines(
-    request: requests.Request,
+    request: requests.Request, limit: int
 ) -> collections.abc.AsyncGenerator[bytes, None]:
     """Iterate over the lines of a body that are not blank.
 
     The body is streamed: only one line and one chunk are in memory.
+
+    :param limit: length of a line, in bytes, after which no more is read
     """
-    rest = b''
+    connection = intake.find(request.scope)
+    rest = bytearray()
     async for chunk in request.stream():
-        *lines, rest = (rest + chunk).split(b'\n')
-        for line in lines:
-            if line.strip():
-                yield line
+        received = len(rest) + len(chunk)
+        rest += chunk
+        if b'\n' in chunk:
+            *lines, last = bytes(rest).split(b'\n')
+            rest = bytearray(last)
+            for line in lines:
+                if line.strip():
+                    yield line
+        connection.release(received - len(rest))
+        if len(rest) > limit:
+            break
+    connection.take_whole()
     if rest.strip():
-        yield rest
+        yield bytes(rest)
 
 
 def read_seconds(
--- a/src/persimmonpass/api/caller.py
+++ b/src/persimmonpass/api/caller.py
@@ -134,7 +134,7 @@
     account = auth.find_account(ports.board, request.headers)
     if isinstance(account, result.Err):
         return account
-    raw = await answers.read_body(request)
+    raw = await answers.read_body(request, ports.max_body_bytes)
     if isinstance(raw, result.Err):
         return raw
     decoded = answers.read_json(raw.ok_value, CompletionBody)
@@ -179,7 +179,7 @@
                 'service', f'no service of type plain is named {name!r}', 404
             )
         )
-    raw = await answers.read_body(request)
+    raw = await answers.read_body(request, ports.max_body_bytes)
     if isinstance(raw, result.Err):
         return raw
     path = '/' + request.path_params['path']
--- a/src/persimmonpass/api/jobs.py
+++ b/src/persimmonpass/api/jobs.py
@@ -15,6 +15,7 @@
 from persimmonpass.controllers.batch import batch
 from persimmonpass.controllers.fleet import config
 from persimmonpass import jobs
+from persimmonpass import submissions
 from persimmonpass import verdicts
 
 DEFAULT_DUE_SECONDS = 86_400.0
@@ -54,7 +55,7 @@
             key.ok_value,
             name,
             due_seconds.ok_value,
-            answers.read_lines(request),
+            answers.read_lines(request, submissions.MAX_ITEM_BYTES),
         )
         if isinstance(accepted, result.Err):
             return answers.make_failure_response(accepted.err_value)
--- a/src/persimmonpass/api/ports.py
+++ b/src/persimmonpass/api/ports.py
@@ -23,6 +23,7 @@
         whether it may be repeated; returns whether this host takes it
     :ivar seconds_in_state: takes a host; returns the time since it was seen
         to enter its membership state
+    :ivar max_body_bytes: size of the largest body
     """
 
     board: blackboard.Blackboard
@@ -34,6 +35,7 @@
     entry_ttl_seconds: float
     accepts: collections.abc.Callable[[float, bool], bool]
     seconds_in_state: collections.abc.Callable[[str], float]
+    max_body_bytes: int = 4_000_000
 
 
 class OperatorPorts(typing.NamedTuple):
--- a/src/persimmonpass/cli/daemon.py
+++ b/src/persimmonpass/cli/daemon.py
@@ -128,6 +128,24 @@
     default=DEFAULTS['drain_seconds'],
     help='Longest time that a shutdown waits.',
 )
+@click.option(
+    '--memory-mb',
+    type=click.FloatRange(min=64),
+    default=DEFAULTS['memory_mb'],
+    help='Memory that the process may use; bounds what callers can hold.',
+)
+@click.option(
+    '--max-descriptors',
+    type=click.IntRange(min=64),
+    default=DEFAULTS['max_descriptors'],
+    help='Descriptors that the process may open; bounds the connections.',
+)
+@click.option(
+    '--max-body-bytes',
+    type=click.IntRange(min=1),
+    default=DEFAULTS['max_body_bytes'],
+    help='Largest body of a request; larger ones are answered with 413.',
+)
 @click.option('--trace', type=settings.TRACE, default='')
 @click.option('--log-file', type=click.Path(dir_okay=False), default='')
 def command(**values: typing.Any) -> None:
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -33,6 +33,7 @@
 from persimmonpass.controllers.targets import targets
 from persimmonpass import events
 from persimmonpass import in_flight
+from persimmonpass import intake
 from persimmonpass import key_shards
 from persimmonpass import metrics
 from persimmonpass.peers import link
@@ -49,6 +50,7 @@
 
 MAX_CONNECTIONS = 10_000
 RUN_ID_DIGITS = 12
+MEGABYTE = 1_000_000
 
 
 class Addresses(typing.NamedTuple):
@@ -89,6 +91,13 @@
             servers.listen(options.operator_listen),
         ]
         self.addresses = Addresses(*(map(servers.address_of, self._sockets)))
+        for listening in (self._sockets[0], self._sockets[2]):
+            servers.limit_callers(listening)
+        self._callers = intake.Intake(
+            intake.limits_for(
+                options.memory_mb * MEGABYTE, options.max_descriptors
+            )
+        )
         self._drain = drain.Drain(
             options.host,
             drain.DrainPorts(
@@ -368,6 +377,7 @@
                 self._options.entry_ttl_seconds,
                 self._accepts,
                 self._membership.seconds_in_state,
+                self._options.max_body_bytes,
             )
         )
         return stops.make_app(
@@ -410,5 +420,9 @@
     async def _serve(self, app: types.ASGIApp, index: int) -> None:
         context = self._tls.server if self._tls else None
         await servers.serve_http(
-            app, self._sockets[index], self._stopped, context=context
+            app,
+            self._sockets[index],
+            self._stopped,
+            context=context,
+            callers=self._callers,
         )
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -96,6 +96,14 @@
     Level.ERROR,
     'A background task raised an exception and is restarted.',
 )
+CONNECTIONS_SHED = Event(
+    110,
+    'connections_shed',
+    Level.WARNING,
+    'Connections of callers were closed, because all of them together held '
+    'too many bytes or there were too many; those that held most, or that '
+    'were unused for longest.',
+)
 TLS_RELOADED = Event(
     121,
     'tls_reloaded',
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -34,6 +34,14 @@
         return name.encode()
 
 
+def read_length(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the length of a body by its headers, 0 if they do not tell it."""
+    for name, value in headers:
+        if name.lower() == b'content-length' and value.isdigit():
+            return int(value)
+    return 0
+
+
 class Call(typing.NamedTuple):
     """A caller's request, which is passed on unchanged.
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -49,6 +49,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import gateway_ports
 from persimmonpass import gateway_settings
+from persimmonpass import intake
 from persimmonpass import job_records
 from persimmonpass.peers import link
 from persimmonpass.peers import listener
@@ -132,7 +133,11 @@
             )
             if address
         }
-        servers.limit_callers(self._sockets['caller'])
+        for listening in self._sockets.values():
+            servers.limit_callers(listening)
+        self._callers = intake.Intake(
+            intake.limits_for(options.memory_bytes, options.descriptors)
+        )
         self._drain = drain.Drain(
             options.host,
             drain.DrainPorts(
@@ -225,6 +230,8 @@
                         self._sockets[name],
                         self._stopped,
                         self._http_grace_seconds,
+                        None,
+                        self._callers,
                     )
             events.log(
                 events.DAEMON_STARTED,
--- a/src/persimmonpass/gateway_settings.py
+++ b/src/persimmonpass/gateway_settings.py
@@ -30,6 +30,8 @@
         while its configuration may lack the withdrawal of one
     :ivar revocation_seconds: age of the configuration from which on it does
     :ivar is_first_start: whether no host of the fleet has run before
+    :ivar memory_bytes: memory that the process may use; 0 if not known
+    :ivar descriptors: descriptors that it may open; 0 if not known
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
     """
 
@@ -49,6 +51,8 @@
     max_entry_ttl_seconds: float = 5.0
     job_status_seconds: float = 120.0
     cores: float = 0.0
+    memory_bytes: float = 0.0
+    descriptors: int = 0
     trace: str = ''
     strict_revocation: bool = False
     revocation_seconds: float = 5.0
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -17,6 +17,7 @@
 from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import gateway_ports
+from persimmonpass import intake
 from persimmonpass.platform import jobs
 from persimmonpass.platform import wire
 from persimmonpass import routes
@@ -38,6 +39,9 @@
 # the buffers of its connection, about 100 kB.
 CALLER_STALL_SECONDS = 5.0
 SEND_BYTES = 16_384
+# A job is in memory as its body, its items and its records.
+JOB_COPIES = 5
+NO_ROOM_RETRY_SECONDS = 1.0
 
 _MILLISECONDS = 1000
 _JSON = (b'content-type', b'application/json')
@@ -49,10 +53,22 @@
 
     :cvar CUT: the caller closed the connection before the end of the body
     :cvar TOO_LONG: the body is longer than allowed
+    :cvar NO_ROOM: the requests in progress hold as much as they may
     """
 
     CUT = 'cut'
     TOO_LONG = 'too long'
+    NO_ROOM = 'no room'
+
+
+class _Held(typing.NamedTuple):
+    """What a request holds once it has been read.
+
+    :ivar copies: how often its body is in memory
+    """
+
+    connection: intake.Connection
+    copies: int
 
 
 class _Caller:
@@ -60,9 +76,13 @@
 
     :ivar port: the calls with which a gateway streams an answer
     :ivar has_started: whether the head of the answer was sent
+    :ivar connection: what its connection holds
     """
 
-    def __init__(self, send: types.Send) -> None:
+    def __init__(
+        self, send: types.Send, connection: intake.Connection
+    ) -> None:
+        self.connection = connection
         self._send = send
         self.has_started = False
         self.port = exchange.CallerPort(self._start, self._body)
@@ -140,7 +160,7 @@
     ) -> None:
         if scope['type'] != 'http':
             return
-        caller = _Caller(send)
+        caller = _Caller(send, intake.find(scope))
         path: bytes = scope['raw_path']
         if scope['query_string']:
             path += b'?' + scope['query_string']
@@ -151,6 +171,9 @@
         except ValueError:
             await _refuse_head(caller, receive, ports.max_body_bytes(), 400)
             return
+        if exchange.read_length(scope['headers']) > ports.max_body_bytes():
+            await _refuse_head(caller, receive, ports.max_body_bytes(), 413)
+            return
         found = await _find_route(ports, head)
         if isinstance(found, result.Err):
             await _refuse_head(
@@ -161,9 +184,12 @@
                 found.err_value.retry_after_seconds,
             )
             return
-        with ports.cancelled_at_stop(head.id) as scope:
-            body = await _read_body(receive, ports.max_body_bytes())
-        if scope.cancelled_caught:
+        route = found.ok_value
+        is_job = route is not None and route.kind is routes.Kind.JOB
+        held = _Held(caller.connection, JOB_COPIES if is_job else 1)
+        with ports.cancelled_at_stop(head.id) as reading:
+            body = await _read_body(receive, ports.max_body_bytes(), held)
+        if reading.cancelled_caught:
             # Nothing ran, as the request was not read whole.
             await _refuse_head(
                 caller,
@@ -179,9 +205,12 @@
         if body is _BodyError.TOO_LONG:
             await caller.answer(413)
             return
+        if body is _BodyError.NO_ROOM:
+            await exchange.refuse(caller.port, 503, NO_ROOM_RETRY_SECONDS)
+            return
         call = head._replace(body=typing.cast(bytes, body))
         await gateway_ports.run_until_disconnect(
-            lambda: _serve(ports, call, found.ok_value, caller), receive
+            lambda: _serve(ports, call, route, caller), receive
         )
 
     return app
@@ -225,7 +254,7 @@
     """
     await caller.start_refusal(status, retry_after_seconds)
     with anyio.move_on_after(drop_seconds or DROP_SECONDS):
-        if await _drop_body(receive, limit):
+        if await _drop_body(receive, limit, caller.connection):
             return
     # The server's queue of received messages is bounded. If it is full, the
     # end of the answer waits until a message has been taken from it.
@@ -235,10 +264,13 @@
         tasks.cancel_scope.cancel()
 
 
-async def _drop_body(receive: types.Receive, limit: int) -> bool:
+async def _drop_body(
+    receive: types.Receive, limit: int, connection: intake.Connection
+) -> bool:
     """Read the body of a request without keeping it.
 
     :param limit: largest number of bytes that are read
+    :param connection: connection that holds it
     :returns: whether the caller closed the connection
     """
     size = 0
@@ -246,7 +278,9 @@
         message = await receive()
         if message['type'] != 'http.request':
             return True
-        size += len(message.get('body', b''))
+        part = len(message.get('body', b''))
+        connection.release(part)
+        size += part
         if not message.get('more_body', False):
             break
     return False
@@ -372,7 +406,7 @@
     ) -> None:
         if scope['type'] != 'http':
             return
-        caller = _Caller(send)
+        caller = _Caller(send, intake.find(scope))
         if scope['path'] != READY_PATH:
             await caller.answer(404)
         else:
@@ -395,7 +429,7 @@
     ) -> None:
         if scope['type'] != 'http':
             return
-        caller = _Caller(send)
+        caller = _Caller(send, intake.find(scope))
         if scope['path'] != RESOLVE_PATH:
             await caller.answer(404)
             return
@@ -412,24 +446,25 @@
     return app
 
 
-async def _read_body(receive: types.Receive, limit: int) -> bytes | _BodyError:
+async def _read_body(
+    receive: types.Receive, limit: int, held: _Held
+) -> bytes | _BodyError:
     """Return a request's body, or why it cannot be read.
 
     :param limit: largest size in bytes
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message['type'] != 'http.request':
             return _BodyError.CUT
-        part = typing.cast(bytes, message.get('body', b''))
-        size += len(part)
-        if size > limit:
+        body += message.get('body', b'')
+        if len(body) > limit:
             return _BodyError.TOO_LONG
-        parts.append(part)
         if not message.get('more_body', False):
-            return b''.join(parts)
+            if not held.connection.take_whole(held.copies):
+                return _BodyError.NO_ROOM
+            return bytes(body)
 
 
 def _parse_query(text: bytes) -> _Query:
--- a/src/persimmonpass/platform/settings.py
+++ b/src/persimmonpass/platform/settings.py
@@ -10,6 +10,7 @@
 PATH_VARIABLE = 'PERSIMMONPASS_SETTINGS'
 
 _MILLISECONDS = 1000
+_MEGABYTE = 1_000_000
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
@@ -21,15 +22,19 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    """Processor limits.
+    """Limits of a process.
 
     :ivar cpu_share: share of one processor
     :ivar cores: speed of that processor relative to the usual one; it is
         not the number of processors
+    :ivar memory_mb: memory in megabytes; 0 if it is not known
+    :ivar max_fds: open descriptors; 0 if it is not known
     """
 
     cpu_share: float = 0.0
     cores: float = 1.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
 
 class _Platform(msgspec.Struct, rename='camel'):
@@ -109,6 +114,8 @@
         max_entry_ttl_seconds=decoded.bounds.ttl_max_s,
         job_status_seconds=decoded.bounds.status_s,
         cores=decoded.limits.cpu_share * decoded.limits.cores,
+        memory_bytes=decoded.limits.memory_mb * _MEGABYTE,
+        descriptors=decoded.limits.max_fds,
         strict_revocation=decoded.bounds.strict_revoke,
         revocation_seconds=decoded.bounds.revoke_ms / _MILLISECONDS,
         is_first_start=decoded.bootstrap,
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -6,17 +6,18 @@
 import ssl
 
 import anyio
-import hypercorn.asyncio
+from hypercorn import app_wrappers
 import hypercorn.config
 from starlette import types
 
 from persimmonpass import events
+from persimmonpass import http_server
+from persimmonpass import intake
 
 BACKLOG = 1024
 RESTART_SECONDS = 0.5
 SHUTDOWN_TIMEOUT_SECONDS = 1.0
-# Time beyond the grace in which a server closes its connections.
-CLOSE_SECONDS = 0.1
+TLS_HANDSHAKE_SECONDS = 5.0
 # Time for requests on connections that were accepted last.
 LAST_REQUESTS_SECONDS = 0.05
 # The default lets the kernel take megabytes for each caller that does not
@@ -24,23 +25,6 @@
 CALLER_SEND_BUFFER_BYTES = 65_536
 
 
-class _Options(hypercorn.config.Config):
-    """Options of a server that shares a TLS context with its daemon."""
-
-    def __init__(self, context: ssl.SSLContext | None) -> None:
-        super().__init__()
-        self._context = context
-
-    @property
-    def ssl_enabled(self) -> bool:
-        """Whether the server speaks TLS."""
-        return self._context is not None
-
-    def create_ssl_context(self) -> ssl.SSLContext | None:
-        """Return the context, which the daemon still owns and reloads."""
-        return self._context
-
-
 async def serve_http(
     app: types.ASGIApp,
     listener: socket.socket,
@@ -49,13 +33,12 @@
         lambda: SHUTDOWN_TIMEOUT_SECONDS
     ),
     context: ssl.SSLContext | None = None,
+    callers: intake.Intake | None = None,
 ) -> None:
     """Serve an application on a bound socket until an event is set.
 
-    Hypercorn does not shut down cleanly when it is cancelled. It is therefore
-    shielded from cancellation, and a cancelled server closes its connections
-    in the same way as a stopped one. It is cancelled all the same if it does
-    not end in time, as it waits for callers that do not read their answer.
+    The server is shielded from cancellation: a cancelled one closes its
+    connections in the same way as a stopped one.
 
     :param listener: listening socket; the server takes it over and closes it
     :param stopped: event that stops the server
@@ -63,39 +46,30 @@
         that
     :param context: TLS context, which may load other certificates later;
         ``None`` for no TLS
+    :param callers: connections of the process, which share its limits;
+        ``None`` for a server with limits of its own
     """
-    options = _Options(context)
-    descriptor = listener.detach()
-    options.bind = [f'fd://{descriptor}']
+    options = hypercorn.config.Config()
     options.accesslog = None
     options.errorlog = None
-    options.shutdown_timeout = SHUTDOWN_TIMEOUT_SECONDS
     options.backlog = BACKLOG
+    options.ssl_handshake_timeout = TLS_HANDSHAKE_SECONDS
+    options.h11_max_incomplete_size = http_server.MAX_HEAD_BYTES
+    options.max_app_queue_size = http_server.MAX_QUEUED_PARTS
     closing = anyio.Event()
     closed = anyio.Event()
-    serving = anyio.CancelScope(shield=True)
+    server = http_server.HttpServer(
+        app_wrappers.ASGIWrapper(app),
+        options,
+        callers or intake.Intake(intake.limits_for()),
+    )
 
     async def serve() -> None:
-        try:
-            with serving:
-                await hypercorn.asyncio.serve(
-                    app, options, shutdown_trigger=closing.wait, mode='asgi'
-                )
-        except asyncio.InvalidStateError:
-            # Raised by a cancelled shutdown, instead of the cancellation.
-            if not serving.cancel_called:
-                raise
-        finally:
-            closed.set()
-
-    async def close() -> None:
-        if not closed.is_set():
-            await _stop_accepting(descriptor)
-        options.graceful_timeout = grace_seconds()
-        closing.set()
-        with anyio.move_on_after(options.graceful_timeout + CLOSE_SECONDS):
-            await closed.wait()
-        serving.cancel()
+        with anyio.CancelScope(shield=True):
+            try:
+                await server.serve(listener, context, closing.wait)
+            finally:
+                closed.set()
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(serve)
@@ -103,7 +77,11 @@
             await stopped.wait()
         finally:
             with anyio.CancelScope(shield=True):
-                await close()
+                if not closed.is_set():
+                    await _stop_accepting(listener.fileno())
+                options.graceful_timeout = grace_seconds()
+                closing.set()
+                await closed.wait()
 
 
 async def _stop_accepting(descriptor: int) -> None:
@@ -161,14 +139,16 @@
 
 
 def limit_callers(listener: socket.socket) -> None:
-    """Bound what the kernel holds for callers; they inherit the option.
+    """Bound what the kernel holds for callers; they inherit the options.
 
     ``TCP_USER_TIMEOUT`` is not set: the kernel also resets callers that read
     slowly through a small window.
     """
-    listener.setsockopt(
-        socket.SOL_SOCKET, socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES
-    )
+    for option, size in (
+        (socket.SO_SNDBUF, CALLER_SEND_BUFFER_BYTES),
+        (socket.SO_RCVBUF, intake.RECEIVE_BUFFER_BYTES),
+    ):
+        listener.setsockopt(socket.SOL_SOCKET, option, size)
 
 
 def address_of(listener: socket.socket) -> str:
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -56,6 +56,10 @@
     :ivar entry_ttl_seconds: how long callers may keep an entry answer
     :ivar drain_seconds: longest time that a drain may take
     :ivar trace: ``file:PATH`` or the URL of an OTLP/HTTP collector
+    :ivar memory_mb: memory that the process may use, in megabytes; callers
+        get a part of it
+    :ivar max_descriptors: descriptors that the process may open
+    :ivar max_body_bytes: size of the largest body of a request
     :ivar log_file: file for the log; empty for standard error
     """
 
@@ -80,6 +84,9 @@
     drain_seconds: float = 60.0
     trace: str = ''
     log_file: str = ''
+    memory_mb: float = 512.0
+    max_descriptors: int = 4096
+    max_body_bytes: int = 4_000_000
     seed_peers: tuple[str, ...] = ()
 
 
--- a/src/persimmonpass/targets/connections.py
+++ b/src/persimmonpass/targets/connections.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import socket
 import ssl
 import typing
 
@@ -19,6 +20,9 @@
 # The event loop receives no more bytes at once. The rest of longer ones would
 # be kept where the pool doesn't see it.
 _MAX_RECEIVED_BYTES = 262_144
+# What the kernel may hold of an answer that is not read. The default lets it
+# take megabytes for each caller that does not read.
+_SOCKET_OPTIONS = ((socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536),)
 _STATUS_LINE_START = b'HTTP/'
 # The status line up to the status, as in ``HTTP/1.1 100``.
 _STATUS_START = 9
@@ -204,7 +208,11 @@
         """Open a connection to a target."""
         return _Stream(
             await self._backend.connect_tcp(
-                host, port, timeout, local_address, socket_options
+                host,
+                port,
+                timeout,
+                local_address,
+                (*(socket_options or ()), *_SOCKET_OPTIONS),
             ),
             self._read_id,
         )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -217,6 +217,8 @@
     :ivar wait_seconds: time before the head of an answer
     :ivar recalled: number of requests whose caller left in that time
     :ivar pace_seconds: time between events
+    :ivar tokens: number of events of each answer
+    :ivar event_bytes: length of the padding of each event
     :ivar cut_after: number of events after which answers break off; ``None``
         for never
     :ivar cuts_left: how many answers break off so; ``None`` for all
@@ -255,6 +257,8 @@
         self.wait_seconds = 0.0
         self.recalled = 0
         self.pace_seconds = 0.002
+        self.tokens = TOKENS
+        self.event_bytes = 0
         self.cut_after = None
         self.cuts_left = None
         self.crashes_when_cut = False
@@ -395,7 +399,7 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_disconnect)
-            for number in range(first, TOKENS + 1):
+            for number in range(first, self.tokens + 1):
                 if self._is_cut(number):
                     if self.crashes_when_cut:
                         self.down_until = (
@@ -404,6 +408,8 @@
                     tasks.cancel_scope.cancel()
                     return False
                 text = f'id: {number}\ndata: {body.decode()}-{number}\n\n'
+                if self.event_bytes:
+                    text = f': {"x" * self.event_bytes}\n{text}'
                 if self.names_version:
                     text = f'event: {self.version}\n{text}'
                 await send(
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,8 @@
 """Runs the tests and ends with the line ``N passed, N failed``.
 
-Modules run in parallel, each in its own process. Tests listed in KNOWN-RED.txt
-still run; their failures are printed but do not fail the run.
+Modules run in parallel, each in its own process, but for those that measure
+what a process uses: they run at the end, one after the other. Tests listed in
+KNOWN-RED.txt still run; their failures are printed but do not fail the run.
 """
 
 import concurrent.futures
@@ -20,6 +21,7 @@
 # for them. A third of the processors is left to those processes.
 WORKERS = max(1, (os.cpu_count() or 2) * 2 // 3)
 MODULE_TIMEOUT_SECONDS = 1200
+ALONE = frozenset(('tests.test_hostile_callers',))
 
 
 class Outcome(typing.NamedTuple):
@@ -125,6 +127,19 @@
     )
 
 
+def _run_modules(
+    workers: concurrent.futures.Executor, names: list[str]
+) -> typing.Iterator[tuple[str, Outcome, str]]:
+    """Run modules in parallel, and then those that run alone."""
+    yield from workers.map(
+        run_module_in_subprocess,
+        [name for name in names if name not in ALONE],
+    )
+    yield from map(
+        run_module_in_subprocess, [name for name in names if name in ALONE]
+    )
+
+
 def main(names: list[str]) -> int:
     """Run the tests.
 
@@ -139,8 +154,8 @@
     failed: list[str] = []
     passed = 0
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as workers:
-        for name, outcome, text in workers.map(
-            run_module_in_subprocess, names or module_names()
+        for name, outcome, text in _run_modules(
+            workers, names or module_names()
         ):
             passing = (
                 outcome.run - len(set(outcome.failed_ids)) - outcome.skipped
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -282,13 +282,24 @@
         platform_fakes.run(test)
 
 
-@contextlib.asynccontextmanager
-async def processes(count):
-    """Run a fleet whose hosts are processes; yield hosts and targets."""
-    targets = [platform_fakes.Server(f'i-{number}') for number in range(4)]
+def prepare_targets(targets):
+    """Give half of the targets a service that takes long."""
     for server in targets[2:]:
         server.service = 'long'
     set_paces(targets)
+
+
+@contextlib.asynccontextmanager
+async def processes(
+    count, config=None, prepare=prepare_targets, more_settings=''
+):
+    """Run a fleet whose hosts are processes; yield hosts and targets.
+
+    :param prepare: sets what the targets do
+    :param more_settings: further lines of the hosts' settings
+    """
+    targets = [platform_fakes.Server(f'i-{number}') for number in range(4)]
+    prepare(targets)
     store = platform_fakes.StoreApp()
     serving = test_store_client.serving
     async with contextlib.AsyncExitStack() as stack:
@@ -298,10 +309,10 @@
                 serving(server.app)
             )
             store.memory.put('servers', server.name, server.entry())
-        store.memory.put('config', 'main', configuration())
+        store.memory.put('config', 'main', config or configuration())
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         hosts = [
-            soak.Host(folder, number, address, has_log=True)
+            soak.Host(folder, number, address, True, more_settings)
             for number in range(count)
         ]
         for host in hosts:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -94,12 +94,19 @@
     :ivar log_path: file of its log lines, if they are kept
     """
 
-    def __init__(self, folder, number, store, has_log=False):
+    @property
+    def pid(self):
+        """Number of the process."""
+        return self._process.pid
+
+    def __init__(self, folder, number, store, has_log=False, more_settings=''):
         fields = _free_addresses()
         self.address = fields['front']
+        self.entry = fields['entry']
         self._path = pathlib.Path(folder) / f'host-{number}.yaml'
         self._path.write_text(
             SETTINGS.format(number=number, store=store, **fields)
+            + more_settings
         )
         self._process = None
         self.log_path = self._path.with_suffix('.log')
