Answers: bound what servers that send without end make a host keep

Cause: answers were bounded one by one, at 16 MB, and those of stores not at all; errors and incomplete events of all calls together had no bound.

Change: answers that a client keeps until they are whole are bounded together, errors and incomplete events of engines are read up to a limit, and incomplete events count as collected at the gateway.

--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -33,6 +33,7 @@
 from persimmonpass.targets import connections
 from persimmonpass.targets import opaque
 from persimmonpass import tracing
+from persimmonpass import transports
 from persimmonpass import verdicts
 
 NOT_FOUND = 404
@@ -61,7 +62,8 @@
 # callers from retrying it.
 QUARANTINE_RETRY_SECONDS = 30.0
 # Length of an answer without events, and of all those that a host collects at
-# the same time. The smallest hosts have 128 MB of memory.
+# the same time, together with incomplete events. The smallest hosts have
+# 128 MB of memory.
 MAX_BODY_BYTES = 4_194_304
 MAX_COLLECTED_BYTES = 16_777_216
 
@@ -103,7 +105,7 @@
     def __init__(self, host: str, ports: RouteProxyPorts) -> None:
         self._host = host
         self._ports = ports
-        self._collected_bytes = 0
+        self._collected = transports.Collected(MAX_COLLECTED_BYTES)
 
     def configuration(self) -> routes.Configuration | None:
         """Return the current configuration, ``None`` if there is none yet."""
@@ -392,6 +394,26 @@
         recall: crash_parts.Recall,
     ) -> None:
         reader = exchange.EventReader(request.last_id)
+        try:
+            await self._forward_from(
+                reader, request, target, answer, can_resend, recall
+            )
+        finally:
+            self._collected.remove(reader.partial_bytes)
+
+    async def _forward_from(
+        self,
+        reader: exchange.EventReader,
+        request: request_state.RequestState,
+        target: blackboard.Target,
+        answer: opaque.Answer,
+        can_resend: bool,
+        recall: crash_parts.Recall,
+    ) -> None:
+        """Forward events; an incomplete one counts as collected.
+
+        :param reader: splits the answer into events
+        """
         route = request.route
         stall_seconds = _patience(request) * max(
             MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds
@@ -408,7 +430,9 @@
                 chunk = await anext(answer.chunks, None)
             if chunk is None:
                 break
+            partial = reader.partial_bytes
             found = reader.feed(chunk)
+            self._collected.add(reader.partial_bytes - partial)
             for event in found:
                 if first:
                     first = False
@@ -479,19 +503,14 @@
             with anyio.fail_after(max(0.0, request.remaining_seconds)):
                 async for chunk in answer.chunks:
                     body += chunk
-                    self._collected_bytes += len(chunk)
-                    if (
-                        len(body) > MAX_BODY_BYTES
-                        or self._collected_bytes > MAX_COLLECTED_BYTES
-                    ):
+                    self._collected.add(len(chunk))
+                    if len(body) > MAX_BODY_BYTES:
                         raise ValueError(
-                            f'body too long: got {len(body)} bytes, '
-                            f'{self._collected_bytes} of all answers; the '
-                            f'limits are {MAX_BODY_BYTES} and '
-                            f'{MAX_COLLECTED_BYTES}'
+                            f'body too long: got {len(body)} bytes, the limit '
+                            f'is {MAX_BODY_BYTES}'
                         )
         finally:
-            self._collected_bytes -= len(body)
+            self._collected.remove(len(body))
         recall.is_answered = True
         self._ports.crash_parts.record_answer(request.call.prompt_parts)
         request.started = True
--- a/src/persimmonpass/daemon.py
+++ b/src/persimmonpass/daemon.py
@@ -47,6 +47,7 @@
 from persimmonpass.targets import service
 from persimmonpass import tls
 from persimmonpass import tracing
+from persimmonpass import transports
 
 MAX_CONNECTIONS = 10_000
 RUN_ID_DIGITS = 12
@@ -61,6 +62,16 @@
     operator: str
 
 
+def make_store_client(limits: httpx.Limits) -> httpx.AsyncClient:
+    """Return an HTTP client for the platform and for orders."""
+    return httpx.AsyncClient(
+        transport=transports.BoundedTransport(
+            httpx.AsyncHTTPTransport(limits=limits, trust_env=False)
+        ),
+        trust_env=False,
+    )
+
+
 class Daemon:
     """The daemon of one host.
 
@@ -153,7 +164,7 @@
             max_keepalive_connections=MAX_CONNECTIONS,
         )
         async with (
-            httpx.AsyncClient(limits=limits, trust_env=False) as client,
+            make_store_client(limits) as client,
             pools.make_client(keep_connections=True) as target_client,
             pools.make_client(keep_connections=False) as fresh_client,
             anyio.create_task_group() as tasks,
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -225,6 +225,11 @@
         """Whether the bytes so far end within an event."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of an event that is not complete."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -76,6 +76,8 @@
 HTTP_GRACE_SECONDS = 0.4
 DEREGISTER_SECONDS = 0.4
 MAX_STORE_CONNECTIONS = 200
+# Of all answers that arrive at the same time; a page has about a megabyte.
+MAX_STORE_ANSWER_BYTES = 16_777_216
 # How long a host that has just started waits for the list of members, to know
 # whether it belongs to the core.
 MEMBERS_WAIT_SECONDS = 0.5
@@ -190,8 +192,11 @@
         context = pools.make_plain_http_context()
 
         def make_store_pool() -> httpx.AsyncHTTPTransport:
-            return httpx.AsyncHTTPTransport(
-                verify=context, limits=limits, trust_env=False
+            return transports.BoundedTransport(
+                httpx.AsyncHTTPTransport(
+                    verify=context, limits=limits, trust_env=False
+                ),
+                MAX_STORE_ANSWER_BYTES,
             )
 
         async with (
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -12,6 +12,7 @@
 from persimmonpass import blackboard
 from persimmonpass import events
 from persimmonpass.targets import connections
+from persimmonpass import transports
 from persimmonpass import verdicts
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -21,6 +22,10 @@
 ORDER_TIMEOUT_SECONDS = 5.0
 READ_REST_TIMEOUT_SECONDS = 0.05
 RETRY_AFTER_SECONDS = 1.0
+# An event has the text of a few tokens.
+MAX_EVENT_BYTES = 262_144
+# Read of an answer that is an error.
+MAX_ERROR_BYTES = 65_536
 
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
@@ -235,7 +240,7 @@
             timeout=httpx.Timeout(
                 FIRST_PIECE_TIMEOUT_SECONDS, connect=CONNECT_TIMEOUT_SECONDS
             ),
-            extensions=tracker.extensions,
+            extensions={**tracker.extensions, transports.STREAMED: True},
         )
         # The library looks up the time limits at each step, so that they can
         # be changed while the request runs.
@@ -315,7 +320,7 @@
     """Read server-sent events; events that arrive together form one piece.
 
     :param attempt: id of the attempt that the events must carry
-    :raises ValueError: if an event belongs to another attempt
+    :raises ValueError: if an event belongs to another attempt or is too long
     """
     partial_event = b''
     chunks = answer.aiter_bytes()
@@ -323,6 +328,11 @@
         complete_events, end, partial_event = (
             partial_event + chunk
         ).rpartition(_EVENT_END)
+        if len(partial_event) > MAX_EVENT_BYTES:
+            raise ValueError(
+                f'event too long: got {len(partial_event)} bytes, the limit '
+                f'is {MAX_EVENT_BYTES}'
+            )
         if not end:
             continue
         piece = _join_events(complete_events, attempt)
@@ -370,7 +380,11 @@
     once more, and the next request, which runs, would be taken for refused.
     """
     connections.retire(answer)
-    body = await answer.aread()
+    body = b''
+    async for chunk in answer.aiter_bytes():
+        body += chunk
+        if len(body) > MAX_ERROR_BYTES:
+            break
     if is_leaving(answer.status_code, body):
         return target_leaving(target)
     is_refusal = (
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -16,6 +16,7 @@
 from persimmonpass import store
 from persimmonpass.targets import connections
 from persimmonpass.targets import pools
+from persimmonpass import transports
 from persimmonpass import verdicts
 
 # The network delay between hosts and targets is about a millisecond. TCP
@@ -255,6 +256,7 @@
             content=call.body,
             extensions={
                 'target': call.path,
+                transports.STREAMED: True,
                 'timeout': {
                     'connect': min(connect_seconds, seconds),
                     'read': None,
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -8,17 +8,15 @@
 import collections
 import collections.abc
 import ssl
-import typing
 
 import httpx
 
 from persimmonpass.targets import connections
+from persimmonpass import transports
 
 MAX_POOLS = 20_000
 # For each target.
 MAX_KEPT_CONNECTIONS = 32
-# A faulty target may send without end. A stream of 100,000 tokens is shorter.
-MAX_ANSWER_BYTES = 16_777_216
 
 
 MakePool = collections.abc.Callable[
@@ -26,28 +24,6 @@
 ]
 
 
-class _LimitedStream(httpx.AsyncByteStream):
-    """Body of an answer that is broken off at a maximum length."""
-
-    def __init__(self, stream: httpx.AsyncByteStream) -> None:
-        self._stream = stream
-
-    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        size = 0
-        async for chunk in self._stream:
-            size += len(chunk)
-            if size > MAX_ANSWER_BYTES:
-                raise httpx.RemoteProtocolError(
-                    f'answer too long: got {size} bytes, the limit is '
-                    f'{MAX_ANSWER_BYTES}'
-                )
-            yield chunk
-
-    async def aclose(self) -> None:
-        """Close the body and, if it has not ended, its connection."""
-        await self._stream.aclose()
-
-
 class TargetPools(httpx.AsyncBaseTransport):
     """Transport with a separate pool for each address.
 
@@ -67,6 +43,7 @@
         self._limits = limits
         self._context = context
         self._make_pool = make_pool or connections.Transport
+        self._collected = transports.Collected()
         self._pools: collections.OrderedDict[str, httpx.AsyncBaseTransport] = (
             collections.OrderedDict()
         )
@@ -76,8 +53,7 @@
     ) -> httpx.Response:
         """Send a request through the pool of its address.
 
-        Reading the answer raises ``httpx.RemoteProtocolError`` if it is
-        longer than ``MAX_ANSWER_BYTES``.
+        For its answer see :func:`transports.bound_answer`.
         """
         address = request.url.netloc.decode('ascii')
         pool = self._pools.get(address)
@@ -89,10 +65,7 @@
             _, oldest = self._pools.popitem(last=False)
             await oldest.aclose()
         response = await pool.handle_async_request(request)
-        response.stream = _LimitedStream(
-            typing.cast(httpx.AsyncByteStream, response.stream)
-        )
-        return response
+        return transports.bound_answer(request, response, self._collected)
 
     async def aclose(self) -> None:
         """Close all pools."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,6 +17,7 @@
 expand = parameterized.parameterized.expand
 BLOCK_BYTES = 65_536
 REQUESTS = 8
+MANY_REQUESTS = 64
 DEADLINE_SECONDS = 2.0
 # What all requests together may take of a host's memory.
 MEMORY_BYTES = 64_000_000
@@ -117,6 +118,18 @@
 
     @expand(ANSWERS)
     def test_request_ends_in_time_and_memory_is_bounded(self, _, head, block):
+        seconds = self.send_requests(head, block, REQUESTS)
+        self.assertLess(seconds, DEADLINE_SECONDS + 0.5)
+
+    @expand([row for row in ANSWERS if row[0].startswith('event')])
+    def test_memory_is_bounded_over_all_requests(self, _, head, block):
+        """Guards against a bound that holds for one answer only."""
+        self.send_requests(head, block, MANY_REQUESTS)
+
+    def send_requests(self, head, block, count):
+        """Check that requests fail; return how long all of them took."""
+        elapsed = []
+
         async def test(fleet, target):
             async def call(number):
                 try:
@@ -138,13 +151,13 @@
 
             began = time.monotonic()
             async with anyio.create_task_group() as tasks:
-                for number in range(REQUESTS):
+                for number in range(count):
                     tasks.start_soon(call, number)
-            elapsed = time.monotonic() - began
-            self.assertLess(elapsed, DEADLINE_SECONDS + 0.5)
+            elapsed.append(time.monotonic() - began)
             self.assertGreater(target.requests, 0)
 
         self.run_with_target(head, block, test)
+        return elapsed[0]
 
     @expand(ANSWERS)
     def test_item_stays_owed_and_memory_is_bounded(self, _, head, block):
