Retries: a request at the only target moves to one that turns up

Change: a target that failed a request gets it again only after a quarter of a second without another one; a run at the only target ends when its next event is late and another target is usable.

--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -24,6 +24,9 @@
 DEFAULT_SLOTS = 8
 TRIAL_SLOTS = 1
 DISPATCH_INTERVAL_SECONDS = 0.05
+# A target that has failed a request gets it again after this time, if no other
+# one has become usable.
+FAILED_TARGET_PAUSE_SECONDS = 0.25
 MISSING_VERSION_RETRY_SECONDS = 1.0
 
 
@@ -429,15 +432,18 @@
         """Return the usable targets of the first service that has any.
 
         Targets that have failed the request are tried again if there is no
-        other usable one, the last of them only if it is the only one.
+        other usable one for a moment, the last of them only if it is the only
+        one.
         """
-        for excluded in (request.excluded, request.excluded[-1:], ()):
+        exclusions = [request.excluded]
+        waited = anyio.current_time() - request.queued_at
+        if request.excluded and waited >= FAILED_TARGET_PAUSE_SECONDS:
+            exclusions += [request.excluded[-1:], ()]
+        for excluded in exclusions:
             for service in request.services:
                 found = self.candidates(service, excluded, request.software)
                 if found:
                     return found
-            if not excluded:
-                break
         return []
 
     def _place(self, request: waiting_requests.WaitingRequest) -> bool:
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -45,6 +45,8 @@
 # A repeatable request without an event after this time is sent to another
 # target, if there is one. It is several times what a free target takes.
 FIRST_EVENT_SECONDS = 0.4
+# A request at the only target looks this often whether there is another one.
+OTHER_TARGET_POLL_SECONDS = 0.05
 # Share of a long objective that may pass until then. Another target can still
 # meet the objective in the rest.
 FIRST_EVENT_SHARE = 0.5
@@ -297,7 +299,66 @@
         )
         self._ports.metrics.sends.labels(request.route.kind.value).inc()
         request.sent_at = anyio.current_time()
-        can_resend = self._can_resend(request, target)
+        may_repeat = (
+            request.route.repeatable
+            and request.runs + 1 < request.route.max_attempts
+        )
+        if may_repeat and not self._has_other_target(request, target):
+            return await self._run_while_alone(request, target, recall)
+        return await self._run(request, target, may_repeat, recall)
+
+    async def _run_while_alone(
+        self,
+        request: request_state.RequestState,
+        target: blackboard.Target,
+        recall: crash_parts.Recall,
+    ) -> _End:
+        """Run a request at the only target, until there is another one.
+
+        If its next event is late then, it goes on at the other target.
+        """
+        end: _End | None = None
+        error: Exception | None = None
+
+        async def watch() -> None:
+            while True:
+                left = request.event_due_at - anyio.current_time()
+                await anyio.sleep(max(OTHER_TARGET_POLL_SECONDS, left))
+                is_late = anyio.current_time() >= request.event_due_at
+                if is_late and request.is_waiting:
+                    if self._has_other_target(request, target):
+                        tasks.cancel_scope.cancel()
+                        return
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                end = await self._run(request, target, False, recall)
+            except Exception as raised:
+                # The group would raise it within a group of exceptions.
+                error = raised
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+        if end is not None:
+            return end
+        return self._handle_failure(
+            request, target, _incomplete_answer(target, TimeoutError())
+        )
+
+    async def _run(
+        self,
+        request: request_state.RequestState,
+        target: blackboard.Target,
+        can_resend: bool,
+        recall: crash_parts.Recall,
+    ) -> _End:
+        """Send a request and pass the answer on; see :meth:`_send`.
+
+        :param can_resend: whether another target may answer instead
+        """
+        request.is_waiting = True
+        request.event_due_at = request.sent_at + _first_event_timeout(request)
         async with self._ports.targets.open(
             request.call,
             target,
@@ -315,18 +376,14 @@
                 request, target, opened.ok_value, can_resend, recall
             )
 
-    def _can_resend(
+    def _has_other_target(
         self, request: request_state.RequestState, target: blackboard.Target
     ) -> bool:
         """Return whether another target may answer instead of this one."""
-        return (
-            request.route.repeatable
-            and request.runs + 1 < request.route.max_attempts
-            and self._ports.queue.has_other_target(
-                request.services,
-                target.name,
-                request.origin.software if request.origin else None,
-            )
+        return self._ports.queue.has_other_target(
+            request.services,
+            target.name,
+            request.origin.software if request.origin else None,
         )
 
     async def _pass_answer(
@@ -419,15 +476,16 @@
             MIN_STALL_SECONDS, STALL_SHARE * route.gap_seconds
         )
         first = True
-        next_event_by = request.sent_at + _first_event_timeout(request)
         while True:
             until = (
-                min(next_event_by, request.deadline)
+                min(request.event_due_at, request.deadline)
                 if can_resend
                 else (request.deadline)
             )
+            request.is_waiting = True
             with anyio.fail_after(max(0.0, until - anyio.current_time())):
                 chunk = await anext(answer.chunks, None)
+            request.is_waiting = False
             if chunk is None:
                 break
             partial = reader.partial_bytes
@@ -447,7 +505,7 @@
             if found:
                 # Bytes without a whole event are no progress: a stalled
                 # target may go on sending some.
-                next_event_by = anyio.current_time() + stall_seconds
+                request.event_due_at = anyio.current_time() + stall_seconds
         if reader.has_partial_event:
             raise ValueError('the stream ended within an event')
         if reader.waits_for_first and not answer.head.states_end:
@@ -511,6 +569,7 @@
                         )
         finally:
             self._collected.remove(len(body))
+        request.is_waiting = False
         recall.is_answered = True
         self._ports.crash_parts.record_answer(request.call.prompt_parts)
         request.started = True
--- a/src/persimmonpass/controllers/online/waiting_requests.py
+++ b/src/persimmonpass/controllers/online/waiting_requests.py
@@ -26,6 +26,7 @@
         self.services = services
         self.queued = queued
         self.excluded = excluded
+        self.queued_at = anyio.current_time()
         self.software = software
         self.placed = anyio.Event()
         self.target: blackboard.Target | None = None
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -171,9 +171,6 @@
         except ValueError:
             await _refuse_head(caller, receive, ports.max_body_bytes(), 400)
             return
-        if exchange.read_length(scope['headers']) > ports.max_body_bytes():
-            await _refuse_head(caller, receive, ports.max_body_bytes(), 413)
-            return
         found = await _find_route(ports, head)
         if isinstance(found, result.Err):
             await _refuse_head(
@@ -184,6 +181,9 @@
                 found.err_value.retry_after_seconds,
             )
             return
+        if exchange.read_length(scope['headers']) > ports.max_body_bytes():
+            await _refuse_head(caller, receive, ports.max_body_bytes(), 413)
+            return
         route = found.ok_value
         is_job = route is not None and route.kind is routes.Kind.JOB
         held = _Held(caller.connection, JOB_COPIES if is_job else 1)
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -29,6 +29,9 @@
         ``None`` before the first event
     :ivar tokens: tokens taken from the limit of the request's account
     :ivar may_run: whether a send is in progress or was answered
+    :ivar is_waiting: whether it waits for its target, and nothing is passed on
+    :ivar event_due_at: local clock from which on its next event is late, in
+        seconds
     """
 
     def __init__(
@@ -59,6 +62,8 @@
         self.origin: stream_versions.Origin | None = None
         self.tokens = 0
         self.may_run = False
+        self.is_waiting = False
+        self.event_due_at = started_at
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -56,6 +56,9 @@
     options.ssl_handshake_timeout = TLS_HANDSHAKE_SECONDS
     options.h11_max_incomplete_size = http_server.MAX_HEAD_BYTES
     options.max_app_queue_size = http_server.MAX_QUEUED_PARTS
+    # Asyncio sets TCP_NODELAY only where it knows the protocol, which a socket
+    # that is made from a descriptor has found out.
+    listener = socket.socket(fileno=listener.detach())
     closing = anyio.Event()
     closed = anyio.Event()
     server = http_server.HttpServer(
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import unittest
 from unittest import mock
 
@@ -99,6 +100,31 @@
         ):
             platform_fakes.run(test)
 
+    def test_small_parts_are_sent_at_once(self):
+        """Guards against answers that wait for an acknowledgement."""
+        found = []
+        made = http_server._Protocol.connection_made
+
+        def record(protocol, transport):
+            made(protocol, transport)
+            connection = transport.get_extra_info('socket')
+            found.append(
+                connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            )
+
+        async def test():
+            async with serving(answer_unread) as (callers, connect):
+                _, writer = await connect()
+                while not found:
+                    await anyio.sleep(0.01)
+                writer.close()
+
+        with mock.patch.object(
+            http_server._Protocol, 'connection_made', record
+        ):
+            platform_fakes.run(test)
+        self.assertEqual([1], [int(bool(each)) for each in found])
+
     def test_many_requests_leave_nothing_behind(self):
         """Guards against counts that drift while a connection is kept."""
 
