--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -150,6 +150,10 @@
             raise
         finally:
             self._ports.accounts.settle(request)
+            # The end of its answer ends a request, also before it has cleaned
+            # up.
+            if request.is_answered:
+                outcome = 'answered'
             self._record_outcome(request, outcome)
 
     async def _serve(self, request: request_state.RequestState) -> str:
@@ -513,6 +517,7 @@
         if not request.started:
             await self._start(request, answer.head)
         await request.caller.send(b'', False)
+        request.is_answered = True
 
     async def _forward_event(
         self,
@@ -581,6 +586,7 @@
             ],
         )
         await request.caller.send(bytes(body), False)
+        request.is_answered = True
 
     async def _start(
         self, request: request_state.RequestState, head: exchange.ResponseHead
--- a/src/persimmonpass/intake.py
+++ b/src/persimmonpass/intake.py
@@ -192,7 +192,8 @@
         """
         self.now = now
         self._limits = limits
-        self._connections: set[Connection] = set()
+        # In the order in which they were opened.
+        self._connections: dict[Connection, None] = {}
         self._held = 0
         self._whole = 0
         self._closed: dict[str, int] = {}
@@ -227,14 +228,14 @@
                 return None
             self._close(unused, 'too many connections')
         connection = Connection(self, abort)
-        self._connections.add(connection)
+        self._connections[connection] = None
         return connection
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection that has ended."""
         if connection.is_open:
             connection.is_open = False
-            self._connections.remove(connection)
+            del self._connections[connection]
             self._held -= connection.held
             self._whole -= connection.whole
 
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -30,6 +30,7 @@
     :ivar tokens: tokens taken from the limit of the request's account
     :ivar may_run: whether a send is in progress or was answered
     :ivar is_waiting: whether it waits for its target, and nothing is passed on
+    :ivar is_answered: whether the whole answer of a target was passed on
     :ivar event_due_at: local clock from which on its next event is late, in
         seconds
     """
@@ -63,6 +64,7 @@
         self.tokens = 0
         self.may_run = False
         self.is_waiting = False
+        self.is_answered = False
         self.event_due_at = started_at
 
     @property
