--- a/review/11/case.py
+++ b/review/11/case.py
@@ -52,9 +52,7 @@
         await asyncio.sleep(PAUSE_SECONDS)
     await asyncio.gather(*tasks)
     unanswered = [
-        row
-        for row in answers
-        if not row.ended and row.cause == 'no answer in time'
+        row for row in answers if row.seconds > TIMEOUT_SECONDS + 0.5
     ]
     late = [row for row in answers if row.seconds > TIMEOUT_SECONDS]
     ready = [await host.is_ready() for host in scene.hosts]
