Review: a few items that crash servers end the others of their job

Cause: the part of the prompt that all items share is blamed, and the trial of it always goes to the same item, which crashes a server again. Change: case 14; stand-in servers can crash. Result: none of 20 items is done 42 s after their 202, 17 of them are sound and the servers idle. Without the three items all are done.

--- a/review/stand3/world.py
+++ b/review/stand3/world.py
@@ -30,6 +30,8 @@
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
 BEAT_SECONDS = 1.2
+# How long a server that has crashed is down.
+BACK_SECONDS = 3.5
 GRACE_SECONDS = 8
 REASONS = {
     200: 'OK',
@@ -303,6 +305,9 @@
     :ivar runs: ids of the requests that it began to run, with the first event
     :ivar spoil: takes a request and the number of requests answered before;
         returns bytes to send in place of an answer, or ``None``
+    :ivar is_deadly: takes the id of a request; returns whether the server
+        crashes as it begins to run it
+    :ivar crashes: number of crashes
     :ivar status: takes a request; returns the status of its answer
     """
 
@@ -317,6 +322,8 @@
         self.answered = 0
         self.runs = []
         self.spoil = lambda request, before: None
+        self.is_deadly = lambda key: False
+        self.crashes = 0
         self.status = lambda request: 200
         self._record = record
         self._store = store
@@ -331,6 +338,26 @@
         self._server = await serve(self.address, self._answer, self._writers)
         self._task = asyncio.ensure_future(self._beat())
 
+    def _crash(self):
+        """Cut all connections, and be back as another one after a while."""
+        self.crashes += 1
+        self.running = 0
+        self._queue = asyncio.Semaphore(self.slots)
+        self._task.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        asyncio.ensure_future(self._come_back(self.name))
+
+    async def _come_back(self, name):
+        # The platform removes the entry after three beats of silence.
+        await asyncio.sleep(BACK_SECONDS)
+        self.name = f'{name.partition(".")[0]}.{self.crashes}'
+        self._record.write(f'{name} is back as {self.name}')
+        await self.start()
+        await asyncio.sleep(3 * BEAT_SECONDS - BACK_SECONDS)
+        self._store.remove('servers', name)
+
     async def leave(self, drain_seconds=2.0):
         """Report ``draining``, go on for a while, and end."""
         self._is_leaving = True
@@ -399,23 +426,31 @@
             writer.write(encode_answer(503, b'', [('Not-Executed', '1')]))
             await writer.drain()
             return True
+        queue, start = self._queue, self.crashes
         self._waiting += 1
         try:
-            await self._queue.acquire()
+            await queue.acquire()
         finally:
             self._waiting -= 1
+        if start != self.crashes:
+            return False
         self.running += 1
         try:
             return await self._run(request, key, reader, writer)
         finally:
-            self.running -= 1
-            self._queue.release()
+            if start == self.crashes:
+                self.running -= 1
+            queue.release()
 
     async def _run(self, request, key, reader, writer):
         first = int(request.headers.get('last-event-id', '0')) + 1
         self.runs.append((key, first))
         self._record.write(f'{self.name} runs {key} from event {first}')
         own = [('Request-Id', key), ('Response-Signature', f's.{key}')]
+        if self.is_deadly(key):
+            self._record.write(f'{self.name} crashes as it runs {key}')
+            self._crash()
+            return False
         status = self.status(request)
         before = self.answered
         self.answered += 1
