--- a/review/stand3/world.py
+++ b/review/stand3/world.py
@@ -594,7 +594,7 @@
                 'limits': {
                     'cpuShare': 0.537,
                     'cores': 2,
-                    'memoryMb': 300,
+                    'memoryMb': self._world.memory_mb,
                     'maxFds': self._world.max_fds,
                     'linkMbps': 1000.0,
                     'diskMb': 0,
@@ -698,6 +698,7 @@
     def __init__(self, record, hosts=3, servers=3):
         self.record = record
         self.max_fds = 4200
+        self.memory_mb = 300
         self.reserved_fds = 0
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         zones = ['ruai', 'kasarani', 'embakasi']
@@ -974,7 +975,7 @@
             await world.stop()
 
     try:
-        is_broken = asyncio.run(asyncio.wait_for(run(), 110))
+        is_broken = asyncio.run(asyncio.wait_for(run(), 114))
     except Exception as error:
         record.write(f'could not run: {error!r}')
         print(f'could not run: {error!r}', file=sys.stderr)
