--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,75 +1,149 @@
-"""One item of a batch job crashes the server that begins to run it."""
+"""Items that no server has the memory for keep sound items from being run."""
 
 import asyncio
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from stand3 import world  # noqa: E402
 
-ITEMS = 10
-# Position of the item that crashes the server.
-DEADLY = 0
-TRAFFIC_SECONDS = 24.0
-# After the traffic has ended, batch jobs have this much more time.
-FINISH_SECONDS = 18.0
+SERVERS = 2
+KV_CAPACITY = 147_261
+LARGE_ITEMS = 14
+SOUND_JOBS = 5
+SOUND_ITEMS = 10
+# The limit of the route, which holds all items.
+MAX_COUNT = 2_100_000
+# Shorter than ``retentionS``, after which an item may be given up.
+WAIT_SECONDS = 45.0
+# How long before the end no server may have had an item, and no item may have
+# been finished.
 CALM_SECONDS = 5.0
-# Items that failed at a server in this time do not count.
-FAILED_SECONDS = 20.0
-KEY = f'{0xB00:016x}'
+UNFINISHED_SECONDS = 3.0
 
 
-async def play(scene, disturbs):
-    """Submit a batch job; return whether a sound item of it was lost."""
-    ids = [f'{KEY[4:]}{row:04x}' for row in range(ITEMS)]
-    deadly = ids[DEADLY]
-    for server in scene.servers:
-        server.events = 40
-        server.gap_seconds = 0.05
-        if disturbs:
-            server.is_deadly = lambda key: key == deadly
-    if not await scene.submit(KEY, [world.make_item(name) for name in ids]):
-        raise RuntimeError('the batch job was not accepted')
-    began = scene.record.seconds
-    while scene.record.seconds < began + TRAFFIC_SECONDS + FINISH_SECONDS:
-        await asyncio.sleep(0.5)
-        await scene.read(scene.hosts[0], KEY)
-    checked = scene.record.seconds
-    listed = {row['id'] for row in await scene.read_all(KEY)}
-    runs = find_runs()
-    lost = [
-        name
-        for name in ids
-        if name not in listed
-        and name != deadly
-        and max(runs.get(name, [0.0])) < checked - FAILED_SECONDS
-    ]
-    recent = [
-        name
-        for name, times in runs.items()
-        if name not in listed and max(times) > checked - CALM_SECONDS
+class Server(world.Server):
+    """A server that rejects what is larger than its memory, as if it were full.
+
+    :ivar rejected: number of requests that it has rejected
+    :ivar had: when it last had each of the requests that it began to run
+    :ivar finished_at: when it last finished one
+    """
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.rejected = 0
+        self.had = {}
+        self.finished_at = 0.0
+        self.events = 40
+
+    async def _answer(self, request, reader, writer):
+        usage = request.headers.get('token-usage', '0')
+        if sum(map(int, usage.split(','))) <= KV_CAPACITY:
+            return await super()._answer(request, reader, writer)
+        key = request.headers.get('request-id', '')
+        self.rejected += 1
+        self._record.write(f'{self.name} has too little memory, rejects {key}')
+        fields = [('Request-Id', key), ('Not-Executed', '1')]
+        writer.write(world.encode_answer(503, b'', fields))
+        await writer.drain()
+        return True
+
+    async def _run(self, request, key, reader, writer):
+        self.had[key] = float('inf')
+        try:
+            is_finished = await super()._run(request, key, reader, writer)
+            if is_finished:
+                self.finished_at = time.monotonic()
+            return is_finished
+        finally:
+            self.had[key] = time.monotonic()
+
+
+def prepare(scene):
+    """Give the deployment servers with limited memory."""
+    scene.servers = [
+        Server(
+            scene.record, scene.store, 0x51A0 + number, row.address, row.zone
+        )
+        for number, row in enumerate(scene.servers)
     ]
-    busy = sum(server.running for server in scene.servers)
-    scene.record.write(
-        f'{len(listed)} of {ITEMS} items are listed; {len(lost)} of the '
-        f'others crash no server and were at none for {FAILED_SECONDS:.0f} s; '
-        f'in the last {CALM_SECONDS:.0f} s {len(recent)} unlisted items were '
-        f'at a server, now {busy} of {8 * len(scene.servers)} slots are taken; '
-        f'servers crashed {[server.crashes for server in scene.servers]} times'
+    scene.routes[1]['maxCount'] = MAX_COUNT
+
+
+def make_large_item(key):
+    """Return an item whose prompt alone is larger than a server's memory."""
+    prompt = KV_CAPACITY + 1
+    return world.make_item(
+        key,
+        headers={
+            'Model': 'm',
+            'Token-Usage': f'{prompt},198',
+            'Prompt-Prefix': f'9c2e41:100,{key}:{prompt - 100}',
+        },
+        tokens=prompt + 198,
     )
-    return bool(lost) and not recent and busy < 4 * len(scene.servers)
 
 
-def find_runs():
-    """Return the times at which each item began to run, from the record."""
-    runs = {}
-    path = pathlib.Path(__file__).parent / 'record.txt'
-    for line in path.read_text().splitlines():
-        words = line.split()
-        if ' runs ' in line:
-            runs.setdefault(words[3], []).append(float(words[0]))
-    return runs
+async def find_lost(scene, items):
+    """Return the ids of the items that are lost by the rule.
+
+    :param items: those of all batch jobs, by the id of the job
+    """
+    lost = []
+    for key, ids in items.items():
+        listed = {row['id'] for row in await scene.read_all(key)}
+        scene.record.write(f'{key}: {len(listed)} of {len(ids)} are listed')
+        missing = [name for name in ids if name not in listed]
+        now = time.monotonic()
+        has_had = any(
+            server.had.get(name, 0.0) > now - CALM_SECONDS
+            for server in scene.servers
+            for name in missing
+        )
+        has_finished = any(
+            server.finished_at > now - UNFINISHED_SECONDS
+            for server in scene.servers
+        )
+        is_full = any(
+            2 * server.running >= server.slots for server in scene.servers
+        )
+        if not (has_had or has_finished or is_full):
+            lost += missing
+    return lost
+
+
+async def play(scene, disturbs):
+    """Send batch jobs; return whether LOST was broken."""
+    make_item = make_large_item if disturbs else world.make_item
+    large = [make_item(f'{0xB0000000 + row:016x}') for row in range(LARGE_ITEMS)]
+    if not await scene.submit(f'{0xB00:016x}', large):
+        raise RuntimeError('the first batch job was not accepted')
+    accepted = {}
+
+    async def submit(number):
+        key = f'{0xC00 + number:016x}'
+        items = [
+            world.make_item(f'{0xC0000000 + 256 * number + row:016x}')
+            for row in range(SOUND_ITEMS)
+        ]
+        first = number % len(scene.hosts)
+        hosts = scene.hosts[first:] + scene.hosts[:first]
+        if await scene.submit(key, items, hosts):
+            accepted[key] = [item['id'] for item in items]
+
+    await asyncio.gather(*(submit(number) for number in range(SOUND_JOBS)))
+    await asyncio.sleep(WAIT_SECONDS)
+    lost = await find_lost(scene, accepted)
+    total = sum(map(len, accepted.values()))
+    scene.record.write(
+        f'{len(lost)} of {total} sound items are lost; requests that servers '
+        f'rejected: {[server.rejected for server in scene.servers]}; runs: '
+        f'{[len(server.runs) for server in scene.servers]}'
+    )
+    return bool(lost)
 
 
 if __name__ == '__main__':
-    world.main(__file__, play, servers=1)
+    world.main(__file__, play, servers=SERVERS, prepare=prepare)
