Review: scripts that start together share no ports

Cause: five scripts that started together had overlapping ranges of ports, and one of them could not run: its hosts were not ready in 25 s (1 of 5 without the disruption).

Change: the first port that a script tries is 40 apart from that of the next process, as a script uses 37, and below the ports of outgoing connections.

--- a/review/stand3/world.py
+++ b/review/stand3/world.py
@@ -929,7 +929,7 @@
         'servers': 16,
     }
     total = sum(names.values())
-    for base in range(21000 + os.getpid() % 400 * 20, 60000, total):
+    for base in range(21000 + os.getpid() % 290 * 40, 60000, total):
         if all(
             _is_free(ip, port)
             for ip in ips
