Targets: an answer with a negative chunk size no longer hangs a host

Cause: AnswerEnd read sizes with int(), which takes signs, underscores, blanks and prefixes. A negative size moved the position back to the line that names it, and the loop read the same line for ever. The HTTP library would have refused the answer, but reads it only afterwards. Connections, tunnels and late answers use the same class.

Change: numerals.py reads digits and nothing else. An answer whose size can't be read has no end that can be told, so its connection is not used again; a late answer of that kind is an error at once, since the answer that is due can't be found behind it. Before, the request waited for its timeout.

Result: tests.test_odd_numbers, 126 tests. On the code before, 69 of the 124 without a gateway fail, four by reading without end, and both tests at a gateway do. 23 of the 69 fail for the new property is_endless alone or with it. 386 tests of seven modules on connections and tunnels pass.

--- a/src/persimmonpass/targets/framing.py
+++ b/src/persimmonpass/targets/framing.py
@@ -5,6 +5,8 @@
 
 import httpcore
 
+from persimmonpass import numerals
+
 MAX_LINE_BYTES = 16_384
 
 HEAD_REQUEST = b'HEAD '
@@ -16,6 +18,8 @@
 _SWITCHING_PROTOCOLS = 101
 _NO_BODY = (204, 304)
 _LINE_END = b'\r\n'
+# What the HTTP library allows between the size of a chunk and the line's end.
+_BLANKS = b' \t'
 _EVENT_STREAM = b'text/event-stream'
 _EVENT_END = b'\n\n'
 
@@ -73,6 +77,14 @@
         """
         return not (self._read_next or self._left)
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether all bytes up to the end of the connection belong to it.
+
+        Its head names no size that can be read, or a chunk in it has none.
+        """
+        return self._read_next == self._skip
+
     @property
     def rest(self) -> bytes:
         """Bytes after the end of the answer."""
@@ -111,10 +123,9 @@
         fields = {
             name.lower(): value.lower() for name, value in read_fields(head)
         }
-        try:
-            status = int(head[_STATUS])
-            length = int(fields.get(b'content-length', b'-1'))
-        except ValueError:
+        status = numerals.read_integer(head[_STATUS])
+        length = numerals.read_integer(fields.get(b'content-length', b''))
+        if status is None or (length is None and b'content-length' in fields):
             self._read_next = self._skip
             return True
         if status < 200 and status != _SWITCHING_PROTOCOLS:
@@ -123,7 +134,7 @@
             self._read_next = None
         elif fields.get(b'transfer-encoding') == b'chunked':
             self._read_next = self._read_chunk
-        elif length >= 0 and b'transfer-encoding' not in fields:
+        elif length is not None and b'transfer-encoding' not in fields:
             self._left = length
             self._head = head
             self._read_next = None
@@ -163,9 +174,10 @@
             return self._wait_for_line()
         line = self._received[self._at : end]
         self._at = end + len(_LINE_END)
-        try:
-            size = int(line.partition(b';')[0], 16)
-        except ValueError:
+        size = numerals.read_hexadecimal(
+            line.partition(b';')[0].rstrip(_BLANKS)
+        )
+        if size is None:
             self._read_next = self._skip
             return True
         if size:
--- a/src/persimmonpass/targets/late_answers.py
+++ b/src/persimmonpass/targets/late_answers.py
@@ -3,6 +3,8 @@
 import collections
 import collections.abc
 
+import httpcore
+
 from persimmonpass import exchange
 from persimmonpass.targets import framing
 
@@ -56,6 +58,8 @@
         """Return bytes that have arrived without those of late answers.
 
         :returns: none while more bytes are needed
+        :raises httpcore.RemoteProtocolError: if the end of a late answer
+            cannot be told, so that the one that is due cannot be found
         """
         while data and self._is_due and (self._late or self._earlier):
             if self._late is None:
@@ -72,6 +76,10 @@
                 self._earlier.remove(found)
                 self._late = framing.AnswerEnd()
             self._late.add(data)
+            if self._late.is_endless:
+                raise httpcore.RemoteProtocolError(
+                    'a late answer has no end, expected a length or chunks'
+                )
             if not self._late.has_ended:
                 return b''
             data = self._late.rest
