Numbers sent as text are read as digits and nothing else

What it did elsewhere, each shown by a test: - an item of 10^400 tokens was accepted on a route without a limit, and weighing it raised OverflowError in the loop of all batch work, again and again; - a read of results from position -6 showed the last results at wrong positions; - "Wait-Ms: nan" raised an error (500), "Deadline-Ms: nan" counted as none; - a time of "nan" in a route answered each request with 500, "inf" left it without a timeout; - a load report of 1e999 ended tasks of persimmonpassd with OverflowError, and one of -1 made an engine look the least loaded; - the client of callers raised an error for "Retry-After: nan", -6 or a date.

Change: numerals is used for callers' headers and queries, ids of events, limits that targets name, versions and positions in names of stored records; reports of engines are decoded by type. Requests with such numbers get 400, a route's odd time counts as missing, a target's odd limit says nothing.

--- a/src/persimmonpass/api/answers.py
+++ b/src/persimmonpass/api/answers.py
@@ -12,6 +12,7 @@
 from persimmonpass import events
 from persimmonpass import exchange
 from persimmonpass import intake
+from persimmonpass import numerals
 from persimmonpass import objects
 from persimmonpass import verdicts
 
@@ -130,12 +131,9 @@
     """
     if text is None:
         return result.Ok(default)
-    try:
-        seconds = float(text)
-    except ValueError:
+    seconds = numerals.read_decimal(text)
+    if seconds is None:
         return result.Err(f'expected a number of seconds, got {text!r}')
-    if not 0 < seconds < math.inf:
-        return result.Err(
-            f'expected a finite number of seconds above 0, got {text}'
-        )
+    if not seconds:
+        return result.Err(f'expected a number of seconds above 0, got {text}')
     return result.Ok(seconds)
--- a/src/persimmonpass/api/objects.py
+++ b/src/persimmonpass/api/objects.py
@@ -15,6 +15,7 @@
 from persimmonpass import auth
 from persimmonpass.controllers.fleet import config
 from persimmonpass import events
+from persimmonpass import numerals
 from persimmonpass import objects
 from persimmonpass import store
 from persimmonpass import verdicts
@@ -228,13 +229,14 @@
     text = request.headers.get('if-match')
     if text is None:
         return result.Ok(None)
-    if not (text.isascii() and text.isdecimal()):
+    version = numerals.read_integer(text)
+    if version is None:
         return result.Err(
             verdicts.invalid(
                 'If-Match', f'expected a version number, got {text!r}'
             )
         )
-    return result.Ok(int(text))
+    return result.Ok(version)
 
 
 async def _change(
--- a/src/persimmonpass/api/spread.py
+++ b/src/persimmonpass/api/spread.py
@@ -10,6 +10,7 @@
 from persimmonpass.api import answers
 from persimmonpass import auth
 from persimmonpass.controllers.fleet import config
+from persimmonpass import numerals
 from persimmonpass import objects
 from persimmonpass import verdicts
 
@@ -35,7 +36,8 @@
         if isinstance(person, result.Err):
             return answers.make_failure_response(person.err_value)
         text = request.query_params.get('version', '')
-        if not text.isdecimal():
+        version = numerals.read_integer(text)
+        if version is None:
             return answers.make_failure_response(
                 verdicts.invalid(
                     'version', f'expected a version number, got {text!r}'
@@ -44,9 +46,9 @@
         key = objects.Key(
             request.path_params['kind'], request.path_params['name']
         )
-        hosts = await configuration.spread(key, int(text))
+        hosts = await configuration.spread(key, version)
         return responses.JSONResponse(
-            {**key._asdict(), 'version': int(text), **hosts._asdict()}
+            {**key._asdict(), 'version': version, **hosts._asdict()}
         )
 
     return routing.Route(PATH, show_spread)
--- a/src/persimmonpass/client.py
+++ b/src/persimmonpass/client.py
@@ -13,6 +13,7 @@
 import msgspec
 import result
 
+from persimmonpass import numerals
 from persimmonpass import verdicts
 
 MAX_ATTEMPTS = 8
@@ -34,6 +35,13 @@
     recorded: bool
 
 
+class _Entry(msgspec.Struct):
+    """Where to connect, and for how long this holds."""
+
+    addresses: list[str]
+    ttl_seconds: float
+
+
 class Caller:
     """A caller with one token.
 
@@ -106,7 +114,12 @@
             if not (is_retryable and retry_after):
                 return result.Ok(_make_reply(answer))
             last_error = f'status {answer.status_code}'
-            await anyio.sleep(min(float(retry_after), MAX_RETRY_DELAY_SECONDS))
+            delay = numerals.read_decimal(retry_after)
+            await anyio.sleep(
+                RETRY_DELAY_SECONDS
+                if delay is None
+                else min(delay, MAX_RETRY_DELAY_SECONDS)
+            )
         return result.Err(last_error)
 
     async def read(self, key: str) -> result.Result[Reply, str]:
@@ -124,12 +137,13 @@
                     params={'availability_zone': self._availability_zone},
                     timeout=ENTRY_TIMEOUT_SECONDS,
                 )
-                body = answer.json()
-                self.addresses = body['addresses'] or self.addresses
-                ttl = float(body['ttl_seconds'])
-            except (httpx.HTTPError, ValueError, KeyError):
+                entry = msgspec.json.decode(answer.content, type=_Entry)
+            except (httpx.HTTPError, msgspec.MsgspecError, ValueError):
                 continue
-            self._addresses_expire_at = anyio.current_time() + ttl
+            self.addresses = entry.addresses or self.addresses
+            self._addresses_expire_at = (
+                anyio.current_time() + entry.ttl_seconds
+            )
             return
 
 
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -31,6 +31,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass import job_records
+from persimmonpass import numerals
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import batch
 from persimmonpass.policy import batch_scheduling as policy
@@ -448,7 +449,9 @@
         item = self._items.get((job.id, number))
         received = len(item.text.texts) if item is not None else 0
         share = policy.left_share(self._pace, received)
-        return max(1, round(share * job.items[number].tokens))
+        # Earlier builds accepted jobs with numbers beyond those of a float.
+        tokens = min(numerals.MAX_INTEGER, max(0, job.items[number].tokens))
+        return max(1, round(share * tokens))
 
     def _start_items(self) -> None:
         now = anyio.current_time()
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -12,6 +12,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import exceptions
+from persimmonpass import numerals
 
 Headers = list[tuple[bytes, bytes]]
 MAX_EVENT_BYTES = 1_000_000
@@ -35,10 +36,14 @@
 
 
 def read_length(headers: collections.abc.Iterable[tuple[bytes, bytes]]) -> int:
-    """Return the length of a body by its headers, 0 if they do not tell it."""
+    """Return the length of a body by its headers, 0 if they do not tell it.
+
+    A length that cannot be read counts as longer than any body.
+    """
     for name, value in headers:
-        if name.lower() == b'content-length' and value.isdigit():
-            return int(value)
+        if name.lower() == b'content-length':
+            length = numerals.read_integer(value)
+            return numerals.MAX_INTEGER if length is None else length
     return 0
 
 
@@ -273,7 +278,7 @@
     for line in raw.split(b'\n'):
         if line.startswith(_EVENT_ID):
             text = line[len(_EVENT_ID) :].strip()
-            number = int(text) if text.isdigit() else None
+            number = numerals.read_integer(text)
         elif line.startswith(_EVENT_DATA):
             value = line[len(_EVENT_DATA) :]
             data.append(value[1:] if value.startswith(b' ') else value)
--- a/src/persimmonpass/job_records.py
+++ b/src/persimmonpass/job_records.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from persimmonpass import numerals
 from persimmonpass import records
 
 KIND = 'work'
@@ -150,9 +151,12 @@
         if name.startswith(_END_PREFIX):
             return Change(name[len(_END_PREFIX) :], ended=True)
         if name.startswith(_RESULTS_PREFIX):
-            job_id, _, number = name[len(_RESULTS_PREFIX) :].rpartition('.')
+            job_id, _, text = name[len(_RESULTS_PREFIX) :].rpartition('.')
+            number = numerals.read_integer(text)
+            if number is None:
+                return None
             found = msgspec.convert(record.data['results'], list[ItemResult])
-            return Change(job_id, number=int(number), results=found)
+            return Change(job_id, number=number, results=found)
     except (KeyError, TypeError, ValueError, msgspec.ValidationError):
         return None
     return None
--- a/src/persimmonpass/jobs.py
+++ b/src/persimmonpass/jobs.py
@@ -17,6 +17,7 @@
 from persimmonpass import budget
 from persimmonpass import events
 from persimmonpass import ledger
+from persimmonpass import numerals
 from persimmonpass import store
 from persimmonpass import verdicts
 
@@ -308,9 +309,14 @@
     listed = await port.list(summaries_prefix(key))
     if isinstance(listed, result.Err):
         return listed
+    numbered = (
+        (numerals.read_integer(stored.key.rpartition('/')[2]), stored)
+        for stored in listed.ok_value
+    )
     return result.Ok(
         {
-            int(stored.key.rpartition('/')[2]): decode_summary(stored.data)
-            for stored in listed.ok_value
+            number: decode_summary(stored.data)
+            for number, stored in numbered
+            if number is not None
         }
     )
--- a/src/persimmonpass/platform/app.py
+++ b/src/persimmonpass/platform/app.py
@@ -18,6 +18,7 @@
 from persimmonpass import exchange
 from persimmonpass import gateway_ports
 from persimmonpass import intake
+from persimmonpass import numerals
 from persimmonpass.platform import jobs
 from persimmonpass.platform import wire
 from persimmonpass import routes
@@ -372,14 +373,16 @@
             await caller.answer(200)
         return
     headers = {name.lower(): value for name, value in call.headers}
-    try:
-        after = int(_parse_query(call.query).get('after', '0'))
-        wait = float(headers.get(WAIT_MS, b'0')) / _MILLISECONDS
-    except ValueError:
+    after = numerals.read_integer(_parse_query(call.query).get('after', '0'))
+    wait_ms = numerals.read_decimal(headers.get(WAIT_MS, b'0'))
+    if after is None or wait_ms is None:
         await caller.answer(400)
         return
     found = await ports.read_results(
-        job_id, after, min(wait, MAX_WAIT_SECONDS), _account_of(call)
+        job_id,
+        after,
+        min(wait_ms / _MILLISECONDS, MAX_WAIT_SECONDS),
+        _account_of(call),
     )
     if isinstance(found, result.Err):
         await caller.refuse(found.err_value)
--- a/src/persimmonpass/platform/jobs.py
+++ b/src/persimmonpass/platform/jobs.py
@@ -3,11 +3,13 @@
 import base64
 import re
 import time
+import typing
 
 import msgspec
 
 from persimmonpass import exchange
 from persimmonpass import job_records
+from persimmonpass import numerals
 from persimmonpass.platform import wire
 from persimmonpass import routes
 
@@ -21,12 +23,18 @@
 _HEADER_VALUE = re.compile(r'[\t\x20-\x7e\x80-\xff]*')
 
 
+# Larger numbers do not fit into a float, in which items are weighed.
+_Tokens = typing.Annotated[
+    int, msgspec.Meta(ge=-numerals.MAX_INTEGER, le=numerals.MAX_INTEGER)
+]
+
+
 class _Item(msgspec.Struct):
     id: str
     path: str
     headers: dict[str, str] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: _Tokens = 0
 
 
 class _Submission(msgspec.Struct):
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -9,6 +9,7 @@
 from persimmonpass import accounts
 from persimmonpass import blackboard
 from persimmonpass import lenient_json
+from persimmonpass import numerals
 from persimmonpass import objects
 from persimmonpass import records
 from persimmonpass import routes
@@ -38,12 +39,27 @@
 }
 
 
-class _Split(msgspec.Struct):
+class _Terms(msgspec.Struct):
+    """Terms of an operator.
+
+    Times and weights that are not finite or below 0, which a text can name,
+    count as missing: each request would fail for them.
+    """
+
+    def __post_init__(self) -> None:
+        """Replace such numbers by the defaults."""
+        for field in msgspec.structs.fields(type(self)):
+            value = getattr(self, field.name)
+            if isinstance(value, float) and not 0 <= value < math.inf:
+                setattr(self, field.name, field.default)
+
+
+class _Split(_Terms):
     service: str
     weight: float = 1.0
 
 
-class _Route(msgspec.Struct, rename='camel'):
+class _Route(_Terms, rename='camel'):
     """A route in the configuration.
 
     :ivar slo_ms: latency objective; it is not enforced as a limit
@@ -78,7 +94,7 @@
     engine: _Engine | None = None
 
 
-class _Limits(msgspec.Struct, rename='camel'):
+class _Limits(_Terms, rename='camel'):
     max_body_bytes: int = 4_194_304
     idle_timeout_ms: float = 15_000.0
 
@@ -234,6 +250,8 @@
 
 def _read_number(value: typing.Any) -> float | None:
     """Return a finite number, ``None`` for anything else."""
+    if isinstance(value, str):
+        return numerals.read_decimal(value)
     try:
         number = float(value)
     except (TypeError, ValueError, OverflowError):
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -6,6 +6,7 @@
 from persimmonpass import accounts
 from persimmonpass import blackboard
 from persimmonpass import exchange
+from persimmonpass import numerals
 
 REQUEST_ID = b'request-id'
 DEADLINE_MS = b'deadline-ms'
@@ -65,8 +66,8 @@
             if name.lower() not in _CONNECTION_HEADERS
         ],
         body,
-        float(deadline) / _MILLISECONDS if deadline else None,
-        int(resume) if resume else None,
+        _read_deadline(deadline) if deadline else None,
+        _read_event_id(resume) if resume else None,
         found.get(RESUMES, b'').decode('latin-1'),
         read_prompt_parts(headers),
         accounts.read_key_digest(
@@ -90,7 +91,10 @@
         if name.lower() == PROMPT_PREFIX:
             entries = value.decode('latin-1').lower().split(',')
             pairs = [entry.strip().partition(':') for entry in entries]
-            if all(part and tokens.isdigit() for part, _, tokens in pairs):
+            if all(
+                part and numerals.read_integer(tokens) is not None
+                for part, _, tokens in pairs
+            ):
                 return tuple(part for part, _, _ in pairs)
     return ()
 
@@ -195,7 +199,7 @@
         and found.get(CONTENT_TYPE, b'').startswith(EVENT_STREAM),
         is_leaving=found.get(SERVER_LEAVING) == b'1',
         rate_limits=tuple(
-            _read_number(value)
+            _read_rate(value)
             for name, value in headers
             if name.lower() == SERVER_LIMIT
         ),
@@ -203,11 +207,23 @@
     )
 
 
-def _read_number(value: bytes) -> float:
-    try:
-        return float(value)
-    except ValueError:
-        return math.nan
+def _read_deadline(value: bytes) -> float:
+    milliseconds = numerals.read_decimal(value)
+    if milliseconds is None:
+        raise ValueError(f'expected milliseconds, got {value!r}')
+    return milliseconds / _MILLISECONDS
+
+
+def _read_event_id(value: bytes) -> int:
+    number = numerals.read_integer(value)
+    if number is None:
+        raise ValueError(f'expected the id of an event, got {value!r}')
+    return number
+
+
+def _read_rate(value: bytes) -> float:
+    rate = numerals.read_decimal(value)
+    return math.nan if rate is None else rate
 
 
 WIRE = exchange.WirePort(
--- a/src/persimmonpass/settings.py
+++ b/src/persimmonpass/settings.py
@@ -8,6 +8,8 @@
 import click
 import result
 
+from persimmonpass import numerals
+
 PREFIX = 'PERSIMMONPASS'
 MAX_PORT = 65535
 TOOL_VARIABLES = (
@@ -19,7 +21,7 @@
 )
 
 _NAME = re.compile(r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$')
-_DURATION = re.compile(r'^(\d+(?:\.\d+)?)(ms|s|m|h)$')
+_DURATION = re.compile(r'([0-9]{1,9}(?:\.[0-9]{1,9})?)(ms|s|m|h)')
 Check = collections.abc.Callable[[str], result.Result[typing.Any, str]]
 
 _UNIT_SECONDS = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
@@ -125,7 +127,8 @@
         ipaddress.ip_address(ip.strip('[]'))
     except ValueError:
         return result.Err(f'expected ip:port with an IP address, got {text!r}')
-    if not port.isdecimal() or int(port) > MAX_PORT:
+    number = numerals.read_integer(port)
+    if number is None or number > MAX_PORT:
         return result.Err(
             f'expected a port from 0 to {MAX_PORT}, got {text!r}'
         )
@@ -147,7 +150,7 @@
 
     :returns: seconds
     """
-    match = _DURATION.match(text)
+    match = _DURATION.fullmatch(text)
     if match is None:
         return result.Err(
             f'expected a duration such as 250ms or 5s, got {text!r}'
--- a/src/persimmonpass/store.py
+++ b/src/persimmonpass/store.py
@@ -17,6 +17,7 @@
 
 from persimmonpass import budget
 from persimmonpass import events
+from persimmonpass import numerals
 from persimmonpass import tracing
 from persimmonpass import verdicts
 
@@ -383,8 +384,7 @@
 
 def _read_version(response: httpx.Response) -> int | None:
     """Return the version in the ETag, or ``None`` if there is none."""
-    text = response.headers.get('etag', '')
-    return int(text) if text.isascii() and text.isdecimal() else None
+    return numerals.read_integer(response.headers.get('etag', ''))
 
 
 _Shape = typing.TypeVar('_Shape')
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -11,6 +11,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass import events
+from persimmonpass import numerals
 from persimmonpass.targets import connections
 from persimmonpass import transports
 from persimmonpass import verdicts
@@ -31,6 +32,13 @@
 HTTP_UNAVAILABLE = 503
 LEAVING = 'leaving'
 
+# A text that is nested too deeply raises RecursionError.
+_ANSWER_ERRORS = (
+    httpx.HTTPError,
+    msgspec.MsgspecError,
+    ValueError,
+    RecursionError,
+)
 _DATA = b'data: '
 _DONE = b'data: [DONE]'
 _EVENT_END = b'\n\n'
@@ -38,6 +46,9 @@
 _HEADERS_STARTED = 'http11.send_request_headers.started'
 
 
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=numerals.MAX_INTEGER)]
+
+
 class _Choice(msgspec.Struct):
     """Text that an event carries."""
 
@@ -52,6 +63,22 @@
     choices: list[_Choice]
 
 
+class _Load(msgspec.Struct):
+    """Load that an engine reports."""
+
+    running: _Count
+    pending_tokens: _Count
+    models: tuple[str, ...]
+
+
+class _CacheEvent(msgspec.Struct):
+    """A change of an engine's prefix cache."""
+
+    number: _Count
+    kind: str
+    block: int
+
+
 _DECODER = msgspec.json.Decoder(_Event)
 
 
@@ -274,15 +301,11 @@
                 f'http://{target.address}/v1/load',
                 timeout=REPORT_TIMEOUT_SECONDS,
             )
-            body = answer.json()
+            load = msgspec.json.decode(answer.content, type=_Load)
             return result.Ok(
-                Report(
-                    int(body['running']),
-                    int(body['pending_tokens']),
-                    tuple(body['models']),
-                )
+                Report(load.running, load.pending_tokens, load.models)
             )
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+        except _ANSWER_ERRORS as error:
             return result.Err(_outcome_unknown(target, type(error).__name__))
 
     return EnginePort(stream, report)
@@ -304,10 +327,12 @@
                 timeout=REPORT_TIMEOUT_SECONDS,
             )
             rows = [
-                CacheEvent(int(row['number']), row['kind'], int(row['block']))
-                for row in answer.json()
+                CacheEvent(row.number, row.kind, row.block)
+                for row in msgspec.json.decode(
+                    answer.content, type=list[_CacheEvent]
+                )
             ]
-        except (httpx.HTTPError, ValueError, LookupError, TypeError) as error:
+        except _ANSWER_ERRORS as error:
             return result.Err(_outcome_unknown(target, type(error).__name__))
         return result.Ok(rows)
 
--- a/tests/test_odd_numbers.py
+++ b/tests/test_odd_numbers.py
@@ -4,18 +4,31 @@
 """
 
 import itertools
+import math
 import signal
 import unittest
+import urllib.parse
 
 import anyio
 import httpcore
 import httpx
 import parameterized
 
+from persimmonpass import blackboard
+from persimmonpass import client
+from persimmonpass import exchange
+from persimmonpass import job_records
+from persimmonpass import numerals
 from persimmonpass.peers import tunnel
+from persimmonpass.platform import objects
+from persimmonpass.platform import wire
+from persimmonpass.policy import rate_limits
+from persimmonpass import records
 from persimmonpass.targets import connections
+from persimmonpass.targets import engine
 from persimmonpass.targets import framing
 from persimmonpass.targets import late_answers
+from tests import fakes
 from tests import platform_fakes
 from tests import test_target_connections
 from tests import test_target_faults
@@ -224,5 +237,245 @@
         test_target_faults.run(test)
 
 
+ODD_NUMBERS = [
+    ('negative', '-6'),
+    ('plus', '+6'),
+    ('underscore', '1_0'),
+    ('blank', '1 0'),
+    ('other digits', '\u00b2'),
+    ('no number', 'nan'),
+    ('infinite', 'inf'),
+    ('exponent', '1e999'),
+    ('hexadecimal', '0x6'),
+    ('thousands of digits', '9' * 5_000),
+]
+
+
+class TestCallers(_Bounded):
+    """Numbers in the headers of requests."""
+
+    @expand(
+        [
+            (f'{header} {name}', header, value)
+            for header, (name, value) in itertools.product(
+                ('Deadline-Ms', 'Last-Event-Id'), ODD_NUMBERS
+            )
+        ]
+    )
+    def test_request_is_malformed(self, _, header, value):
+        with self.assertRaises(ValueError):
+            wire.read_call(
+                'POST',
+                b'/a',
+                [(header.encode(), value.encode('latin-1'))],
+                b'',
+            )
+
+    @expand([('5000', 5.0), ('250.5', 0.2505), ('0', 0.0)])
+    def test_deadline_is_read(self, value, seconds):
+        call = wire.read_call(
+            'POST', b'/a', [(b'Deadline-Ms', value.encode())], b''
+        )
+        self.assertEqual(seconds, call.deadline_seconds)
+
+    def test_reads_of_results_are_malformed(self):
+        """A negative position showed the last results at wrong positions."""
+
+        async def test():
+            async with platform_fakes.fleet() as fleet:
+                accepted = await fleet.post(
+                    '/jobs/x',
+                    platform_fakes.submission(),
+                    **{'Request-Id': 'job'},
+                )
+                self.assertEqual(202, accepted.status_code)
+                await fleet.results('job', 3)
+                for name, value in ODD_NUMBERS:
+                    text = urllib.parse.quote(value, encoding='latin-1')
+                    for path, headers in (
+                        (f'?after={text}', {}),
+                        ('?after=0', {'Wait-Ms': value.encode('latin-1')}),
+                    ):
+                        found = await fleet.get(
+                            f'/persimmonpass/lots/job{path}', **headers
+                        )
+                        with self.subTest(name, path=path):
+                            self.assertEqual(400, found.status_code)
+
+        anyio.run(test)
+
+    @expand(
+        [
+            ('hundreds of digits', '9' * 400),
+            ('hundreds of digits below 0', '-' + '9' * 400),
+            ('beyond 64 bits', str(2**63)),
+        ]
+    )
+    def test_job_of_too_many_tokens_is_malformed(self, _, tokens):
+        """Weighing it ended all batch work with an OverflowError."""
+
+        async def test():
+            config = platform_fakes.configuration(
+                1, [platform_fakes.route('/jobs/', 'batch', maxCount=0)]
+            )
+            async with platform_fakes.fleet(config=config) as fleet:
+                odd = platform_fakes.submission(tokens='@').replace(
+                    '"@"', tokens
+                )
+                sound = platform_fakes.submission()
+                answers = [
+                    await fleet.post('/jobs/x', body, **{'Request-Id': name})
+                    for name, body in (('odd', odd), ('sound', sound))
+                ]
+                await fleet.results('sound', 3)
+                self.assertEqual(
+                    [400, 202], [answer.status_code for answer in answers]
+                )
+
+        anyio.run(test)
+
+    @expand(ODD_LENGTHS)
+    def test_odd_length_counts_as_too_long(self, _, length):
+        headers = [(b'Content-Length', length)]
+        self.assertEqual(numerals.MAX_INTEGER, exchange.read_length(headers))
+
+
+class TestTargets(_Bounded):
+    """Numbers in answers of targets."""
+
+    @expand(ODD_NUMBERS)
+    def test_event_has_no_id(self, _, value):
+        text = value.encode('latin-1')
+        [event] = exchange.EventReader().feed(b'id: %s\n\n' % text)
+        self.assertIsNone(event.id)
+
+    @expand(ODD_NUMBERS)
+    def test_limit_is_not_read(self, _, value):
+        head = wire.decode(
+            wire.read_call('POST', b'/a', [], b''),
+            200,
+            [(b'Server-Limit', value.encode('latin-1'))],
+        )
+        self.assertIsNone(rate_limits.read(head.rate_limits, is_run=True))
+
+    @expand(
+        [
+            (f'{path} {name}', path, body % value)
+            for (path, body), (name, value) in itertools.product(
+                (
+                    (
+                        'report',
+                        '{"running":%s,"pending_tokens":0,"models":[]}',
+                    ),
+                    ('events', '[{"number":%s,"kind":"stored","block":1}]'),
+                ),
+                (
+                    ('infinite', '1e999'),
+                    ('negative', '-1'),
+                    ('null', 'null'),
+                    ('underscore', '"1_0"'),
+                    ('huge', '9' * 30),
+                    ('nested', '[' * 100_000),
+                ),
+            )
+        ]
+    )
+    def test_report_of_an_engine_is_malformed(self, _, path, body):
+        """An OverflowError ended the daemon's tasks."""
+        target = blackboard.Target('t', '127.0.0.1:1', 'engine', '', {})
+
+        async def test():
+            transport = httpx.MockTransport(
+                lambda request: httpx.Response(200, text=body)
+            )
+            async with httpx.AsyncClient(transport=transport) as client:
+                if path == 'report':
+                    found = await engine.connect(client).report(target)
+                else:
+                    read = engine.connect_cache_events(client)
+                    found = await read(target, 0)
+            self.assertTrue(found.is_err())
+
+        anyio.run(test)
+
+
+class TestStores(_Bounded):
+    """Numbers in what the store holds."""
+
+    @expand(
+        [
+            (f'{field} {value}', field, value)
+            for field, value in itertools.product(
+                ('timeoutMs', 'sloMs', 'gapTargetMs'), ('nan', 'inf', -1.0)
+            )
+        ]
+    )
+    def test_time_that_no_request_can_have_is_left_out(self, _, field, value):
+        """Each request of the route was answered with 500."""
+        odd = platform_fakes.route('/a/', **{field: value})
+        without = {k: v for k, v in odd.items() if k != field}
+        read = [
+            objects.read_configuration(
+                records.Record(
+                    'main', 1, platform_fakes.configuration(1, [row]), {}
+                )
+            )
+            for row in (odd, without)
+        ]
+        self.assertEqual(read[1], read[0])
+        self.assertIsNotNone(read[0])
+
+    @expand([('1_0',), ('-1',), ('+1',), ('x',), ('9' * 5_000,)])
+    def test_record_of_no_group_is_left_out(self, number):
+        record = records.Record(f'r.job.{number}', 1, {'results': []}, {})
+        self.assertIsNone(job_records.read(record))
+
+
+class TestClient(_Bounded):
+    """The client of callers ended with an error."""
+
+    @expand([*ODD_NUMBERS, ('date', 'Mon, 07 Dec 2026 22:00:00 GMT')])
+    def test_request_is_sent_again(self, _, value):
+        answers = []
+
+        def respond(request):
+            if request.url.path == '/v1/entry':
+                return httpx.Response(
+                    200, json={'addresses': ['h:1'], 'ttl_seconds': 5}
+                )
+            answers.append(request)
+            headers = {'Retry-After': value.encode('latin-1')}
+            status = 503 if len(answers) == 1 else 200
+            return httpx.Response(status, headers=headers)
+
+        async def test():
+            transport = httpx.MockTransport(respond)
+            async with httpx.AsyncClient(transport=transport) as http:
+                caller = client.Caller(http, ['h:1'], 't')
+                found = await caller.send('POST', '/', b'', 'key')
+            self.assertEqual(200, found.ok_value.status)
+
+        fakes.run(test)
+
+    @expand([(None,), ('nan',), ('x',), ([],)])
+    def test_entry_without_a_time_is_not_kept(self, ttl):
+        def respond(request):
+            if request.url.path == '/v1/entry':
+                return httpx.Response(
+                    200, json={'addresses': ['h:1'], 'ttl_seconds': ttl}
+                )
+            return httpx.Response(200)
+
+        async def test():
+            transport = httpx.MockTransport(respond)
+            async with httpx.AsyncClient(transport=transport) as http:
+                caller = client.Caller(http, ['h:1'], 't')
+                found = await caller.send('POST', '/', b'', 'key')
+            self.assertEqual(200, found.ok_value.status)
+            self.assertLess(caller._addresses_expire_at, math.inf)
+
+        fakes.run(test)
+
+
 if __name__ == '__main__':
     unittest.main()
