Work that targets refuse no longer keeps other work from being run

Online requests likewise: 7 streams a second that are too large for any target left others without an answer in time at one and at two targets.

Cause: a target refuses a request that is larger than its memory as if it were full. Each refusal counted as a failure of the target, which got nothing at all for up to 2 s then. Refused items waited 0.3 s, so that they were ready again by the end of that time, and as those due first they took all slots, each time anew. Nothing told the refusals of the same request from those of different ones, nor large requests from small ones. A refused online request also kept its slot while it paused.

Change (policy/refusals.py): several different requests have to be refused in a row before a target is blocked, only for requests of their size or larger, and refusals of requests that were sent before the block make it no longer. A request that the target takes ends the blocks up to its size. A refused item waits 0.3 s to 8 s, doubling; the items of its job come after those of other jobs for twice as long, and take the slots that these leave. A refused request goes to targets that have not refused it first, and holds no slot while it waits. Sizes are those that requests state (0 if they state none).

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -19,6 +19,7 @@
 from persimmonpass import item_text
 from persimmonpass import job_records
 from persimmonpass.policy import batch_scheduling
+from persimmonpass.policy import refusals
 from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass.targets import connections
@@ -32,7 +33,6 @@
 FIRST_EVENT_TIMEOUT_SECONDS = 2.0
 MAX_FIRST_EVENT_TIMEOUT_SECONDS = 16.0
 RETRY_SECONDS = 0.1
-REFUSED_RETRY_SECONDS = 0.3
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 SUCCESS = 200
@@ -50,6 +50,7 @@
 
     :ivar text: output so far
     :ivar failures: answers of status 500
+    :ivar refusals: consecutive runs that targets refused
     :ivar errors_at: targets that answered it with an error, in order
     :ivar broken_runs: consecutive runs that broke off without an event
     :ivar late_runs: consecutive runs that had no event in time
@@ -68,6 +69,7 @@
     def __init__(self) -> None:
         self.text = item_text.ItemText()
         self.failures = 0
+        self.refusals = 0
         self.errors_at: list[str] = []
         self.broken_runs = 0
         self.late_runs = 0
@@ -138,6 +140,7 @@
                 prompt_parts=self._targets.read_prompt_parts(headers),
                 account=account or '',
                 has_accounts=account is not None,
+                tokens=max(0, job_item.tokens),
             )
         except ValueError as error:
             # A job that another build accepted; no target can be sent it.
@@ -207,11 +210,16 @@
             self._target_stats.record_replaced(target.name)
             return 'another target has the address'
         if head.not_run:
-            item.not_before = anyio.current_time() + REFUSED_RETRY_SECONDS
-            self._target_stats.record_failure(target.name, 'refused')
+            item.refusals += 1
+            pause = refusals.item_pause(item.refusals)
+            item.not_before = anyio.current_time() + pause
+            self._target_stats.record_refusal(
+                target.name, call.id, call.tokens
+            )
             return 'refused'
+        item.refusals = 0
         self._target_stats.record_answer(
-            target.name, head.status, item.errors_at
+            target.name, head.status, item.errors_at, call.tokens
         )
         if head.status == UNPROCESSABLE:
             self.finish(
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -10,6 +10,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 import anyio
@@ -35,6 +36,7 @@
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import batch
 from persimmonpass.policy import batch_scheduling as policy
+from persimmonpass.policy import refusals
 from persimmonpass.policy import stream_versions
 from persimmonpass import routes
 from persimmonpass.targets import opaque
@@ -96,6 +98,18 @@
     )
 
 
+class _RefusedJob(typing.NamedTuple):
+    """A job of which targets have refused items.
+
+    :ivar refusals: refusals in a row, of any of its items
+    :ivar set_back_until: local clock until which its items come after those
+        of other jobs, in seconds
+    """
+
+    refusals: int = 0
+    set_back_until: float = 0.0
+
+
 class ItemRunner:
     """Runs batch items while this host is the batch runner."""
 
@@ -135,6 +149,7 @@
         # Tokens that each account was served, while it has open jobs.
         self._share = batch.Share()
         self._accounts: dict[str, str] = {}
+        self._refused_jobs: dict[str, _RefusedJob] = {}
         # Index of the routes of the configuration that it was made from.
         self._indexed: routes.Configuration | None = None
         self._job_routes = routes.JobRoutes(())
@@ -302,6 +317,8 @@
             for job_id, account in self._accounts.items()
             if job_id in self._ports.log.jobs
         }
+        for job_id in self._refused_jobs.keys() - self._ports.log.jobs.keys():
+            del self._refused_jobs[job_id]
 
     def _target_loads(self, service: str) -> list[policy.TargetLoad]:
         return [
@@ -314,6 +331,7 @@
                 candidate.software,
                 candidate.allowance,
                 candidate.is_on_trial,
+                candidate.refuses_from,
             )
             for candidate in self._ports.queue.candidates(service)
         ]
@@ -400,6 +418,8 @@
                 continue
             account = self._get_account(state.job)
             due_at = self._get_due_at(job_id)
+            refused = self._refused_jobs.get(job_id)
+            is_set_back = refused is not None and now < refused.set_back_until
             for number in state.open_items:
                 item = self._items.get((job_id, number))
                 left = policy.run_seconds(self._pace)
@@ -410,7 +430,12 @@
                     if now < item.not_before:
                         continue
                 pending = policy.Pending(
-                    job_id, number, due_at, left, state.order
+                    job_id,
+                    number,
+                    due_at,
+                    left,
+                    state.order,
+                    is_set_back=is_set_back,
                 )
                 cost = self._cost(state.job, number)
                 found.append((pending, account, cost))
@@ -463,7 +488,8 @@
         if not loads and elapsed < FULL_START_INTERVAL_SECONDS:
             return
         self._items_started_at = now
-        full_services: set[str] = set()
+        # Smallest item that found no free slot; a larger one finds none.
+        full_for: dict[str, int] = {}
         for pending in self._list_pending(now):
             state = self._ports.log.jobs[pending.job]
             if state.job is None:
@@ -479,18 +505,23 @@
             service = _pick_service(
                 route, state.job.items[number].id, known, usable
             )
-            if service in full_services or service not in loads:
+            tokens = max(0, state.job.items[number].tokens)
+            if service not in loads or tokens >= full_for.get(
+                service, math.inf
+            ):
                 continue
             waiting = self._ports.occupied.waiting(service).total
-            name = policy.pick_target(loads[service], waiting=waiting)
+            name = policy.pick_target(
+                loads[service], waiting=waiting, tokens=tokens
+            )
             if name is None:
-                full_services.add(service)
+                full_for[service] = tokens
                 continue
             key = (pending.job, number)
             item = self._items.setdefault(key, item_attempt.LocalItem())
             if item.text.origin is not None:
                 name = self._pick_to_resume(
-                    key, item, route, service, loads[service]
+                    key, item, route, service, loads[service], tokens
                 )
             target = self._ports.board.targets.get(name) if name else None
             if target is None:
@@ -515,6 +546,7 @@
         route: routes.Route,
         service: str,
         loads: list[policy.TargetLoad],
+        tokens: int,
     ) -> str | None:
         """Return the target at which a begun item goes on.
 
@@ -523,6 +555,7 @@
 
         :param service: service that runs the item now
         :param loads: load of its usable targets, one of which has a free slot
+        :param tokens: size of the item
         :returns: ``None`` if the item has to wait
         """
         now = anyio.current_time()
@@ -541,6 +574,7 @@
             ),
             waited_seconds=now - item.waits_since,
             waiting=self._ports.occupied.waiting(service).total,
+            tokens=tokens,
         )
         if choice.restarts:
             events.log(
@@ -617,6 +651,7 @@
             # No run can go on after an event without an id.
             item.text.restart()
         events_before = len(item.text.texts)
+        refusals_before = item.refusals
         item.text.claim(self._role.source)
         scope = item.scope or anyio.CancelScope()
         events.log(
@@ -639,6 +674,10 @@
             item.scope = None
             self._running.pop(key, None)
         now = anyio.current_time()
+        if item.refusals > refusals_before:
+            self._set_back(key[0], now)
+        elif item.outcome is not None or len(item.text.texts) > events_before:
+            self._refused_jobs.pop(key[0], None)
         self._pace = policy.with_run(
             self._pace, now - started_at, len(item.text.texts) - events_before
         )
@@ -660,6 +699,14 @@
             self._pace = policy.with_finished(self._pace, len(item.text.texts))
         self._wake_up()
 
+    def _set_back(self, job_id: str, now: float) -> None:
+        """Let a job of which a target refused an item come after others."""
+        known = self._refused_jobs.get(job_id, _RefusedJob())
+        count = known.refusals + 1
+        self._refused_jobs[job_id] = _RefusedJob(
+            count, now + refusals.set_back_seconds(count)
+        )
+
     def _account_of(self, job_id: str) -> str | None:
         """Return the account of a job, ``None`` if there are no accounts."""
         state = self._ports.log.jobs.get(job_id)
--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -1,6 +1,7 @@
 """Queues online requests until a target has a free slot, or refuses them."""
 
 import collections.abc
+import math
 import random
 
 import anyio
@@ -76,9 +77,14 @@
             if self._shares is not None:
                 self._shares.tick()
 
-    def capacity(self, service: str) -> request_placement.Capacity:
-        """Return the capacity of the usable targets of a service."""
-        candidates = self.candidates(service)
+    def capacity(
+        self, service: str, tokens: int = 0
+    ) -> request_placement.Capacity:
+        """Return the capacity of the usable targets of a service.
+
+        :param tokens: size of the requests; 0 if it is not known
+        """
+        candidates = self.candidates(service, tokens=tokens)
         return request_placement.Capacity(
             len(candidates),
             sum(
@@ -94,11 +100,13 @@
         service: str,
         excluded: collections.abc.Collection[str] = (),
         software: str | None = None,
+        tokens: int = 0,
     ) -> list[request_placement.Candidate]:
         """Return the usable targets of a service with their load.
 
         :param excluded: names of targets to leave out
         :param software: software that the targets must have, ``None`` for any
+        :param tokens: size of the request; 0 if it is not known
         """
         found = []
         for row in self._board.targets.rows():
@@ -107,7 +115,7 @@
             if software is not None and row.software != software:
                 continue
             if row.name in excluded or not self._target_stats.is_usable(
-                row.name
+                row.name, tokens
             ):
                 continue
             counts = self._occupied.counts_at(row.name)
@@ -126,6 +134,7 @@
                     row.software,
                     self._limits.allowance(row.name),
                     is_on_trial,
+                    self._target_stats.refuses_from(row.name),
                 )
             )
         return found
@@ -135,15 +144,17 @@
         services: collections.abc.Iterable[str],
         target: str,
         software: str | None = None,
+        tokens: int = 0,
     ) -> bool:
         """Return whether a usable target could take over from another one.
 
         :param services: services whose targets may run the request
         :param target: name of the target that has the request
         :param software: software that the target must have, ``None`` for any
+        :param tokens: size of the request; 0 if it is not known
         """
         return any(
-            self.candidates(service, (target,), software)
+            self.candidates(service, (target,), software, tokens)
             for service in services
         )
 
@@ -270,7 +281,9 @@
         """
         service = request.service
         if self._shares is None or request_placement.choose(
-            self.candidates(service), self._zone, random.random
+            self.candidates(service, tokens=request.queued.tokens),
+            self._zone,
+            random.random,
         ):
             return None
         stall = self._stalls.get(service, queueing.Stall())
@@ -321,7 +334,7 @@
                 MISSING_VERSION_RETRY_SECONDS, 'no target of the version'
             )
         service = self._serving(request)
-        if not self.capacity(service).targets:
+        if not self.capacity(service, request.queued.tokens).targets:
             # Excluded and blocked targets may be usable within milliseconds.
             known = any(
                 row.service in request.services and not row.leaving
@@ -350,7 +363,9 @@
             and not row.leaving
             and (
                 row.name not in request.excluded
-                or self._target_stats.is_usable(row.name)
+                or self._target_stats.is_usable(
+                    row.name, request.queued.tokens
+                )
             )
             for row in self._board.targets.rows()
         )
@@ -377,7 +392,9 @@
         self._is_dispatching = True
         try:
             now = anyio.current_time()
-            full_services: set[tuple[str, ...]] = set()
+            # Smallest request that found no free slot, by services. A larger
+            # one finds none either.
+            full_for: dict[tuple[str, ...], int] = {}
             ranked = self._rank(now)
             # Slots are left to peers whose requests can still be on time
             # rather than given to late requests here.
@@ -392,10 +409,13 @@
                 ):
                     continue
                 any_target = request.may_use_any_target
-                if request.services in full_services and any_target:
+                tokens = request.queued.tokens
+                if any_target and tokens >= full_for.get(
+                    request.services, math.inf
+                ):
                     continue
                 if not self._place(request) and any_target:
-                    full_services.add(request.services)
+                    full_for[request.services] = tokens
         finally:
             self._is_dispatching = False
 
@@ -422,7 +442,11 @@
         if len(request.services) == 1:
             return request.service
         return next(
-            (name for name in request.services if self.candidates(name)),
+            (
+                name
+                for name in request.services
+                if self.candidates(name, tokens=request.queued.tokens)
+            ),
             request.service,
         )
 
@@ -441,7 +465,9 @@
             exclusions += [request.excluded[-1:], ()]
         for excluded in exclusions:
             for service in request.services:
-                found = self.candidates(service, excluded, request.software)
+                found = self.candidates(
+                    service, excluded, request.software, request.queued.tokens
+                )
                 if found:
                     return found
         return []
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -27,6 +27,7 @@
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
 from persimmonpass.policy import queueing
+from persimmonpass.policy import refusals
 from persimmonpass.policy import stream_versions
 from persimmonpass import request_state
 from persimmonpass import routes
@@ -57,7 +58,6 @@
 # Refusals by targets that one request may get. A refusal costs nothing, since
 # the target did not run the request.
 MAX_REFUSALS = 6
-REFUSAL_PAUSE_SECONDS = 0.02
 NO_CONFIG_RETRY_SECONDS = 0.5
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
 # A request that crashes targets will not succeed soon; a long delay keeps
@@ -199,6 +199,12 @@
                 request.runs += 1
             elif request.refusals > MAX_REFUSALS:
                 break
+            elif request.pause_seconds:
+                # A refused request holds no slot while it waits.
+                await anyio.sleep(
+                    min(request.pause_seconds, request.remaining_seconds)
+                )
+                request.pause_seconds = 0.0
         return await self._send_failure(request)
 
     async def _end_at_stop(self, request: request_state.RequestState) -> str:
@@ -238,6 +244,7 @@
                 request.started,
                 request.call.account,
                 request.route.objective_seconds,
+                request.call.tokens,
             ),
             request.answer_deadline,
             request.excluded,
@@ -388,6 +395,7 @@
             request.services,
             target.name,
             request.origin.software if request.origin else None,
+            request.call.tokens,
         )
 
     async def _pass_answer(
@@ -410,9 +418,12 @@
             request.refusals += 1
             return _End.NOT_RUN
         if head.not_run:
-            return await self._handle_refusal(request, target, head)
+            return self._handle_refusal(request, target, head)
         self._ports.target_stats.record_answer(
-            target.name, head.status, request.errors_at
+            target.name,
+            head.status,
+            request.errors_at,
+            request.call.tokens,
         )
         if head.status >= MIN_SERVER_ERROR and can_resend:
             # The target ran the request, but the request is repeatable.
@@ -594,7 +605,7 @@
         request.started = True
         await request.caller.start(head.status, head.headers)
 
-    async def _handle_refusal(
+    def _handle_refusal(
         self,
         request: request_state.RequestState,
         target: blackboard.Target,
@@ -603,8 +614,16 @@
         """Handle an answer saying that the target did not run the request."""
         request.refusals += 1
         request.may_run = False
-        request.excluded = [target.name]
-        self._ports.target_stats.record_failure(target.name, 'refused')
+        request.refused_by.append(target.name)
+        request.pause_seconds = refusals.request_pause(
+            request.refused_by.count(target.name)
+        )
+        if target.name in request.excluded:
+            request.excluded.remove(target.name)
+        request.excluded.append(target.name)
+        self._ports.target_stats.record_refusal(
+            target.name, request.call.id, request.call.tokens
+        )
         events.log(
             events.REQUEST_RETRIED,
             host=self._host,
@@ -613,7 +632,6 @@
             status=head.status,
             cause='the target reported that it did not run the request',
         )
-        await anyio.sleep(REFUSAL_PAUSE_SECONDS)
         return _End.NOT_RUN
 
     def _handle_failure(
--- a/src/persimmonpass/controllers/targets/target_stats.py
+++ b/src/persimmonpass/controllers/targets/target_stats.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import math
 import statistics
 
 import anyio
@@ -14,6 +15,7 @@
 from persimmonpass.controllers.targets import target_paths
 from persimmonpass import events
 from persimmonpass.policy import error_answers as error_policy
+from persimmonpass.policy import refusals
 
 # Weight of a new sample in the moving mean of a target.
 SAMPLE_WEIGHT = 0.25
@@ -43,6 +45,7 @@
         self.failures = 0
         self.failed_at = 0.0
         self.blocked_until = 0.0
+        self.refused: refusals.Table = {}
 
 
 class TargetStats:
@@ -83,14 +86,34 @@
         """Mean duration of an online request, in seconds."""
         return self._service_seconds
 
-    def is_usable(self, target: str) -> bool:
-        """Return whether requests may be sent to a target now."""
+    def is_usable(self, target: str, tokens: int = 0) -> bool:
+        """Return whether a request may be sent to a target now.
+
+        :param target: name of the target
+        :param tokens: size of the request; 0 if it is not known
+        """
         if not self._paths.is_reachable(target):
             return False
         if self._errors.standing(target) is error_policy.Standing.HELD:
             return False
         record = self._records.get(target)
-        return record is None or anyio.current_time() >= record.blocked_until
+        if record is None:
+            return True
+        return (
+            anyio.current_time() >= record.blocked_until
+            and tokens < self.refuses_from(target)
+        )
+
+    def refuses_from(self, target: str) -> float:
+        """Return the size from which on a target gets no requests now.
+
+        :param target: name of the target
+        :returns: tokens, infinite for a target that has not refused any
+        """
+        record = self._records.get(target)
+        if record is None or not record.refused:
+            return math.inf
+        return refusals.smallest_blocked(record.refused, anyio.current_time())
 
     def is_on_trial(self, target: str) -> bool:
         """Return whether a target gets one request at a time."""
@@ -148,17 +171,46 @@
         if anyio.current_time() - record.failed_at > FAILURE_RESET_SECONDS:
             record.failures = 0
 
+    def record_refusal(self, target: str, request: str, tokens: int) -> None:
+        """Record that a target stated that it did not run a request.
+
+        :param target: name of the target
+        :param request: id of the request
+        :param tokens: size of the request; 0 if it is not known
+        """
+        record = self._get(target)
+        before = self.refuses_from(target)
+        record.refused = refusals.with_refusal(
+            record.refused, request, tokens, anyio.current_time()
+        )
+        if self.refuses_from(target) < before:
+            events.log(
+                events.TARGET_REFUSES,
+                host=self._host,
+                target=target,
+                request=request,
+                tokens=tokens,
+            )
+
     def record_answer(
-        self, target: str, status: int, errors_at: list[str]
+        self,
+        target: str,
+        status: int,
+        errors_at: list[str],
+        tokens: int = 0,
     ) -> None:
         """Record the status with which a target answered a request.
 
         If two targets fail at the same request, it is probably the request.
 
         :param target: name of the target
+        :param tokens: size of the request; 0 if it is not known
         :param errors_at: targets that answered the request with errors; this
             one is added if it does
         """
+        record = self._records.get(target)
+        if record is not None and record.refused:
+            record.refused = refusals.without_taken(record.refused, tokens)
         if not error_policy.is_error(status):
             self._errors.record_answer(target, is_error=False)
             return
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -338,6 +338,13 @@
     Level.INFO,
     'A target that was held back for its errors gets one request at a time.',
 )
+TARGET_REFUSES = Event(
+    424,
+    'target_refuses',
+    Level.WARNING,
+    'A target refused several requests of about this size without running '
+    'them; it gets none of this size or larger ones for a moment.',
+)
 TARGET_RESTORED = Event(
     413,
     'target_restored',
--- a/src/persimmonpass/exchange.py
+++ b/src/persimmonpass/exchange.py
@@ -63,6 +63,8 @@
     :ivar key_digest: digest of the caller's key; empty if it sent none, or
         none that can be valid
     :ivar account: name of the caller's account; empty for none
+    :ivar tokens: tokens of the prompt plus the maximum output; 0 if they are
+        not known
     :ivar has_accounts: whether callers have accounts, so that the headers
         about accounts are set for the target instead of being passed on
     """
@@ -80,6 +82,7 @@
     key_digest: str = ''
     account: str = ''
     has_accounts: bool = False
+    tokens: int = 0
 
     @property
     def route_path(self) -> str:
--- a/src/persimmonpass/platform/wire.py
+++ b/src/persimmonpass/platform/wire.py
@@ -13,6 +13,7 @@
 LAST_EVENT_ID = b'last-event-id'
 RESUMES = b'resumes'
 PROMPT_PREFIX = b'prompt-prefix'
+TOKEN_USAGE = b'token-usage'
 EXPECT_INSTANCE = b'expect-instance'
 NOT_EXECUTED = b'not-executed'
 SERVER_LEAVING = b'server-leaving'
@@ -73,6 +74,7 @@
         accounts.read_key_digest(
             [value for name, value in headers if name.lower() == AUTHORIZATION]
         ),
+        tokens=_read_tokens(found.get(TOKEN_USAGE, b'')),
     )
 
 
@@ -221,6 +223,13 @@
     return number
 
 
+def _read_tokens(value: bytes) -> int:
+    counts = [
+        numerals.read_integer(part.strip()) for part in value.split(b',')
+    ]
+    return sum(count for count in counts if count is not None)
+
+
 def _read_rate(value: bytes) -> float:
     rate = numerals.read_decimal(value)
     return math.nan if rate is None else rate
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -11,6 +11,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from persimmonpass.policy import batch
@@ -52,6 +53,8 @@
     :ivar job_order: lower for jobs that were accepted earlier
     :ivar account_tag: start tag of its account, see
         :func:`policy.batch.start_tag`; 0 if there are no accounts
+    :ivar is_set_back: whether it comes after the items of other jobs, as
+        targets have refused items of its job
     """
 
     job: str
@@ -60,6 +63,7 @@
     left_seconds: float
     job_order: int
     account_tag: float = 0.0
+    is_set_back: bool = False
 
 
 class TargetLoad(typing.NamedTuple):
@@ -73,6 +77,8 @@
     :ivar software: equal for targets of the same software version
     :ivar allowance: what it takes if it has named a limit, else ``None``
     :ivar is_on_trial: whether it gets one request at a time after errors
+    :ivar refuses_from: size in tokens from which on it gets no items, as it
+        has refused such; infinite for none
     """
 
     name: str
@@ -83,6 +89,7 @@
     software: str = ''
     allowance: rate_limits.Allowance | None = None
     is_on_trial: bool = False
+    refuses_from: float = math.inf
 
 
 class ResumeChoice(typing.NamedTuple):
@@ -112,10 +119,11 @@
 
 def rank(
     pending: Pending, now: float
-) -> tuple[bool, float, float, float, int, int]:
+) -> tuple[bool, bool, float, float, float, int, int]:
     """Return the sort key of an item; the lowest runs first.
 
-    Items that can still finish in time go first; among them those of the
+    Items of jobs that targets do not refuse go first; among them those that
+    can still finish in time; among them those of the
     account that was served least, then those due soonest. Of an account's late
     items, those nearest to their end go first.
 
@@ -128,6 +136,7 @@
     """
     is_late = now + FINISH_FACTOR * pending.left_seconds > pending.due_at
     return (
+        pending.is_set_back,
         is_late,
         pending.account_tag,
         pending.left_seconds if is_late else 0.0,
@@ -251,6 +260,7 @@
     loads: collections.abc.Iterable[TargetLoad],
     software: str | None = None,
     waiting: int = 0,
+    tokens: int = 0,
 ) -> str | None:
     """Return the target with the most free slots, or ``None`` if all are full.
 
@@ -261,6 +271,7 @@
     :param loads: load of all usable targets of the service
     :param software: software that the target must have, ``None`` for any
     :param waiting: online requests of all hosts that wait for a slot
+    :param tokens: size of the item; 0 if it is not known
     """
     loads = list(loads)
     spare = sum(map(free_online_slots, loads))
@@ -277,6 +288,7 @@
             load
             for load in loads
             if software in (None, load.software)
+            and tokens < load.refuses_from
             and free_slots(load) > 0
             and leaves_reserve(load)
         ),
@@ -293,6 +305,7 @@
     is_listed: bool,
     waited_seconds: float,
     waiting: int = 0,
+    tokens: int = 0,
 ) -> ResumeChoice:
     """Return where an item that has begun goes on.
 
@@ -307,15 +320,16 @@
     :param is_listed: whether a target of that software stays
     :param waited_seconds: how long the item has waited for such a target
     :param waiting: online requests of all hosts that wait for a slot
+    :param tokens: size of the item; 0 if it is not known
     """
     loads = list(loads)
     if software is not None:
-        target = pick_target(loads, software, waiting)
+        target = pick_target(loads, software, waiting, tokens)
         if target is not None:
             return ResumeChoice(target, False)
     if is_listed and waited_seconds < MAX_RESUME_WAIT_SECONDS:
         return ResumeChoice(None, False)
-    target = pick_target(loads, waiting=waiting)
+    target = pick_target(loads, waiting=waiting, tokens=tokens)
     return ResumeChoice(target, target is not None)
 
 
--- a/src/persimmonpass/policy/queueing.py
+++ b/src/persimmonpass/policy/queueing.py
@@ -32,6 +32,8 @@
     :ivar started: whether its caller already has a part of the answer
     :ivar account: name of the caller's account; empty for none
     :ivar objective_seconds: objective for the time to the first event
+    :ivar tokens: tokens of the prompt plus the maximum output; 0 if they are
+        not known
     """
 
     priority: int
@@ -40,6 +42,7 @@
     started: bool = False
     account: str = ''
     objective_seconds: float = 0.0
+    tokens: int = 0
 
 
 def first_event_timeout(objective_seconds: float, gap_seconds: float) -> float:
--- a/src/persimmonpass/policy/request_placement.py
+++ b/src/persimmonpass/policy/request_placement.py
@@ -11,6 +11,7 @@
 """
 
 import collections.abc
+import math
 import typing
 
 from persimmonpass.policy import rate_limits
@@ -41,6 +42,8 @@
     :ivar allowance: what it takes if it has named a limit, else ``None``
     :ivar is_on_trial: whether it gets one request at a time after errors;
         ``slots`` is then 1
+    :ivar refuses_from: size in tokens from which on it gets no requests, as it
+        has refused such; infinite for none
     """
 
     name: str
@@ -52,6 +55,7 @@
     software: str = ''
     allowance: rate_limits.Allowance | None = None
     is_on_trial: bool = False
+    refuses_from: float = math.inf
 
     @property
     def has_room(self) -> bool:
--- a/src/persimmonpass/request_state.py
+++ b/src/persimmonpass/request_state.py
@@ -20,6 +20,8 @@
     :ivar started: whether the head of the answer was sent to the caller
     :ivar runs: attempts that may have run at a target
     :ivar refusals: attempts that a target refused
+    :ivar refused_by: targets that refused it, once for each refusal
+    :ivar pause_seconds: how long it waits before it is sent again
     :ivar excluded: targets that have failed the request, in order
     :ivar errors_at: targets that answered it with an error, in order
     :ivar failure: reason of the last failed attempt
@@ -55,6 +57,8 @@
         self.started = False
         self.runs = 0
         self.refusals = 0
+        self.refused_by: list[str] = []
+        self.pause_seconds = 0.0
         self.excluded: list[str] = []
         self.errors_at: list[str] = []
         self.failure: verdicts.Failure | None = None
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -225,6 +225,11 @@
     :ivar crashes_when_cut: whether an answer breaks off because the server
         crashes, so that it refuses connections for a while
     :ivar refuses_all: whether every request is refused as not executed
+    :ivar memory: tokens of the largest request that is not refused; ``None``
+        for any
+    :ivar refused_path: part of the path of requests that are refused; ``None``
+        for none
+    :ivar refused: number of requests that were refused
     :ivar status: status of the answers
     :ivar foreign: whether answers carry the id of another request
     :ivar busy: number of running requests
@@ -267,6 +272,9 @@
         self.down_seconds = 0.5
         self.down_until = 0.0
         self.refuses_all = False
+        self.memory = None
+        self.refused_path = None
+        self.refused = 0
         self.status = 200
         self.foreign = False
         self.busy = 0
@@ -309,7 +317,8 @@
         if request.headers.get('expect-instance') != self.name:
             answer = responses.Response(status_code=421)
             return await answer(scope, receive, send)
-        if self.refuses_all:
+        if self._refuses(request):
+            self.refused += 1
             answer = responses.Response(
                 status_code=503, headers={'not-executed': '1'}
             )
@@ -357,6 +366,16 @@
             self._ended.set()
             self._ended = anyio.Event()
 
+    def _refuses(self, request):
+        usage = request.headers.get('token-usage', '0')
+        if self.memory is not None:
+            if sum(map(int, usage.split(','))) > self.memory:
+                return True
+        if self.refused_path is not None:
+            if self.refused_path in request.url.path:
+                return True
+        return self.refuses_all
+
     async def _admit(self, receive):
         """Wait for a slot; return whether the caller is still there."""
         turn = object()
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -76,7 +76,7 @@
             ('twice', [b'3', b'2.5'], [3.0, 2.5]),
             ('text', [b'soon'], [math.nan]),
             ('empty', [b''], [math.nan]),
-            ('negative', [b'-1'], [-1.0]),
+            ('negative', [b'-1'], [math.nan]),
             ('not ascii', [b'\xff'], [math.nan]),
         ]
     )
