persimmonpassd: what targets do not admit no longer costs other work

An engine answers 4xx or 503 before it admits a request. Each such answer ejected its engine, and told all hosts to suspect it; a batch item that was refused paused its target for up to 8 s, and every other item with it.

With 40 refused completions beside 40 sound ones every engine was ejected time and again.

Change: refusals are counted by policy/refusals.py as at gateways. An engine is left out for requests of a refused size or larger only while others may take them; a refused item waits 0.3 s to 8 s and is queued behind the others of its part. Items state at most 2^63 tokens, as weighing more raised OverflowError.

--- a/src/persimmonpass/controllers/batch/batch_chunk.py
+++ b/src/persimmonpass/controllers/batch/batch_chunk.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
 import anyio
@@ -33,6 +34,7 @@
     :ivar text: text that earlier attempts produced
     :ivar attempts: number of attempts that ran and failed
     :ivar lost: number of attempts during which the target died
+    :ivar refusals: attempts in a row that targets refused
     """
 
     def __init__(self, item: jobs.Item, state: jobs.ItemState) -> None:
@@ -40,6 +42,12 @@
         self.text = ''
         self.attempts = state.attempts
         self.lost = state.lost
+        self.refusals = 0
+
+    @property
+    def size(self) -> int:
+        """Characters of the prompt plus tokens of the answer."""
+        return len(self.item.prompt) + self.item.max_tokens
 
 
 class Chunk:
@@ -72,6 +80,8 @@
         self._ledger = chunk_ledger
         self._waiting: collections.deque[PendingItem] = collections.deque()
         self._suspects: collections.deque[PendingItem] = collections.deque()
+        # Refused items, with the local clock from which on they may run again.
+        self._resting: list[tuple[float, PendingItem]] = []
         self._uncommitted: list[ledger.Record] = []
         self._uncommitted_bytes = 0
         self._uncommitted_results = 0
@@ -111,9 +121,8 @@
         first.
         """
         idle = anyio.current_time() - self._progress_at
-        is_idle = (
-            self.waiting_count == self._unfinished and not self._uncommitted
-        )
+        waiting = self.waiting_count + len(self._resting)
+        is_idle = waiting == self._unfinished and not self._uncommitted
         return is_idle and idle >= STALL_SECONDS
 
     @property
@@ -138,25 +147,49 @@
             state.result for state in states if state.result is not None
         )
 
-    def pop_item(self, *, suspects: bool) -> PendingItem | None:
+    def pop_item(
+        self, *, suspects: bool, below: float = math.inf
+    ) -> PendingItem | None:
         """Remove and return the next ready item, or ``None``.
 
         :param suspects: whether to take a suspect rather than another item
+        :param below: size that the item must not have
         """
+        self._enqueue_rested()
+        if self._is_closed:
+            return None
         queue = self._suspects if suspects else self._waiting
-        return queue.popleft() if queue and not self._is_closed else None
+        for index, pending in enumerate(queue):
+            if pending.size < below:
+                del queue[index]
+                return pending
+        return None
 
     def record_progress(self) -> None:
         """Record that a target works on an item of this chunk."""
         self._progress_at = anyio.current_time()
 
+    def rest(self, pending: PendingItem, seconds: float) -> None:
+        """Queue an item that was refused after a pause."""
+        until = anyio.current_time() + seconds
+        self._resting.append((until, pending))
+
+    def _enqueue_rested(self) -> None:
+        now = anyio.current_time()
+        rested = [row for row in self._resting if row[0] <= now]
+        if rested:
+            self._resting = [row for row in self._resting if row[0] > now]
+            for _, pending in rested:
+                self.enqueue(pending)
+
     def enqueue(self, pending: PendingItem) -> None:
         """Queue an item.
 
-        An item that was tried before goes to the front of the queue.
+        An item that was tried before goes to the front of the queue, unless
+        it was refused.
         """
         queue = self._suspects if pending.lost else self._waiting
-        if pending.attempts or pending.text:
+        if (pending.attempts or pending.text) and not pending.refusals:
             queue.appendleft(pending)
         else:
             queue.append(pending)
--- a/src/persimmonpass/controllers/batch/batch_claims.py
+++ b/src/persimmonpass/controllers/batch/batch_claims.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import math
 import typing
 import uuid
 
@@ -80,7 +81,11 @@
                 await self._table.changed.wait(RETRY_SECONDS)
 
     def next_item(
-        self, services: frozenset[str], *, allow_suspects: bool
+        self,
+        services: frozenset[str],
+        *,
+        allow_suspects: bool,
+        below: float = math.inf,
     ) -> tuple[batch_chunk.Chunk, batch_chunk.PendingItem] | None:
         """Return the item to run next on a target, or ``None``.
 
@@ -92,13 +97,14 @@
         :param services: services that the target serves
         :param allow_suspects: whether an item may be returned during which a
             target died; only if no batch item runs on the target now
+        :param below: size that the item must not have
         """
         if self._total_uncommitted_bytes() >= MAX_UNCOMMITTED_BYTES:
             return None
         queues = self._queues(services)
         for account in batch.order_accounts(self._share, queues):
             for entry in queues[account]:
-                found = self._next_item_of(entry, allow_suspects)
+                found = self._next_item_of(entry, allow_suspects, below)
                 if found is not None:
                     tokens = found[1].item.max_tokens
                     self._share = batch.record_served(
@@ -136,10 +142,12 @@
 
     @staticmethod
     def _pop_item(
-        chunk: batch_chunk.Chunk, allow_suspects: bool
+        chunk: batch_chunk.Chunk, allow_suspects: bool, below: float
     ) -> batch_chunk.PendingItem | None:
-        pending = chunk.pop_item(suspects=True) if allow_suspects else None
-        return pending or chunk.pop_item(suspects=False)
+        pending = None
+        if allow_suspects:
+            pending = chunk.pop_item(suspects=True, below=below)
+        return pending or chunk.pop_item(suspects=False, below=below)
 
     def _total_uncommitted_bytes(self) -> int:
         return sum(chunk.uncommitted_bytes for chunk in self.chunks.values())
@@ -180,7 +188,10 @@
         return queues
 
     def _next_item_of(
-        self, entry: batch_jobs.JobEntry, allow_suspects: bool
+        self,
+        entry: batch_jobs.JobEntry,
+        allow_suspects: bool,
+        below: float,
     ) -> tuple[batch_chunk.Chunk, batch_chunk.PendingItem] | None:
         """Return an item of a job, or ``None``.
 
@@ -193,7 +204,7 @@
         if sum(chunk.waiting_count for chunk in held) < LOW_WATER_ITEMS:
             self._start_claim(entry)
         for chunk in held:
-            pending = self._pop_item(chunk, allow_suspects)
+            pending = self._pop_item(chunk, allow_suspects, below)
             if pending is not None:
                 return chunk, pending
         return None
--- a/src/persimmonpass/controllers/batch/batch_runner.py
+++ b/src/persimmonpass/controllers/batch/batch_runner.py
@@ -27,6 +27,7 @@
 from persimmonpass import jobs
 from persimmonpass import objects
 from persimmonpass.policy import preemption
+from persimmonpass.policy import refusals
 from persimmonpass.targets import engine
 from persimmonpass import verdicts
 
@@ -83,6 +84,7 @@
         self._is_target_lost = False
         self._retry_at = 0.0
         self._backoff = BACKOFF_SECONDS
+        self._refused: refusals.Table = {}
         self._state = ports.preemption.start(target, self._preempt)
 
     async def run(
@@ -179,7 +181,11 @@
         while len(self._running) < width and not self._runs_suspect:
             allow_suspects = not self._running
             found = self._ports.claims.next_item(
-                services, allow_suspects=allow_suspects
+                services,
+                allow_suspects=allow_suspects,
+                below=refusals.smallest_blocked(
+                    self._refused, anyio.current_time()
+                ),
             )
             if found is None:
                 return
@@ -262,6 +268,14 @@
     ) -> None:
         """Record the outcome of an attempt or queue the item again."""
         chunk, pending = running.chunk, running.pending
+        if isinstance(outcome, result.Err) and engine.is_refused(
+            outcome.err_value
+        ):
+            self._rest(chunk, pending)
+            return
+        pending.refusals = 0
+        if isinstance(outcome, result.Ok) or running.tokens:
+            self._refused = refusals.without_taken(self._refused, pending.size)
         if isinstance(outcome, result.Ok):
             self._backoff = BACKOFF_SECONDS
             pending.attempts += 1
@@ -299,6 +313,19 @@
             chunk.record_failed_attempt(pending)
             chunk.enqueue(pending)
 
+    def _rest(
+        self, chunk: batch_chunk.Chunk, pending: batch_chunk.PendingItem
+    ) -> None:
+        """Let a refused item wait, and not the others at once."""
+        pending.refusals += 1
+        self._refused = refusals.with_refusal(
+            self._refused,
+            f'{chunk.key}/{pending.item.id}',
+            pending.size,
+            anyio.current_time(),
+        )
+        chunk.rest(pending, refusals.item_pause(pending.refusals))
+
     async def _probe(self, target: blackboard.Target) -> None:
         """Mark a lost target as usable once it answers a report call.
 
--- a/src/persimmonpass/controllers/online/attempts.py
+++ b/src/persimmonpass/controllers/online/attempts.py
@@ -39,11 +39,14 @@
     :ivar digest: digest of the service and the body; the same for all
         callers and idempotency keys
     :ivar blocks: hashes of the prompt's leading blocks
+    :ivar size: characters of the prompt and tokens of the answer, which tell
+        large requests from small ones; 0 if they are not known
     """
 
     online: online_requests.OnlineRequest
     digest: str
     blocks: target_chooser.Blocks = ()
+    size: int = 0
 
 
 class Slot(typing.NamedTuple):
@@ -138,7 +141,9 @@
             return result.Err(failure)
         if self._suspects.must_isolate(context.digest):
             return await self._pick_isolated(context, tried, deadline)
-        target = self._chooser.choose(online.spec, tried, context.blocks)
+        target = self._chooser.choose(
+            online.spec, tried, context.blocks, context.size
+        )
         if target is None:
             return result.Err(online_requests.no_target(online.service))
         return result.Ok(Slot(target, contextlib.nullcontext()))
@@ -156,18 +161,23 @@
         ):
             yield run
 
-    def record_success(self, run: quarantine.Run) -> None:
+    def record_success(
+        self, run: quarantine.Run, context: RequestContext
+    ) -> None:
         """Record that an attempt succeeded."""
-        self._target_health.record_success(run.target)
+        self._target_health.record_success(run.target, context.size)
         self._suspects.record_finished(run.digest)
 
     async def record_failure(
-        self, run: quarantine.Run, failure: verdicts.Failure
+        self,
+        run: quarantine.Run,
+        context: RequestContext,
+        failure: verdicts.Failure,
     ) -> None:
         """Record that an attempt failed.
 
         A target that is leaving or a deadline that was reached says nothing
-        about the health of the target.
+        about the health of the target, nor does a single refusal.
         """
         target = run.target
         events.log(
@@ -178,6 +188,11 @@
             return
         if failure.event == events.DEADLINE_EXCEEDED:
             return
+        if engine.is_refused(failure):
+            self._target_health.record_refusal(
+                target, context.digest, context.size
+            )
+            return
         refused = engine.is_unreachable(failure)
         self._target_health.record_failure(target, refused=refused)
         if refused:
--- a/src/persimmonpass/controllers/online/calls.py
+++ b/src/persimmonpass/controllers/online/calls.py
@@ -106,10 +106,12 @@
                 target, sent, time_limit, once
             )
             if isinstance(answered, result.Err):
-                await self._attempts.record_failure(run, answered.err_value)
+                await self._attempts.record_failure(
+                    run, context, answered.err_value
+                )
                 quarantined = self._attempts.check(context)
                 return result.Err(quarantined or answered.err_value)
-            self._attempts.record_success(run)
+            self._attempts.record_success(run, context)
             return result.Ok(keys.Answer(*answered.ok_value))
 
 
--- a/src/persimmonpass/controllers/online/completions.py
+++ b/src/persimmonpass/controllers/online/completions.py
@@ -135,13 +135,13 @@
                 async for piece in pieces:
                     if isinstance(piece, result.Err):
                         await self._attempts.record_failure(
-                            run, piece.err_value
+                            run, context, piece.err_value
                         )
                         yield self._final_failure(context, piece.err_value)
                         return
                     run.has_output = True
                     if piece.ok_value.finish_reason is not None:
-                        self._attempts.record_success(run)
+                        self._attempts.record_success(run, context)
                     yield piece
 
     def _final_failure(
@@ -223,6 +223,7 @@
         online,
         online_requests.content_digest(online.service, request.prompt),
         prefixes.hash_blocks(request.prompt),
+        len(request.prompt) + request.max_tokens,
     )
 
 
--- a/src/persimmonpass/controllers/targets/health.py
+++ b/src/persimmonpass/controllers/targets/health.py
@@ -11,6 +11,7 @@
 from persimmonpass import events
 from persimmonpass.peers import port as peer_port
 from persimmonpass.policy import health
+from persimmonpass.policy import refusals
 from persimmonpass.targets import probe
 from persimmonpass import verdicts
 
@@ -37,6 +38,7 @@
         self._probe = check
         self._healths: dict[str, health.TargetHealth] = {}
         self._addresses: dict[str, str] = {}
+        self._refused: dict[str, refusals.Table] = {}
         self._probing: set[str] = set()
 
     @property
@@ -45,20 +47,43 @@
         return {METHOD_SUSPECT: self._handle_suspect}
 
     def usable(
-        self, targets: list[blackboard.Target]
+        self, targets: list[blackboard.Target], size: int = 0
     ) -> list[blackboard.Target]:
-        """Return the targets that may get requests.
+        """Return the targets that may get a request.
 
-        :param targets: targets that could serve a request
+        Those that refuse requests of its size are left out if there are
+        others.
+
+        :param targets: targets that could serve the request
+        :param size: size of the request; 0 if it is not known
         """
         for target in targets:
             self._forget_replaced(target)
         names = [target.name for target in targets]
         kept = health.usable(names, self._healths)
-        return [target for target in targets if target.name in kept]
+        found = [target for target in targets if target.name in kept]
+        if not self._refused:
+            return found
+        now = anyio.current_time()
+        accepting = [
+            target
+            for target in found
+            if size
+            < refusals.smallest_blocked(
+                self._refused.get(target.name, {}), now
+            )
+        ]
+        return accepting or found
 
-    def record_success(self, target: blackboard.Target) -> None:
-        """Record that a target has answered a request."""
+    def record_success(self, target: blackboard.Target, size: int = 0) -> None:
+        """Record that a target has answered a request.
+
+        :param size: size of the request; 0 if it is not known
+        """
+        if target.name in self._refused:
+            self._refused[target.name] = refusals.without_taken(
+                self._refused[target.name], size
+            )
         if self._healths.pop(target.name, health.TargetHealth()).ejected:
             events.log(events.TARGET_RESTORED, target=target.name)
 
@@ -80,6 +105,23 @@
             known, anyio.current_time(), refused
         )
 
+    def record_refusal(
+        self, target: blackboard.Target, request: str, size: int
+    ) -> None:
+        """Record that a target did not admit a request.
+
+        The target is not ejected, as this may be due to the request.
+
+        :param request: id of the request
+        :param size: size of the request; 0 if it is not known
+        """
+        self._refused[target.name] = refusals.with_refusal(
+            self._refused.get(target.name, {}),
+            request,
+            size,
+            anyio.current_time(),
+        )
+
     async def run(self) -> None:
         """Probe ejected targets until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -91,6 +133,9 @@
 
     def _find_due(self) -> list[blackboard.Target]:
         now = anyio.current_time()
+        for name in list(self._refused):
+            if name not in self._board.targets:
+                del self._refused[name]
         due = []
         for name, known in list(self._healths.items()):
             target = self._board.targets.get(name)
--- a/src/persimmonpass/controllers/targets/target_chooser.py
+++ b/src/persimmonpass/controllers/targets/target_chooser.py
@@ -50,7 +50,11 @@
         self._known_at_report: dict[str, tuple[float, int]] = {}
 
     def choose(
-        self, spec: objects.ServiceSpec, tried: set[str], blocks: Blocks = ()
+        self,
+        spec: objects.ServiceSpec,
+        tried: set[str],
+        blocks: Blocks = (),
+        size: int = 0,
     ) -> blackboard.Target | None:
         """Return the target for a request, or ``None`` if there is none.
 
@@ -59,8 +63,9 @@
 
         :param tried: names of targets that failed the request
         :param blocks: hashes of the prompt's leading blocks
+        :param size: size of the request; 0 if it is not known
         """
-        usable = self._usable(spec, tried)
+        usable = self._usable(spec, tried, size)
         unreserved = [
             target
             for target in usable
@@ -143,9 +148,11 @@
             cache.next_number = event.number + 1
 
     def _usable(
-        self, spec: objects.ServiceSpec, tried: set[str]
+        self, spec: objects.ServiceSpec, tried: set[str], size: int = 0
     ) -> list[blackboard.Target]:
-        found = self._healths.usable(targets.find_matching(self._board, spec))
+        found = self._healths.usable(
+            targets.find_matching(self._board, spec), size
+        )
         return [target for target in found if target.name not in tried]
 
     def _work(self, name: str) -> int:
--- a/src/persimmonpass/jobs.py
+++ b/src/persimmonpass/jobs.py
@@ -51,7 +51,9 @@
 
     id: ItemId
     prompt: str
-    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 64
+    max_tokens: typing.Annotated[
+        int, msgspec.Meta(ge=1, le=numerals.MAX_INTEGER)
+    ] = 64
 
 
 class JobKey(typing.NamedTuple):
--- a/src/persimmonpass/policy/refusals.py
+++ b/src/persimmonpass/policy/refusals.py
@@ -34,7 +34,7 @@
 class Refused(typing.NamedTuple):
     """Requests of about the same size that a target has refused in a row.
 
-    :ivar tokens: size of the smallest one
+    :ivar size: size of the smallest one
     :ivar requests: ids of different ones, at most ``MAX_REQUESTS``
     :ivar blocks: how often the target was blocked for them
     :ivar refused_at: local clock of the last refusal, in seconds
@@ -42,7 +42,7 @@
         of this size or larger ones, in seconds
     """
 
-    tokens: int
+    size: int
     requests: frozenset[str]
     blocks: int
     refused_at: float
@@ -55,24 +55,25 @@
 
 
 def with_refusal(
-    table: Table, request: str, tokens: int, now: float
+    table: Table, request: str, size: int, now: float
 ) -> dict[int, Refused]:
     """Return the refusals of a target after another one.
 
     :param request: id of the refused request
-    :param tokens: its size; 0 if it is not known
+    :param size: its size in any unit, the same for all requests; 0 if it is
+        not known
     :param now: local clock in seconds
     """
-    tokens = max(0, tokens)
-    known = table.get(tokens.bit_length())
+    size = max(0, size)
+    known = table.get(size.bit_length())
     if known is None or now - known.refused_at > RESET_SECONDS:
-        known = Refused(tokens, frozenset(), 0, now)
+        known = Refused(size, frozenset(), 0, now)
     is_new = request not in known.requests
     requests = known.requests
     if is_new and len(requests) < MAX_REQUESTS:
         requests |= {request}
     changed = known._replace(
-        tokens=min(known.tokens, tokens), requests=requests, refused_at=now
+        size=min(known.size, size), requests=requests, refused_at=now
     )
     # Refusals during a block are of requests that were sent before it.
     if is_new and len(requests) >= MIN_REQUESTS and now >= known.blocked_until:
@@ -80,25 +81,25 @@
         changed = changed._replace(
             blocks=blocks, blocked_until=now + _block_seconds(blocks)
         )
-    return {**table, tokens.bit_length(): changed}
+    return {**table, size.bit_length(): changed}
 
 
-def without_taken(table: Table, tokens: int) -> dict[int, Refused]:
+def without_taken(table: Table, size: int) -> dict[int, Refused]:
     """Return the refusals of a target after it has taken a request.
 
-    :param tokens: size of the request; 0 if it is not known
+    :param size: size of the request; 0 if it is not known
     """
-    return {key: row for key, row in table.items() if row.tokens > tokens}
+    return {key: row for key, row in table.items() if row.size > size}
 
 
 def smallest_blocked(table: Table, now: float) -> float:
     """Return the size from which on a target gets no requests at present.
 
     :param now: local clock in seconds
-    :returns: tokens, infinite if the target is not blocked
+    :returns: infinite if the target is not blocked
     """
     return min(
-        (row.tokens for row in table.values() if now < row.blocked_until),
+        (row.size for row in table.values() if now < row.blocked_until),
         default=math.inf,
     )
 
--- a/src/persimmonpass/targets/engine.py
+++ b/src/persimmonpass/targets/engine.py
@@ -213,6 +213,21 @@
     )
 
 
+def target_refused(target: blackboard.Target, detail: str) -> verdicts.Failure:
+    """Return the failure of an attempt that a target did not admit."""
+    failure = target_failed(target, verdicts.Verdict.NOT_RUN, detail)
+    return failure._replace(status=HTTP_UNAVAILABLE)
+
+
+def is_refused(failure: verdicts.Failure) -> bool:
+    """Return whether a target answered that it did not admit a request."""
+    return (
+        failure.verdict == verdicts.Verdict.NOT_RUN
+        and failure.event == events.TARGET_FAILED
+        and failure.status == HTTP_UNAVAILABLE
+    )
+
+
 def is_unreachable(failure: verdicts.Failure) -> bool:
     """Return whether an attempt failed before a connection was made."""
     not_run = failure.verdict == verdicts.Verdict.NOT_RUN
@@ -415,13 +430,10 @@
     is_refusal = (
         answer.status_code < 500 or answer.status_code == HTTP_UNAVAILABLE
     )
-    verdict = (
-        verdicts.Verdict.NOT_RUN
-        if is_refusal
-        else verdicts.Verdict.MAY_HAVE_RUN
-    )
     detail = f'status {answer.status_code}'
-    failure = target_failed(target, verdict, detail)
+    if is_refusal:
+        return target_refused(target, detail)
+    failure = _outcome_unknown(target, detail)
     return failure._replace(status=HTTP_UNAVAILABLE)
 
 
--- a/tests/batch_fakes.py
+++ b/tests/batch_fakes.py
@@ -48,6 +48,8 @@
     :ivar lingers: whether a dead target still accepts connections and then
         breaks them
     :ivar slowdown: share of a step by which each running stream delays it
+    :ivar refuses: takes a prompt; returns whether targets do not admit it
+    :ivar refusals: number of attempts that were not admitted
     """
 
     def __init__(self):
@@ -60,6 +62,8 @@
         self.slowdown = 0.0
         self.lingers = False
         self.refused = set()
+        self.refuses = lambda prompt: False
+        self.refusals = 0
         self.port = engine.EnginePort(self._stream, self._report)
 
     async def _stream(self, target, completion, headers):
@@ -70,6 +74,11 @@
         if name in self.dead or name in self.refused:
             yield result.Err(engine.target_failed(target, verdict, 'refused'))
             return
+        if self.refuses(completion.prompt):
+            self.refusals += 1
+            failure = engine.target_failed(target, verdict, 'status 503')
+            yield result.Err(failure._replace(status=503))
+            return
         verdict = verdicts.Verdict.MAY_HAVE_RUN
         self.started[completion.prompt] += 1
         self.running[name] += 1
--- a/tests/online_fakes.py
+++ b/tests/online_fakes.py
@@ -48,6 +48,7 @@
     :ivar accepted_probes: number of probes that a dead target still accepts
     :ivar runs: prompts or bodies that each target has run
     :ivar running: number of requests in progress by target
+    :ivar refuses: takes a prompt; returns whether targets do not admit it
     """
 
     def __init__(self):
@@ -57,6 +58,7 @@
         self._probe_counts = collections.Counter()
         self.runs = collections.defaultdict(list)
         self.running = collections.Counter()
+        self.refuses = lambda prompt: False
         self.engines = engine.EnginePort(self._stream, self._report)
         self.services = service.ServicePort(self._call)
 
@@ -84,6 +86,10 @@
         if fault == LEAVING:
             yield result.Err(engine.target_leaving(target))
             return
+        if self.refuses(completion.prompt):
+            failure = engine.target_failed(target, not_run, 'status 503')
+            yield result.Err(failure._replace(status=503))
+            return
         self.runs[target.name].append(completion.prompt)
         self.running[target.name] += 1
         try:
--- a/tests/test_refused_work.py
+++ b/tests/test_refused_work.py
@@ -6,8 +6,13 @@
 import anyio
 import parameterized
 
+from persimmonpass.controllers.batch import batch_chunk
+from persimmonpass import jobs
 from persimmonpass.policy import batch_scheduling
 from persimmonpass.policy import refusals
+from persimmonpass import verdicts
+from tests import batch_fakes
+from tests import online_fakes
 from tests import platform_fakes
 
 expand = parameterized.parameterized.expand
@@ -19,6 +24,8 @@
 # A sound item takes some milliseconds here; the limit is the deadline of an
 # online request.
 FINISH_SECONDS = 3.0
+# Hosts of the daemon collect results for five seconds.
+DAEMON_FINISH_SECONDS = 5.0 + batch_chunk.LINGER_SECONDS
 LARGE_STREAMS_PER_SECOND = 7
 STREAM_SECONDS = 4.0
 SOUND_STREAMS = 20
@@ -225,6 +232,76 @@
         anyio.run(test)
 
 
+class TestDaemon(unittest.TestCase):
+    """The same at persimmonpassd."""
+
+    def test_completions_run_at_all_targets(self):
+        """Each refusal ejected its target."""
+
+        async def test(fleet):
+            fleet.targets.refuses = lambda prompt: len(prompt) > MEMORY
+            host = fleet.hosts['h1']
+            for number in range(40):
+                large = f'{number}' + 'x' * LARGE
+                _, last = await host.complete(large, f'large-{number}')
+                self.assertEqual(503, last.err_value.status)
+                self.assertIs(verdicts.Verdict.NOT_RUN, last.err_value.verdict)
+                _, last = await host.complete('pump', f'small-{number}')
+                self.assertTrue(last.is_ok())
+            ran = [len(runs) for runs in fleet.targets.runs.values()]
+            self.assertEqual(4, len(ran))
+            self.assertGreater(min(ran), 2)
+            self.assertNotIn(
+                ('h1', 'h2', 'health.suspect'), fleet.network.notices
+            )
+
+        online_fakes.run(
+            test, targets=('e1', 'e2', 'e3', 'e4'), hosts=('h1', 'h2')
+        )
+
+    @expand(
+        [
+            # prompt and number of refused items, seconds until the others
+            ('too large', 'x' * LARGE, 8 * LARGE_ITEMS, 5),
+            ('too large, at once', 'x' * LARGE, 600, 1),
+            ('odd', 'odd', 600, 5),
+        ]
+    )
+    def test_sound_items_of_other_jobs_run(self, _, prompt, count, seconds):
+        """Each refusal paused its target for up to 8 s."""
+        sound = jobs.JobKey('desk', 'sound')
+
+        async def test(fleet):
+            fleet.engines.refuses = lambda found: prompt in found
+            host = fleet.hosts[0]
+            (await host.submit(count, prompt=prompt)).unwrap()
+            await anyio.sleep(seconds)
+            (await host.submit(SOUND_ITEMS, sound, prompt='p')).unwrap()
+            began = anyio.current_time()
+            await fleet.wait(
+                lambda: len(fleet.records(key=sound)) == SOUND_ITEMS
+            )
+            elapsed = anyio.current_time() - began
+            self.assertLess(elapsed, DAEMON_FINISH_SECONDS)
+            self.assertEqual([], fleet.records())
+
+        batch_fakes.run(test)
+
+    def test_refused_items_run_once_they_are_taken(self):
+        async def test(fleet):
+            fleet.engines.refuses = lambda found: True
+            (await fleet.hosts[0].submit(4)).unwrap()
+            await anyio.sleep(8)
+            # After 0, 0.3, 0.9, 2.1 and 4.5 s at one host.
+            self.assertLessEqual(fleet.engines.refusals, 4 * 6)
+            fleet.engines.refuses = lambda found: False
+            results, duplicates = await fleet.finish(4)
+            self.assertEqual(4, len(results))
+            self.assertEqual(0, duplicates)
+
+        batch_fakes.run(test)
+
+
 async def submit(fleet, name, count, is_large, path):
     """Submit a job."""
     tokens = LARGE if is_large else SMALL
