Pauses that double no longer overflow after a thousand failures

Cause: MIN_BLOCK_SECONDS * 2 ** (failures - 1) is computed before its limit is applied, and an integer of 1,025 bits has no float. The same formula stood at the first event of items, at requests of routes with as many attempts and at links that are lost again and again.

Change: policy/backoff.py has the one copy of it, with bounded doublings.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -18,6 +18,7 @@
 from persimmonpass import gateway_metrics
 from persimmonpass import item_text
 from persimmonpass import job_records
+from persimmonpass.policy import backoff
 from persimmonpass.policy import batch_scheduling
 from persimmonpass.policy import refusals
 from persimmonpass.policy import stream_versions
@@ -84,9 +85,10 @@
     @property
     def first_event_timeout(self) -> float:
         """Time in which the next run must have an event, in seconds."""
-        return min(
+        return backoff.doubled(
+            FIRST_EVENT_TIMEOUT_SECONDS,
+            self.late_runs + 1,
             MAX_FIRST_EVENT_TIMEOUT_SECONDS,
-            FIRST_EVENT_TIMEOUT_SECONDS * 2.0**self.late_runs,
         )
 
 
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import typing
 
 import anyio
@@ -26,6 +27,7 @@
 from persimmonpass import exceptions
 from persimmonpass import exchange
 from persimmonpass import gateway_metrics
+from persimmonpass.policy import backoff
 from persimmonpass.policy import queueing
 from persimmonpass.policy import refusals
 from persimmonpass.policy import stream_versions
@@ -760,13 +762,13 @@
     await exchange.refuse(request.caller, status, retry_after_seconds)
 
 
-def _patience(request: request_state.RequestState) -> int:
+def _patience(request: request_state.RequestState) -> float:
     """Return by which factor the time limits of a run are longer.
 
     They double with each run. If all targets are slow, a run gets to its end
     before the attempts are used up.
     """
-    return int(2**request.runs)
+    return backoff.doubled(1.0, request.runs + 1, math.inf)
 
 
 def _first_event_timeout(request: request_state.RequestState) -> float:
--- a/src/persimmonpass/controllers/targets/target_stats.py
+++ b/src/persimmonpass/controllers/targets/target_stats.py
@@ -14,6 +14,7 @@
 from persimmonpass.controllers.targets import error_answers
 from persimmonpass.controllers.targets import target_paths
 from persimmonpass import events
+from persimmonpass.policy import backoff
 from persimmonpass.policy import error_answers as error_policy
 from persimmonpass.policy import refusals
 
@@ -240,8 +241,8 @@
             record.failures = 0
         record.failures += 1
         record.failed_at = now
-        block = min(
-            MAX_BLOCK_SECONDS, MIN_BLOCK_SECONDS * 2 ** (record.failures - 1)
+        block = backoff.doubled(
+            MIN_BLOCK_SECONDS, record.failures, MAX_BLOCK_SECONDS
         )
         # A single broken answer says little about the target.
         if unreachable or record.failures > 1:
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -14,6 +14,7 @@
 import math
 import typing
 
+from persimmonpass.policy import backoff
 from persimmonpass.policy import batch
 from persimmonpass.policy import rate_limits
 
@@ -342,8 +343,9 @@
 
     :param broken_runs: number of runs in a row that brought no event
     """
-    doublings = min(10, max(0, broken_runs - 1))
-    return min(MAX_BROKEN_RETRY_SECONDS, BROKEN_RETRY_SECONDS * 2.0**doublings)
+    return backoff.doubled(
+        BROKEN_RETRY_SECONDS, broken_runs, MAX_BROKEN_RETRY_SECONDS
+    )
 
 
 def with_item_added(
--- a/src/persimmonpass/policy/health.py
+++ b/src/persimmonpass/policy/health.py
@@ -4,6 +4,8 @@
 import math
 import typing
 
+from persimmonpass.policy import backoff
+
 FIRST_PROBE_SECONDS = 0.25
 MAX_PROBE_SECONDS = 4.0
 MAX_EJECTED_SHARE = 0.5
@@ -35,8 +37,7 @@
     :param refused: whether the target refused the connection
     """
     failures = health.failures + 1
-    doublings = min(failures - 1, 8)
-    wait = min(MAX_PROBE_SECONDS, FIRST_PROBE_SECONDS * 2**doublings)
+    wait = backoff.doubled(FIRST_PROBE_SECONDS, failures, MAX_PROBE_SECONDS)
     return TargetHealth(failures, True, now + wait, refused)
 
 
--- a/src/persimmonpass/policy/refusals.py
+++ b/src/persimmonpass/policy/refusals.py
@@ -13,6 +13,8 @@
 import math
 import typing
 
+from persimmonpass.policy import backoff
+
 MIN_BLOCK_SECONDS = 0.25
 MAX_BLOCK_SECONDS = 2.0
 # Refusals that are older say nothing about the target.
@@ -109,9 +111,8 @@
 
     :param refusals: number of refusals in a row, at least 1
     """
-    return min(
-        MAX_ITEM_PAUSE_SECONDS,
-        MIN_ITEM_PAUSE_SECONDS * 2.0 ** min(10, refusals - 1),
+    return backoff.doubled(
+        MIN_ITEM_PAUSE_SECONDS, refusals, MAX_ITEM_PAUSE_SECONDS
     )
 
 
@@ -139,6 +140,4 @@
 
 
 def _block_seconds(blocks: int) -> float:
-    return min(
-        MAX_BLOCK_SECONDS, MIN_BLOCK_SECONDS * 2.0 ** min(10, blocks - 1)
-    )
+    return backoff.doubled(MIN_BLOCK_SECONDS, blocks, MAX_BLOCK_SECONDS)
--- a/src/persimmonpass/policy/target_paths.py
+++ b/src/persimmonpass/policy/target_paths.py
@@ -11,6 +11,8 @@
 import collections.abc
 import typing
 
+from persimmonpass.policy import backoff
+
 # Cost of a peer in another zone, in relayed requests. It keeps the bytes in
 # the zone unless the peers there have much more to relay.
 OTHER_ZONE_COST = 4
@@ -97,4 +99,4 @@
     """
     if not losses:
         return 0.0
-    return min(MAX_HOLD_SECONDS, MIN_HOLD_SECONDS * 2.0 ** (losses - 1))
+    return backoff.doubled(MIN_HOLD_SECONDS, losses, MAX_HOLD_SECONDS)
