Targets: an address that no URL can have ends no batch work

Cause: entries were checked by a pattern that takes any digits and dots. The HTTP library raises InvalidURL, which is neither an HTTPError nor a ValueError, while the request is made, outside of what handles errors: in the item runner it ended the task group of all items. Names such as "a..b" raise UnicodeError in the resolver, also in the checks of links. persimmonpassd checked nothing.

Change: addresses.py says for both daemons which addresses requests can be sent to; persimmonpassd leaves other entries of its list out and logs them once. A request that cannot be made has not run.

--- a/src/persimmonpass/controllers/targets/targets.py
+++ b/src/persimmonpass/controllers/targets/targets.py
@@ -12,6 +12,7 @@
 import msgspec
 import result
 
+from persimmonpass import addresses
 from persimmonpass import blackboard
 from persimmonpass import budget
 from persimmonpass.controllers.fleet import config
@@ -79,6 +80,19 @@
     :param calls: budget of this host's calls to the platform
     """
 
+    unreadable: set[str] = set()
+
+    def is_readable(row: _Listed) -> bool:
+        if addresses.is_valid(row.address):
+            unreadable.discard(row.name)
+            return True
+        if row.name not in unreadable:
+            unreadable.add(row.name)
+            events.log(
+                events.ENTRY_UNREADABLE, name=row.name, address=row.address
+            )
+        return False
+
     async def list_targets() -> result.Result[
         list[blackboard.Target], verdicts.Failure
     ]:
@@ -99,7 +113,7 @@
                     f'cannot read the list of targets: {type(error).__name__}',
                 )
             )
-        return result.Ok([_to_target(row) for row in rows])
+        return result.Ok([_to_target(row) for row in rows if is_readable(row)])
 
     return list_targets
 
--- a/src/persimmonpass/platform/objects.py
+++ b/src/persimmonpass/platform/objects.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from persimmonpass import accounts
+from persimmonpass import addresses
 from persimmonpass import blackboard
 from persimmonpass import lenient_json
 from persimmonpass import numerals
@@ -26,8 +27,6 @@
 MAX_DEPTH = 64
 # More than any target runs; larger numbers do not fit into a float.
 MAX_SLOTS = 1_000_000
-_ADDRESS = re.compile(r'(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})')
-MAX_PORT = 65_535
 # What a header can carry.
 _NAME = re.compile(r'[\x21-\x7e\xa1-\xff]+')
 _MILLISECONDS = 1000
@@ -291,8 +290,7 @@
     server = _convert(record.data, _Server)
     if server is None or not 0 <= server.slots <= MAX_SLOTS:
         return None
-    address = _ADDRESS.fullmatch(server.address)
-    if address is None or not 0 < int(address[1]) <= MAX_PORT:
+    if not addresses.is_valid(server.address):
         return None
     if not _NAME.fullmatch(record.name):
         return None
--- a/src/persimmonpass/targets/opaque.py
+++ b/src/persimmonpass/targets/opaque.py
@@ -200,14 +200,15 @@
 
         :param helper: the peer, ``None`` for a direct connection
         """
-        sent = await self._send(
-            self._make_request(
+        try:
+            request = self._make_request(
                 call, target, seconds, resume_after, is_relayed=bool(helper)
-            ),
-            target,
-            helper,
-            repeatable,
-            head_seconds,
+            )
+        except (httpx.InvalidURL, ValueError) as error:
+            yield result.Err(_not_sent(target, type(error).__name__))
+            return
+        sent = await self._send(
+            request, target, helper, repeatable, head_seconds
         )
         if isinstance(sent, result.Err):
             yield sent
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,14 +12,19 @@
 import msgspec
 import parameterized
 
+from persimmonpass import blackboard
 from persimmonpass import budget
+from persimmonpass.controllers.targets import targets
 from persimmonpass import events
+from persimmonpass import exchange
 from persimmonpass import lenient_json
 from persimmonpass.peers import messages
 from persimmonpass.platform import objects
 from persimmonpass.platform import store
 from persimmonpass import records
+from persimmonpass import verdicts
 from tests import platform_fakes
+from tests import test_partial_answers
 
 expand = parameterized.parameterized.expand
 KIND = objects.TARGETS_KIND
@@ -62,6 +67,21 @@
     ('line break', {'address': '127.0.0.1\r\n:80'}),
     ('not Latin', {'address': '\u0b9a.example:80'}),
     ('no address', {'address': None}),
+    ('number above 255', {'address': '10.128.0.300:8080'}),
+    ('three numbers', {'address': '10.128.3:8080'}),
+    ('five numbers', {'address': '10.1.2.3.4:8080'}),
+    ('leading zero', {'address': '010.1.2.3:8080'}),
+    ('one number', {'address': '9:8080'}),
+    ('dots', {'address': '...:8080'}),
+    ('hyphen', {'address': '-:8080'}),
+    ('empty label', {'address': 'a..b:8080'}),
+    ('long label', {'address': 'a' * 64 + '.example:8080'}),
+    ('long name', {'address': 'a.' * 150 + 'example:8080'}),
+    ('IPv6 out of range', {'address': '[1::10000]:80'}),
+    ('IPv6 with two gaps', {'address': '[1::2::3]:80'}),
+    ('IPv6 with a zone', {'address': '[fe80::1%eth0]:80'}),
+    ('port with sign', {'address': '127.0.0.1:+80'}),
+    ('port with underscore', {'address': '127.0.0.1:8_0'}),
     ('slots beyond 64 bits', {'slots': 10**25}),
     ('slots beyond floats', {'slots': 10**400}),
     ('negative slots', {'slots': -3}),
@@ -72,6 +92,8 @@
     ('as it is', {}),
     ('IPv6', {'address': '[::1]:80'}),
     ('name', {'address': 'engine-1.example:8080'}),
+    ('name with underscore', {'address': 'engine_1:8080'}),
+    ('IPv4 within IPv6', {'address': '[::ffff:10.0.0.1]:80'}),
     ('highest port', {'address': '127.0.0.1:65535'}),
     ('no slots', {'slots': None}),
     ('slots as whole float', {'slots': 8.0}),
@@ -293,6 +315,91 @@
             platform_fakes.run(test)
         self.assertEqual([], failed)
 
+    @expand(
+        [
+            (name, fields)
+            for name, fields in ODD_FIELDS
+            if isinstance(fields.get('address'), str)
+        ]
+    )
+    def test_streams_and_items_of_others_are_served(self, _, fields):
+        """An address that no URL can have ended all batch work."""
+
+        async def test():
+            async with platform_fakes.fleet() as fleet:
+                odd = entry('odd', service='notes') | fields
+                fleet.store.memory.put(KIND, 'odd', odd)
+                await anyio.sleep(0.3)
+                for number in range(6):
+                    answer = await fleet.post(
+                        '/notes/a', **{'Request-Id': f'r{number}'}
+                    )
+                    self.assertEqual(200, answer.status_code)
+                await fleet.post(
+                    '/jobs/x',
+                    platform_fakes.submission(6),
+                    **{'Request-Id': 'job'},
+                )
+                with anyio.fail_after(5):
+                    await fleet.results('job', 6)
+
+        with failed_tasks() as failed:
+            platform_fakes.run(test)
+        self.assertEqual([], failed)
+
+
+class TestListOfDaemon(unittest.TestCase):
+    """The same in the list of persimmonpassd."""
+
+    @expand(
+        [
+            (name, fields['address'])
+            for name, fields in ODD_FIELDS
+            if isinstance(fields.get('address'), str)
+        ]
+    )
+    def test_entry_is_left_out(self, _, address):
+        rows = [
+            {
+                'name': name,
+                'address': text,
+                'kind': 'engine',
+                'availability_zone': 'a',
+            }
+            for name, text in (('odd', address), ('sound', '127.0.0.1:9'))
+        ]
+
+        async def test():
+            transport = httpx.MockTransport(
+                lambda request: httpx.Response(200, json=rows)
+            )
+            async with httpx.AsyncClient(transport=transport) as client:
+                read = targets.make_list_call(
+                    client, 'http://h', budget.Budget(1e6, 1e6)
+                )
+                found = (await read()).unwrap()
+            self.assertEqual(['sound'], [row.name for row in found])
+
+        anyio.run(test)
+
+
+class TestClient(unittest.TestCase):
+    """A request that cannot be made has not run, and ends nothing else."""
+
+    @expand([('10.0.0.300:80',), ('[1::2::3]:80',), ('a b:80',)])
+    def test_target_without_a_url(self, address):
+        target = blackboard.Target('t', address, 'engine', 'a', {})
+        call = exchange.Call('c', 'POST', 'h', b'/x', [], b'')
+
+        async def test():
+            client = test_partial_answers.make_client()
+            async with client.open(call, target, 1.0, repeatable=True) as sent:
+                failure = sent.err_value
+            self.assertIs(verdicts.Verdict.NOT_RUN, failure.verdict)
+            await client.aclose()
+
+        anyio.run(test)
+
 
 @contextlib.contextmanager
 def failed_tasks():
