Batch: an item that crashes its target keeps no sound items from being run

Cause: the runner started the item that crashes targets beside the sound ones whenever the target was back, so that none of them got an event. The part that all of them share was blamed then, and each trial of the part was the first item in rank, which is again the one that crashes targets.

Change: two crashes in a row before its first event make an item a suspect. A suspect starts where no other item waits for its first event, and no item starts where a suspect does, so that the next crash shows which one it was. It pauses for 4 s to 60 s after that, doubling. The trial of a refused part is the first item of those under which the fewest targets have crashed.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -53,6 +53,8 @@
     :ivar failures: answers of status 500
     :ivar refusals: consecutive runs that targets refused
     :ivar errors_at: targets that answered it with an error, in order
+    :ivar crashes: consecutive runs under which a target probably crashed
+    :ivar waits_for_event: whether a run is in progress that has no event yet
     :ivar broken_runs: consecutive runs that broke off without an event
     :ivar late_runs: consecutive runs that had no event in time
     :ivar not_before: when the item may run again, in seconds of the event
@@ -72,6 +74,8 @@
         self.failures = 0
         self.refusals = 0
         self.errors_at: list[str] = []
+        self.crashes = 0
+        self.waits_for_event = False
         self.broken_runs = 0
         self.late_runs = 0
         self.not_before = 0.0
@@ -82,6 +86,11 @@
         self.done_at = 0.0
         self.route_missing_at: float | None = None
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether it may be what crashes targets."""
+        return self.crashes >= batch_scheduling.MIN_SUSPECT_CRASHES
+
     @property
     def first_event_timeout(self) -> float:
         """Time in which the next run must have an event, in seconds."""
@@ -328,6 +337,8 @@
                 item.text.add(event.data.decode(), event.id, origin)
                 if not is_answered:
                     is_answered = recall.is_answered = True
+                    item.crashes = 0
+                    item.waits_for_event = False
                     self._crash_parts.record_answer(call.prompt_parts)
         if reader.has_partial_event:
             raise ValueError('answer ended within an event')
@@ -357,6 +368,7 @@
             has_answered = len(item.text.texts) > events_before
             is_crash = may_have_run and failure.status == BAD_GATEWAY
             if not has_answered and is_crash:
+                item.crashes += 1
                 self._crash_parts.record_crash(
                     call.id,
                     target.name,
@@ -369,7 +381,10 @@
                 item.late_runs = 0
             elif is_late:
                 item.late_runs += 1
-            pause = batch_scheduling.retry_pause(item.broken_runs)
+            pause = max(
+                batch_scheduling.retry_pause(item.broken_runs),
+                batch_scheduling.suspect_pause(item.crashes),
+            )
         item.not_before = anyio.current_time() + pause
         return failure.message
 
--- a/src/persimmonpass/controllers/batch/item_holds.py
+++ b/src/persimmonpass/controllers/batch/item_holds.py
@@ -32,32 +32,39 @@
         self,
         pending: list[batch_scheduling.Pending],
         find_job: collections.abc.Callable[[str], job_records.Job | None],
+        count_crashes: collections.abc.Callable[
+            [batch_scheduling.Pending], int
+        ] = lambda row: 0,
     ) -> list[batch_scheduling.Pending]:
         """Return the items that may start, in the same order.
 
-        Of the items with a part whose trial is due, only the first may start.
+        Of the items with a part whose trial is due only one may start: the
+        first of those under which the fewest targets have crashed. It is the
+        item itself that crashes targets if others with the part do not.
 
         :param pending: items in the order in which they should start
         :param find_job: returns a job by its id
+        :param count_crashes: returns how often in a row a target crashed
+            under an item
         """
         self.waiting = 0
         if not self._crash_parts.refused_count:
             self._parts.clear()
             return pending
         tried: set[str] = set()
-        free = []
-        for row in pending:
+        held: set[tuple[str, int]] = set()
+        for row in sorted(pending, key=count_crashes):
             job = find_job(row.job)
             parts = self._find_parts(row, job) if job is not None else ()
             refused = self._crash_parts.refused_among(parts)
             if refused and (
                 tried & refused or self._crash_parts.is_refused(parts)
             ):
-                self.waiting += 1
+                held.add((row.job, row.item))
                 continue
             tried |= refused
-            free.append(row)
-        return free
+        self.waiting = len(held)
+        return [row for row in pending if (row.job, row.item) not in held]
 
     def _find_parts(
         self, row: batch_scheduling.Pending, job: job_records.Job
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -445,9 +445,15 @@
             ranked = [pending for pending, _, _ in found]
         ranked.sort(key=lambda pending: policy.rank(pending, now))
         return self._holds.without_held(
-            ranked, lambda job_id: self._ports.log.jobs[job_id].job
+            ranked,
+            lambda job_id: self._ports.log.jobs[job_id].job,
+            self._count_crashes,
         )
 
+    def _count_crashes(self, pending: policy.Pending) -> int:
+        item = self._items.get((pending.job, pending.item))
+        return 0 if item is None else item.crashes
+
     def _get_account(self, job: job_records.Job) -> str:
         """Return the account of a job, which never changes."""
         account = self._accounts.get(job.id)
@@ -490,6 +496,7 @@
         self._items_started_at = now
         # Smallest item that found no free slot; a larger one finds none.
         full_for: dict[str, int] = {}
+        unanswered = self._find_unanswered()
         for pending in self._list_pending(now):
             state = self._ports.log.jobs[pending.job]
             if state.job is None:
@@ -511,22 +518,31 @@
             ):
                 continue
             waiting = self._ports.occupied.waiting(service).total
+            is_suspect = known is not None and known.is_suspect
+            usable_loads = loads[service]
+            if unanswered and (is_suspect or any(unanswered.values())):
+                usable_loads = policy.apart(
+                    usable_loads, unanswered, is_suspect=is_suspect
+                )
             name = policy.pick_target(
-                loads[service], waiting=waiting, tokens=tokens
+                usable_loads, waiting=waiting, tokens=tokens
             )
             if name is None:
-                full_for[service] = tokens
+                if not is_suspect:
+                    full_for[service] = tokens
                 continue
             key = (pending.job, number)
             item = self._items.setdefault(key, item_attempt.LocalItem())
             if item.text.origin is not None:
                 name = self._pick_to_resume(
-                    key, item, route, service, loads[service], tokens
+                    key, item, route, service, usable_loads, tokens
                 )
             target = self._ports.board.targets.get(name) if name else None
             if target is None:
                 continue
             item.target = target.name
+            item.waits_for_event = True
+            unanswered[target.name] = is_suspect
             item.scope = anyio.CancelScope()
             self._running[key] = item
             self._charge_account(state.job, number)
@@ -539,6 +555,19 @@
                 self._run_item, key, item, state.job, route, target
             )
 
+    def _find_unanswered(self) -> dict[str, bool]:
+        """Return where items wait for their first event.
+
+        :returns: by the name of the target, whether one of them is a suspect
+        """
+        found: dict[str, bool] = {}
+        for item in self._running.values():
+            if item.target is not None and item.waits_for_event:
+                found[item.target] = item.is_suspect or found.get(
+                    item.target, False
+                )
+        return found
+
     def _pick_to_resume(
         self,
         key: tuple[str, int],
@@ -672,6 +701,7 @@
         finally:
             self._release_slot(item)
             item.scope = None
+            item.waits_for_event = False
             self._running.pop(key, None)
         now = anyio.current_time()
         if item.refusals > refusals_before:
--- a/src/persimmonpass/policy/batch_scheduling.py
+++ b/src/persimmonpass/policy/batch_scheduling.py
@@ -36,6 +36,14 @@
 MAX_BROKEN_RETRY_SECONDS = 2.0
 
 
+# After so many crashes in a row before its first event, an item runs apart
+# from others until it has one. A burst of crashes mostly ends before that.
+MIN_SUSPECT_CRASHES = 2
+# Pause of an item after a crash that no other item can have caused.
+SUSPECT_PAUSE_SECONDS = 4.0
+MAX_SUSPECT_PAUSE_SECONDS = 60.0
+
+
 # Duration of an item before any run has shown it.
 DEFAULT_RUN_SECONDS = 5.0
 # Weight of a new sample in the means of items.
@@ -348,6 +356,48 @@
     )
 
 
+def suspect_pause(crashes: int) -> float:
+    """Return how long an item waits that has crashed targets, in seconds.
+
+    Answers items that crash each target that begins them. A target is back
+    after seconds; the pauses leave it time for the other items.
+
+    :param crashes: crashes in a row before the item had an event
+    """
+    apart = crashes - MIN_SUSPECT_CRASHES
+    if apart <= 0:
+        return 0.0
+    return backoff.doubled(
+        SUSPECT_PAUSE_SECONDS, apart, MAX_SUSPECT_PAUSE_SECONDS
+    )
+
+
+def apart(
+    loads: collections.abc.Iterable[TargetLoad],
+    waiting: collections.abc.Mapping[str, bool],
+    *,
+    is_suspect: bool,
+) -> list[TargetLoad]:
+    """Return the loads with no free slots where an item must not start.
+
+    A suspect starts where no other item waits for its first event, and no
+    item starts where a suspect does, so that a crash shows which item caused
+    it. Items with an event go on after a crash.
+
+    :param loads: load of the targets
+    :param waiting: targets at which an item waits for its first event, and
+        whether a suspect does
+    :param is_suspect: whether the item that is to start is one
+    """
+    return [
+        load._replace(batch=max(load.batch, load.slots))
+        if waiting.get(load.name, False)
+        or (is_suspect and load.name in waiting)
+        else load
+        for load in loads
+    ]
+
+
 def with_item_added(
     loads: collections.abc.Iterable[TargetLoad], name: str
 ) -> list[TargetLoad]:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -238,6 +238,8 @@
     :ivar deadly_part: id of the part of a prompt that crashes the server as
         it begins to answer; ``None`` for no part
     :ivar crashes: number of these crashes
+    :ivar crash_ends_all: whether a crash breaks off all answers in progress
+    :ivar read_seconds: time from the head of an answer to its first event
     :ivar down_seconds: how long new connections are refused after a crash; 0
         for a link that broke
     :ivar down_until: event loop's clock at the end of that time
@@ -269,6 +271,8 @@
         self.crashes_when_cut = False
         self.deadly_part = None
         self.crashes = 0
+        self.crash_ends_all = False
+        self.read_seconds = 0.0
         self.down_seconds = 0.5
         self.down_until = 0.0
         self.refuses_all = False
@@ -410,6 +414,7 @@
 
     async def _stream(self, first, body, send, receive):
         completed = False
+        crashes = self.crashes
 
         async def watch_disconnect():
             while (await receive())['type'] != 'http.disconnect':
@@ -418,7 +423,11 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_disconnect)
+            await anyio.sleep(self.read_seconds)
             for number in range(first, self.tokens + 1):
+                if self.crash_ends_all and self.crashes != crashes:
+                    tasks.cancel_scope.cancel()
+                    return False
                 if self._is_cut(number):
                     if self.crashes_when_cut:
                         self.down_until = (
