Online requests that are too large for all targets are refused at once

Cause: while all targets refused their size, such requests waited in the queue, which looked longer than it was: with 56 of them a second at one target, 1 of 20 others was refused for it.

Change: a request is refused at once while all targets of its services refuse its size and none of them has ever taken one as large.

--- a/src/persimmonpass/controllers/online/admission_queue.py
+++ b/src/persimmonpass/controllers/online/admission_queue.py
@@ -16,6 +16,7 @@
 from persimmonpass import events
 from persimmonpass.policy import fair_shares
 from persimmonpass.policy import queueing
+from persimmonpass.policy import refusals
 from persimmonpass.policy import request_placement
 from persimmonpass import verdicts
 
@@ -333,6 +334,10 @@
             return self._refusal(
                 MISSING_VERSION_RETRY_SECONDS, 'no target of the version'
             )
+        if self._is_too_large(request):
+            return self._refusal(
+                refusals.MAX_BLOCK_SECONDS, 'too large for all targets'
+            )
         service = self._serving(request)
         if not self.capacity(service, request.queued.tokens).targets:
             # Excluded and blocked targets may be usable within milliseconds.
@@ -355,6 +360,27 @@
             return self._refusal(wait, 'the queue is longer than the deadline')
         return self._refuse_late(request.service, deadline)
 
+    def _is_too_large(self, request: waiting_requests.WaitingRequest) -> bool:
+        """Return whether no target has ever taken a request of its size.
+
+        They all refuse such requests at present. Waiting for one of them
+        would only make the queue look longer to others.
+        """
+        queued = request.queued
+        targets = [
+            row.name
+            for row in self._board.targets.rows()
+            if row.service in request.services and not row.leaving
+        ]
+        return (
+            bool(targets)
+            and not queued.started
+            and all(
+                self._target_stats.is_too_large(name, queued.tokens)
+                for name in targets
+            )
+        )
+
     def _has_software(self, request: waiting_requests.WaitingRequest) -> bool:
         """Return whether a target of the request's software may serve it."""
         return any(
--- a/src/persimmonpass/controllers/targets/target_stats.py
+++ b/src/persimmonpass/controllers/targets/target_stats.py
@@ -47,6 +47,8 @@
         self.failed_at = 0.0
         self.blocked_until = 0.0
         self.refused: refusals.Table = {}
+        # Size of the largest request that it has taken.
+        self.taken = 0
 
 
 class TargetStats:
@@ -138,6 +140,19 @@
         weight = max(0.0, 1 - age / DECAY_SECONDS)
         return min(MAX_SLOWDOWN, max(1.0, 1 + (ratio - 1) * weight))
 
+    def is_too_large(self, target: str, tokens: int) -> bool:
+        """Return whether a target refuses a size that it has never taken.
+
+        :param target: name of the target
+        :param tokens: size of a request
+        """
+        record = self._records.get(target)
+        return (
+            record is not None
+            and record.taken < tokens
+            and tokens >= self.refuses_from(target)
+        )
+
     def record_first_event(self, target: str, seconds: float) -> None:
         """Record the time from sending a request to its first event.
 
@@ -209,8 +224,9 @@
         :param errors_at: targets that answered the request with errors; this
             one is added if it does
         """
-        record = self._records.get(target)
-        if record is not None and record.refused:
+        record = self._get(target) if tokens else self._records.get(target)
+        if record is not None:
+            record.taken = max(record.taken, tokens)
             record.refused = refusals.without_taken(record.refused, tokens)
         if not error_policy.is_error(status):
             self._errors.record_answer(target, is_error=False)
--- a/tests/test_refused_work.py
+++ b/tests/test_refused_work.py
@@ -182,8 +182,16 @@
 class TestStreams(unittest.TestCase):
     """Two in three streams of others were refused or late."""
 
-    @expand([('one target', 1), ('two targets', 2), ('five targets', 5)])
-    def test_other_streams_are_served(self, _, count):
+    @expand(
+        [
+            ('one target', 1, LARGE_STREAMS_PER_SECOND),
+            ('two targets', 2, LARGE_STREAMS_PER_SECOND),
+            ('five targets', 5, LARGE_STREAMS_PER_SECOND),
+            ('many at one target', 1, 8 * LARGE_STREAMS_PER_SECOND),
+            ('many at two targets', 2, 8 * LARGE_STREAMS_PER_SECOND),
+        ]
+    )
+    def test_other_streams_are_served(self, _, count, rate):
         statuses = []
 
         async def send(fleet, name, tokens):
@@ -202,7 +210,7 @@
                     server.memory = MEMORY
                 async with anyio.create_task_group() as tasks:
                     for kind, tokens, number in (
-                        ('large', LARGE, LARGE_STREAMS_PER_SECOND),
+                        ('large', LARGE, rate),
                         ('small', SMALL, SOUND_STREAMS / STREAM_SECONDS),
                     ):
                         tasks.start_soon(send_all, fleet, kind, tokens, number)
