Online: an answered request is not taken for one that crashes targets

Cause: a request was refused once it had been in progress at three targets that crashed within 120 s. Its answers before, between and after them counted for nothing.

Change: an answer drops the crashes of its request, at all hosts by a notice.

--- a/src/persimmonpass/controllers/targets/crash_watch.py
+++ b/src/persimmonpass/controllers/targets/crash_watch.py
@@ -17,6 +17,7 @@
 from persimmonpass.peers import port as peer_port
 
 METHOD_BROKE = 'crash.broke'
+METHOD_ANSWERED = 'crash.answered'
 # Two targets that ran a request may have crashed for unrelated reasons.
 MIN_LOST_TARGETS = 3
 RETENTION_SECONDS = 120.0
@@ -46,7 +47,15 @@
     @property
     def handlers(self) -> peer_port.Handlers:
         """Handlers of notices from peers."""
-        return {METHOD_BROKE: peer_port.NoticeHandler(self._handle_crash)}
+        return {
+            METHOD_BROKE: peer_port.NoticeHandler(self._handle_crash),
+            METHOD_ANSWERED: peer_port.NoticeHandler(self._handle_answer),
+        }
+
+    @property
+    def has_crashes(self) -> bool:
+        """Whether a target has crashed under any request."""
+        return bool(self._lost)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request must not run again.
@@ -69,6 +78,17 @@
         self._confirm(fingerprint, target)
         peer_port.broadcast(self._peers, METHOD_BROKE, [fingerprint, target])
 
+    def record_answer(self, fingerprint: str) -> None:
+        """Record that a target has answered a request.
+
+        A request that crashes targets is never answered; the crashes had
+        another cause.
+
+        :param fingerprint: fingerprint of the request
+        """
+        if self._lost.pop(fingerprint, None) is not None:
+            peer_port.broadcast(self._peers, METHOD_ANSWERED, fingerprint)
+
     def _confirm(self, fingerprint: str, target: str) -> None:
         self._ends.confirm(
             target, functools.partial(self._add_crash, fingerprint, target)
@@ -93,6 +113,9 @@
                 targets=sorted(lost),
             )
 
+    def _handle_answer(self, peer: str, payload: str) -> None:
+        self._lost.pop(payload, None)
+
     def _handle_crash(self, peer: str, payload: typing.Any) -> None:
         fingerprint, target = payload
         self._confirm(fingerprint, target)
