Targets: connections to targets that have left are closed

Cause: connections are kept in a pool for each address, which looks at them only when it gets a request. The pool of a target that has left gets none.

Change: a pool that got no request for 10 s and has none in progress is closed with the next request to any target, in both daemons.

--- a/src/persimmonpass/targets/connections.py
+++ b/src/persimmonpass/targets/connections.py
@@ -265,6 +265,14 @@
             ),
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no connection is open for a request."""
+        return all(
+            connection.is_idle() or connection.is_closed()
+            for connection in self._pool.connections
+        )
+
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
--- a/src/persimmonpass/targets/pools.py
+++ b/src/persimmonpass/targets/pools.py
@@ -9,25 +9,31 @@
 import collections.abc
 import ssl
 
+import anyio
 import httpx
 
 from persimmonpass.targets import connections
 from persimmonpass import transports
 
 MAX_POOLS = 20_000
+# A pool closes connections that have expired or broken off only at its next
+# request. One without requests for this time is closed as a whole: its target
+# may have left. Longer than connections are kept.
+UNUSED_SECONDS = 10.0
 # For each target.
 MAX_KEPT_CONNECTIONS = 32
 
 
 MakePool = collections.abc.Callable[
-    [httpx.Limits, ssl.SSLContext], httpx.AsyncBaseTransport
+    [httpx.Limits, ssl.SSLContext], connections.Transport
 ]
 
 
 class TargetPools(httpx.AsyncBaseTransport):
     """Transport with a separate pool for each address.
 
-    Beyond ``MAX_POOLS`` pools, the least recently used one is closed.
+    Beyond ``MAX_POOLS`` pools, the least recently used one is closed, and so
+    are those that were not used for ``UNUSED_SECONDS``.
 
     :param limits: limits of each pool
     :param context: TLS context that all pools share
@@ -44,9 +50,11 @@
         self._context = context
         self._make_pool = make_pool or connections.Transport
         self._collected = transports.Collected()
-        self._pools: collections.OrderedDict[str, httpx.AsyncBaseTransport] = (
+        # The least recently used one first.
+        self._pools: collections.OrderedDict[str, connections.Transport] = (
             collections.OrderedDict()
         )
+        self._used_at: dict[str, float] = {}
 
     async def handle_async_request(
         self, request: httpx.Request
@@ -61,12 +69,35 @@
             pool = self._make_pool(self._limits, self._context)
             self._pools[address] = pool
         self._pools.move_to_end(address)
-        if len(self._pools) > MAX_POOLS:
-            _, oldest = self._pools.popitem(last=False)
-            await oldest.aclose()
+        self._used_at[address] = anyio.current_time()
+        await self._close_unused()
         response = await pool.handle_async_request(request)
         return transports.bound_answer(request, response, self._collected)
 
+    async def _close_unused(self) -> None:
+        """Close pools that were not used lately, and those beyond the limit.
+
+        A pool with a request in progress is only closed beyond the limit.
+        """
+        now = anyio.current_time()
+        excess = len(self._pools) - MAX_POOLS
+        unused = []
+        for number, (address, pool) in enumerate(self._pools.items()):
+            is_unused = now - self._used_at[address] >= UNUSED_SECONDS
+            if number >= excess and not is_unused:
+                break
+            if number < excess or pool.is_idle:
+                unused.append(address)
+        if not unused:
+            return
+        closed = [self._pools.pop(address) for address in unused]
+        for address in unused:
+            del self._used_at[address]
+        # The request that closes them may be cancelled meanwhile.
+        with anyio.CancelScope(shield=True):
+            for pool in closed:
+                await pool.aclose()
+
     async def aclose(self) -> None:
         """Close all pools."""
         # A request may open another pool meanwhile.
