Tests: a notice that a host does not know ends no link

Cause: crash.answered is a notice that hosts of the build before do not know; nothing pinned that they drop it. Change: a test.

--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -133,6 +133,17 @@
         answered = await a.call('note', 7)
         self.assertIs(verdicts.Verdict.NOT_RUN, answered.err_value.verdict)
 
+    @on_links()
+    async def test_notice_of_a_later_build_is_dropped(self, a, b):
+        """Guards against a new kind of notice that ends links in an update."""
+        await a.call('echo')
+        b.calls.clear()
+        self.assertTrue(a.links.port.notify('b', 'crash.answered', 'f'))
+        self.assertTrue(a.links.port.notify('b', 'note', 1))
+        await until(lambda: b.calls)
+        self.assertEqual([('a', 1)], b.calls)
+        self.assertEqual(result.Ok(2), await a.call('echo', 2))
+
     @on_links()
     async def test_frame_that_is_too_large(self, a, b):
         """Guards against a frame that ends the link, or the process."""
