--- a/tests/test_refused_work.py
+++ b/tests/test_refused_work.py
@@ -180,7 +180,7 @@
 
 
 class TestStreams(unittest.TestCase):
-    """Two in three streams of others were refused or late."""
+    """Streams of others were refused or late."""
 
     @expand(
         [
