Membership: a host that stops in a large fleet deregisters

What operators saw: in a fleet of more than 33 hosts each planned stop ended with an exception (KeyError of the host's own name) and a non-zero exit. The host's registration stayed in the store, and its peers were not told that it had ended.

Cause: the links of a host are chosen among the hosts that are not dead. A host marks itself as dead before it tells its links so, and is missing then; only fleets beyond the mesh look it up.

--- a/src/persimmonpass/policy/membership.py
+++ b/src/persimmonpass/policy/membership.py
@@ -136,7 +136,8 @@
             zones = {
                 row.host: row.availability_zone
                 for row in self._rows.values()
-                if row.state != 'dead'
+                # A host that ends tells its last links that it is dead.
+                if row.state != 'dead' or row.host == self.me.host
             }
             self._links = relay.links(self.me.host, zones)
         return self._links
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,6 +9,7 @@
 import parameterized
 
 from persimmonpass.controllers.fleet import drain
+from persimmonpass.policy import relay
 from persimmonpass.standins import engine
 from tests import fakes
 from tests import processes
@@ -137,6 +138,22 @@
         self.assertEqual({'dead'}, fleet.states('b1'))
         self.assertNotIn('members/b1', fleet.store.objects)
 
+    @parameterized.parameterized.expand(
+        [(3,), (relay.MESH_HOSTS,), (relay.MESH_HOSTS + 1,), (53,)]
+    )
+    @test_membership.on_fleet
+    async def test_stop_in_a_large_fleet_ends_the_registration(
+        self, fleet, count
+    ):
+        await fleet.start(*(f'a{number}' for number in range(count)))
+        leaving = fleet.controllers['a0']
+        leaving.leave()
+        await leaving.deregister()
+        self.assertNotIn('members/a0', fleet.store.objects)
+        fleet.kill('a0')
+        await anyio.sleep(2)
+        self.assertEqual({'dead'}, fleet.states('a0'))
+
 
 class TestProcess(unittest.TestCase):
     """Three daemons, one of which gets a signal."""
