HTTP server: a crowd of callers is accepted in small groups

Cause: asyncio accepts as many connections at once as the backlog of the listener, 1024, before any of them is checked against the limit.

Fix: sixteen are accepted in a round of the event loop. The queue of the kernel is as long as before.

--- a/src/persimmonpass/http_server.py
+++ b/src/persimmonpass/http_server.py
@@ -40,6 +40,9 @@
 MAX_HEAD_BYTES = 32_768
 # Parts of a body that wait for the application.
 MAX_QUEUED_PARTS = 2
+# Connections that are accepted before those beyond the limits are closed; the
+# others wait in the kernel. By default, asyncio accepts all of them.
+ACCEPTS_AT_ONCE = 16
 _CONTINUE = b'HTTP/1.1 100 '
 
 
@@ -283,11 +286,13 @@
             self._make_protocol,
             sock=listener,
             ssl=tls,
-            backlog=self.options.backlog,
+            backlog=ACCEPTS_AT_ONCE,
             ssl_handshake_timeout=(
                 self.options.ssl_handshake_timeout if tls else None
             ),
         )
+        # Asyncio also takes the number for the queue of the kernel.
+        listener.listen(self.options.backlog)
         try:
             await closing()
         finally:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import unittest
 from unittest import mock
@@ -17,6 +18,7 @@
 # More than the buffers of a connection hold.
 LARGE = b'x' * 4_000_000
 END_SECONDS = 5.0
+CONNECTIONS = 100
 HTTP2 = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
 UPGRADE = (
     b'GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n'
@@ -50,9 +52,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(app):
+async def serving(app, limits=None):
     """Run a server; yield its connections and a function that connects."""
-    callers = intake.Intake(intake.limits_for())
+    callers = intake.Intake(limits or intake.limits_for())
     stopped = anyio.Event()
     listener = servers.listen('127.0.0.1:0')
     servers.limit_callers(listener)
@@ -65,6 +67,47 @@
         stopped.set()
 
 
+async def connect_at_once(address, count):
+    """Connect while the server has no time to accept."""
+    return [socket.create_connection(address) for _ in range(count)]
+
+
+class TestCrowd(unittest.TestCase):
+    @parameterized.parameterized.expand([(150,), (400,)])
+    def test_crowd_takes_no_more_descriptors_than_allowed(self, count):
+        limits = intake.Limits(1_000_000, CONNECTIONS)
+
+        async def test():
+            async with serving(answer_unread, limits) as (callers, connect):
+                _, writer = await connect()
+                address = writer.get_extra_info('peername')
+                crowd = await connect_at_once(address, count)
+                before = len(os.listdir('/proc/self/fd'))
+                most = before
+                with anyio.fail_after(END_SECONDS):
+                    while any(map(is_open, crowd[:-CONNECTIONS])):
+                        await asyncio.sleep(0)
+                        most = max(most, len(os.listdir('/proc/self/fd')))
+                self.assertEqual(CONNECTIONS, callers.open_count)
+                # As many again are left for the targets of requests.
+                self.assertLess(most - before, 2 * CONNECTIONS)
+                writer.close()
+                for each in crowd:
+                    each.close()
+
+        platform_fakes.run(test)
+
+
+def is_open(connection):
+    """Return whether the server has not closed a connection."""
+    try:
+        return bool(connection.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK))
+    except BlockingIOError:
+        return True
+    except ConnectionError:
+        return False
+
+
 class TestConnections(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
