HTTP server: an idle connection is not closed under a request

What callers saw: a request that arrived just as its connection was closed, at a stop of the host or at the end of the idle time, got no answer although the host had read it, run the application for it and might have passed it on.

Cause: Hypercorn's idle task looks neither for bytes that have arrived and are not parsed yet nor, as it closes in a shielded task of its own, for the request that stops it in between. On an event loop that lags, its few turns are a window of tenths of a second.

Why it works: the look for arrived bytes and the close are one step of the event loop. If there are some, the request gets 0.1 s to be parsed, which ends the idle task; part of a head does not keep the connection for longer.

--- a/src/persimmonpass/http_server.py
+++ b/src/persimmonpass/http_server.py
@@ -36,6 +36,9 @@
 STALL_SECONDS = 15.0
 # Time in which a caller has to read the rest of its last answer.
 CLOSE_SECONDS = 10.0
+# Time in which a request that has arrived is parsed. Part of a head is no
+# reason to keep an idle connection for longer.
+PARSE_SECONDS = 0.1
 # Size of the head of a request, and of the head of a chunk.
 MAX_HEAD_BYTES = 32_768
 # Parts of a body that wait for the application.
@@ -229,6 +232,20 @@
                     raise ConnectionAbortedError('nothing is read') from None
         await self.writer.drain()
 
+    async def _idle_timeout(self) -> None:
+        """Close the connection unless a request comes, which ends this task.
+
+        Hypercorn also closes a connection on which a request has arrived
+        that is not parsed yet, and runs the application for it all the same.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.config.keep_alive_timeout):
+                await self.context.terminated.wait()
+        if self._counts.held:
+            await asyncio.sleep(PARSE_SECONDS)
+        # Nothing is read between the last look and the close.
+        self.writer.close()
+
     async def _close(self) -> None:
         """Close the connection once its caller has read what was sent."""
         self._counts.finish_request()
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -1,5 +1,6 @@
 """Requests that reach an HTTP server as it closes."""
 
+import asyncio
 import contextlib
 import math
 import socket
@@ -8,8 +9,12 @@
 
 import anyio
 import anyio.to_thread
+from hypercorn import app_wrappers
+import hypercorn.config
 import parameterized
 
+from persimmonpass import http_server
+from persimmonpass import intake
 from persimmonpass import servers
 from tests import platform_fakes
 from tests import stop_load
@@ -21,6 +26,8 @@
 WORK_SECONDS = 0.001
 # Until the end of a connection that the server has closed is seen.
 SETTLE_SECONDS = 0.05
+IDLE_SECONDS = 0.1
+REQUEST = b'POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n\r\n'
 # More than the buffers of a connection hold.
 LARGE_BYTES = 4_000_000
 
@@ -31,8 +38,13 @@
     :ivar ids: ids of the requests
     """
 
-    def __init__(self):
+    def __init__(self, *, closes=True):
+        """Create it.
+
+        :param closes: whether its answers end their connections
+        """
         self.ids = set()
+        self._closes = closes
 
     async def __call__(self, scope, receive, send):
         if scope['type'] != 'http':
@@ -42,7 +54,9 @@
         while (await receive()).get('more_body'):
             pass
         time.sleep(WORK_SECONDS)
-        headers = [(b'content-length', b'1'), (b'connection', b'close')]
+        headers = [(b'content-length', b'1')]
+        if self._closes:
+            headers.append((b'connection', b'close'))
         start = {'type': 'http.response.start', 'status': 200}
         await send({**start, 'headers': headers})
         await send({'type': 'http.response.body', 'body': b'x'})
@@ -91,6 +105,60 @@
         platform_fakes.run(test)
 
 
+class TestIdleConnections(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (name, is_kept, turns)
+            for name in ('stop', 'idle timeout')
+            for is_kept in (False, True)
+            # Turns of the event loop from the close to the request.
+            for turns in range(8)
+        ]
+    )
+    def test_request_at_the_close_is_answered_or_not_read(
+        self, name, is_kept, turns
+    ):
+        """Guards against closes that cross a request that is passed on."""
+
+        async def test():
+            app = App(closes=False)
+            options = hypercorn.config.Config()
+            options.keep_alive_timeout = IDLE_SECONDS
+            options.accesslog = options.errorlog = None
+            server = http_server.HttpServer(
+                app_wrappers.ASGIWrapper(app),
+                options,
+                intake.Intake(intake.limits_for()),
+            )
+            closing = anyio.Event()
+            listener = servers.listen('127.0.0.1:0')
+            call = socket.create_connection(listener.getsockname())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve, listener, None, closing.wait)
+                await anyio.sleep(SETTLE_SECONDS)
+                if is_kept:
+                    call.sendall(REQUEST % b'first')
+                    await anyio.sleep(SETTLE_SECONDS)
+                    call.recv(LARGE_BYTES)
+                if name == 'stop':
+                    closing.set()
+                else:
+                    # The event loop stands still until the time is over.
+                    time.sleep(IDLE_SECONDS)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                with contextlib.suppress(ConnectionError):
+                    call.sendall(REQUEST % b'last')
+                await anyio.sleep(SETTLE_SECONDS)
+                closing.set()
+            received = b''
+            with call, contextlib.suppress(ConnectionError):
+                received = call.recv(LARGE_BYTES)
+            self.assertEqual('last' in app.ids, received.endswith(b'x'))
+
+        platform_fakes.run(test)
+
+
 class TestCallersThatReadLate(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
