HTTP server: only unparsed bytes keep an idle connection open

Cause: an idle connection with bytes was closed 0.1 s later without another look, so that a request which arrived whole at that moment was still closed under. Part of a head kept it for that time without need.

Fix: the close waits for bytes that are not parsed yet, a few turns of the event loop, and is one step with the look for them.

Evidence: no test reaches the window that is left, a single turn. tests.test_server_close, three runs, and tests.test_http_server and tests.test_intake pass.

--- a/src/persimmonpass/http_server.py
+++ b/src/persimmonpass/http_server.py
@@ -36,8 +36,8 @@
 STALL_SECONDS = 15.0
 # Time in which a caller has to read the rest of its last answer.
 CLOSE_SECONDS = 10.0
-# Time in which a request that has arrived is parsed. Part of a head is no
-# reason to keep an idle connection for longer.
+# Time in which bytes that have arrived are parsed, a few turns of the event
+# loop.
 PARSE_SECONDS = 0.1
 # Size of the head of a request, and of the head of a chunk.
 MAX_HEAD_BYTES = 32_768
@@ -241,8 +241,10 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.config.keep_alive_timeout):
                 await self.context.terminated.wait()
-        if self._counts.held:
-            await asyncio.sleep(PARSE_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PARSE_SECONDS):
+                while self._counts.has_unparsed:
+                    await asyncio.sleep(0)
         # Nothing is read between the last look and the close.
         self.writer.close()
 
--- a/src/persimmonpass/intake.py
+++ b/src/persimmonpass/intake.py
@@ -109,6 +109,11 @@
             return self._ahead + RECEIVE_BUFFER_BYTES
         return self._ahead
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes have arrived that have not been parsed."""
+        return self._ahead > 0
+
     @property
     def whole(self) -> int:
         """Bytes that are held for a request that has been read whole."""
