Batch runner: a runner that leaves the core hands its role over

Jobs accepted after the batch runner had left the core were never run, beside idle targets. Only core hosts keep copies of the jobs, so the runner got no new ones, and its claims kept the core hosts from taking over. A host outside the core loses the role once it hears nothing of its peers for 1.2 s, but one with callers or items of its own asks them for reports and stayed the runner.

It happens when a small host becomes the runner before larger ones have joined, as when a whole fleet starts at once.

Before: tests.test_idle_items had no result within 15 s; the last batch_runner_changed event was that of the host outside the core. Now that host resigns at the change and a core host claims the role within a tick, resuming items after the events that it was sent.

--- a/src/persimmonpass/controllers/batch/batch_role.py
+++ b/src/persimmonpass/controllers/batch/batch_role.py
@@ -1,9 +1,10 @@
 """Elects the host that runs batch items.
 
 The elected host, the batch runner, broadcasts its claim several times a
-second. It keeps the role as long as its claims arrive, because each change of
-the runner costs the work in progress. If two hosts claim the role, for
-example after a network partition, the one with the higher term keeps it.
+second. It keeps the role as long as its claims arrive and it is a candidate,
+because each change of the runner costs the work in progress. If two hosts
+claim the role, for example after a network partition, the one with the higher
+term keeps it.
 """
 
 import collections.abc
@@ -121,7 +122,7 @@
         now = anyio.current_time()
         if not (was_runner or self.is_candidate):
             self._settled_at = None
-        elif not self._may_run():
+        elif not self._may_run() or self._is_outside():
             if was_runner:
                 self._resign()
             self._settled_at = None
@@ -151,6 +152,13 @@
             )
         return was_runner != self.is_runner
 
+    def _is_outside(self) -> bool:
+        """Return whether other hosts have taken this one's place.
+
+        Such a host gets no more jobs, as only candidates keep copies of them.
+        """
+        return not self.is_candidate and bool(self._reachable_hosts())
+
     def _resign(self) -> None:
         self.is_runner = False
         self._broadcast_claim(anyio.current_time(), False)
--- /dev/null
+++ b/tests/test_idle_items.py
@@ -0,0 +1,76 @@
+"""Items that stay unfinished beside idle targets."""
+
+import itertools
+import unittest
+
+import anyio
+
+from tests import platform_fakes
+
+# In the order of the core, the first hosts come after all newcomers.
+FIRST = ('five', 'seven', 'two')
+NEWCOMERS = ('six', 'one', 'eight')
+JOIN_SECONDS = 1.0
+# After this time a host without callers hears of no requests at its peers.
+LEAVE_SECONDS = 2.0
+CALLS_PER_SECOND = 5
+
+
+async def find_runner(fleet):
+    """Wait until one host is the batch runner, and return its name."""
+    with anyio.fail_after(5):
+        while True:
+            names = [
+                name
+                for name, host in fleet.hosts.items()
+                if host._role.is_runner
+            ]
+            if len(names) == 1:
+                return names[0]
+            await anyio.sleep(0.02)
+
+
+async def keep_calling(fleet, host):
+    """Send requests to a host, as callers with an old entry answer do."""
+    for number in itertools.count():
+        await fleet.post('/notes/a', host=host, **{'Request-Id': f'r{number}'})
+        await anyio.sleep(1 / CALLS_PER_SECOND)
+
+
+class TestRunnerLeavesCore(unittest.TestCase):
+    def test_jobs_that_come_later_are_done(self):
+        """While it had callers it stayed the runner, but got no more jobs."""
+
+        async def test():
+            async with (
+                platform_fakes.fleet(FIRST, 1) as fleet,
+                anyio.create_task_group() as tasks,
+            ):
+                runner = await find_runner(fleet)
+                self.assertIn(runner, FIRST)
+                tasks.start_soon(keep_calling, fleet, runner)
+                for name in NEWCOMERS:
+                    await fleet.start_host(name, fleet.store_address)
+                    await anyio.sleep(JOIN_SECONDS)
+                await anyio.sleep(LEAVE_SECONDS)
+                host = fleet.hosts[NEWCOMERS[0]]
+                self.assertEqual({*NEWCOMERS}, {*host._core()})
+                answer = await fleet.post(
+                    '/jobs/j',
+                    platform_fakes.submission(),
+                    NEWCOMERS[0],
+                    **{'Request-Id': 'j'},
+                )
+                self.assertEqual(202, answer.status_code)
+                page = await fleet.results('j', 3, NEWCOMERS[0])
+                self.assertEqual(
+                    {'completed'}, {row['state'] for row in page['results']}
+                )
+                tasks.cancel_scope.cancel()
+
+        with platform_fakes.core_of(len(NEWCOMERS)):
+            platform_fakes.run(test)
+
+
+if __name__ == '__main__':
+    unittest.main()
