Items: broken connections no longer make an item pause like a crasher

Items that lost their connections before the first event paused for 4 to 60 s, although the targets had not ended and were idle. The runner counted each such run as a crash, while crash_watch and crash_parts ask target_ends first.

The pause follows from the crashes that are left, so that it ends with the last of them. Items whose target ends keep all their pauses.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -10,6 +10,7 @@
 
 from persimmonpass import blackboard
 from persimmonpass.controllers.targets import crash_parts
+from persimmonpass.controllers.targets import target_ends
 from persimmonpass.controllers.targets import target_paths
 from persimmonpass.controllers.targets import target_stats
 from persimmonpass import events
@@ -53,12 +54,13 @@
     :ivar failures: answers of status 500
     :ivar refusals: consecutive runs that targets refused
     :ivar errors_at: targets that answered it with an error, in order
-    :ivar crashes: consecutive runs under which a target probably crashed
+    :ivar crashed_at: when a target probably crashed under it, without an
+        answer since then, in seconds of the event loop's clock
     :ivar waits_for_event: whether a run is in progress that has no event yet
     :ivar broken_runs: consecutive runs that broke off without an event
     :ivar late_runs: consecutive runs that had no event in time
-    :ivar not_before: when the item may run again, in seconds of the event
-        loop's clock
+    :ivar not_before: when the item may run again, unless it pauses for
+        crashes, in seconds of the event loop's clock
     :ivar waits_since: since when the item waits for a free slot at the
         software version that began it; ``None`` if it does not wait
     :ivar target: target at which the item takes up a slot
@@ -74,7 +76,7 @@
         self.failures = 0
         self.refusals = 0
         self.errors_at: list[str] = []
-        self.crashes = 0
+        self.crashed_at: list[float] = []
         self.waits_for_event = False
         self.broken_runs = 0
         self.late_runs = 0
@@ -86,11 +88,24 @@
         self.done_at = 0.0
         self.route_missing_at: float | None = None
 
+    @property
+    def crashes(self) -> int:
+        """Number of consecutive runs under which a target crashed."""
+        return len(self.crashed_at)
+
     @property
     def is_suspect(self) -> bool:
         """Whether it may be what crashes targets."""
         return self.crashes >= batch_scheduling.MIN_SUSPECT_CRASHES
 
+    @property
+    def ready_at(self) -> float:
+        """When it may run again, in seconds of the event loop's clock."""
+        if not self.crashed_at:
+            return self.not_before
+        pause = batch_scheduling.suspect_pause(self.crashes)
+        return max(self.not_before, self.crashed_at[-1] + pause)
+
     @property
     def first_event_timeout(self) -> float:
         """Time in which the next run must have an event, in seconds."""
@@ -112,7 +127,13 @@
         paths: target_paths.TargetPaths,
         crashes: crash_parts.CrashParts,
         metrics: gateway_metrics.GatewayMetrics,
+        ends: target_ends.Ends | None = None,
     ) -> None:
+        """Create the attempts of a host.
+
+        :param ends: tells ends of targets from broken links
+        """
+        self._ends = ends or target_ends.AllEnd()
         self._host = host
         self._targets = targets
         self._crash_parts = crashes
@@ -337,7 +358,7 @@
                 item.text.add(event.data.decode(), event.id, origin)
                 if not is_answered:
                     is_answered = recall.is_answered = True
-                    item.crashes = 0
+                    item.crashed_at.clear()
                     item.waits_for_event = False
                     self._crash_parts.record_answer(call.prompt_parts)
         if reader.has_partial_event:
@@ -368,7 +389,7 @@
             has_answered = len(item.text.texts) > events_before
             is_crash = may_have_run and failure.status == BAD_GATEWAY
             if not has_answered and is_crash:
-                item.crashes += 1
+                self._record_crash(item, target.name)
                 self._crash_parts.record_crash(
                     call.id,
                     target.name,
@@ -381,13 +402,26 @@
                 item.late_runs = 0
             elif is_late:
                 item.late_runs += 1
-            pause = max(
-                batch_scheduling.retry_pause(item.broken_runs),
-                batch_scheduling.suspect_pause(item.crashes),
-            )
+            pause = batch_scheduling.retry_pause(item.broken_runs)
         item.not_before = anyio.current_time() + pause
         return failure.message
 
+    def _record_crash(self, item: LocalItem, target: str) -> None:
+        """Count a crash under an item, unless only its connection broke.
+
+        It counts until that is known, as a target may be back before.
+
+        :param target: name of the target
+        """
+        crashed_at = anyio.current_time()
+        item.crashed_at.append(crashed_at)
+
+        def decide(has_ended: bool) -> None:
+            if not has_ended and crashed_at in item.crashed_at:
+                item.crashed_at.remove(crashed_at)
+
+        self._ends.confirm(target, decide)
+
     def _record_status(
         self,
         key: tuple[str, int],
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -25,6 +25,7 @@
 from persimmonpass.controllers.online import admission_queue
 from persimmonpass.controllers.targets import crash_parts
 from persimmonpass.controllers.targets import occupancy
+from persimmonpass.controllers.targets import target_ends
 from persimmonpass.controllers.targets import target_limits
 from persimmonpass.controllers.targets import target_paths
 from persimmonpass.controllers.targets import target_stats
@@ -78,6 +79,7 @@
 class RunnerPorts(typing.NamedTuple):
     """Dependencies of the item runner.
 
+    :ivar ends: tells ends of targets from broken links
     :ivar read_account: returns the account of a job, empty for none
     """
 
@@ -93,6 +95,7 @@
     peers: peer_port.PeerPort
     metrics: gateway_metrics.GatewayMetrics
     role: batch_role.BatchRole
+    ends: target_ends.Ends = target_ends.AllEnd()
     read_account: collections.abc.Callable[[job_records.Job], str] = (
         lambda job: ''
     )
@@ -132,6 +135,7 @@
             ports.target_paths,
             ports.crash_parts,
             ports.metrics,
+            ports.ends,
         )
         self._holds = item_holds.ItemHolds(
             ports.crash_parts,
@@ -427,7 +431,7 @@
                     left *= policy.left_share(self._pace, len(item.text.texts))
                     if item.scope is not None or item.outcome is not None:
                         continue
-                    if now < item.not_before:
+                    if now < item.ready_at:
                         continue
                 pending = policy.Pending(
                     job_id,
--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -505,6 +505,7 @@
                 self._peers.port,
                 self.metrics,
                 self._role,
+                self._ends,
                 self._read_account,
             ),
         )
--- a/tests/test_idle_items.py
+++ b/tests/test_idle_items.py
@@ -14,6 +14,9 @@
 # After this time a host without callers hears of no requests at its peers.
 LEAVE_SECONDS = 2.0
 CALLS_PER_SECOND = 5
+RESET_SECONDS = 6.0
+# In which sound items run again once their targets are calm.
+RETRY_SECONDS = 4.0
 
 
 async def find_runner(fleet):
@@ -72,5 +75,28 @@
             platform_fakes.run(test)
 
 
+class TestBrokenConnections(unittest.TestCase):
+    def test_items_are_done_soon_after_the_last_one(self):
+        """Items waited as if they crashed targets, which had not ended."""
+
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                for server in fleet.servers:
+                    server.cut_after = 0
+                answer = await fleet.post(
+                    '/jobs/j',
+                    platform_fakes.submission(),
+                    **{'Request-Id': 'j'},
+                )
+                self.assertEqual(202, answer.status_code)
+                await anyio.sleep(RESET_SECONDS)
+                for server in fleet.servers:
+                    server.cut_after = None
+                with anyio.fail_after(RETRY_SECONDS):
+                    await fleet.results('j', 3)
+
+        platform_fakes.run(test)
+
+
 if __name__ == '__main__':
     unittest.main()
