Batch runner: the event of a change tells whether the host is in the core

Cause: the log could not distinguish a runner in the core from one outside it, which gets no new jobs.

--- a/src/persimmonpass/controllers/batch/batch_role.py
+++ b/src/persimmonpass/controllers/batch/batch_role.py
@@ -148,6 +148,7 @@
                 runs=self.is_runner,
                 term=self._claim.term,
                 holder=self._claim.host,
+                candidate=self.is_candidate,
                 reached=len(self._reachable_hosts()),
             )
         return was_runner != self.is_runner
--- a/src/persimmonpass/events.py
+++ b/src/persimmonpass/events.py
@@ -701,7 +701,8 @@
     614,
     'batch_runner_changed',
     Level.INFO,
-    'This host started or stopped running batch items.',
+    'This host started or stopped running batch items. The fields tell '
+    'whether it may run them and how many other candidates it reaches.',
 )
 RETIREMENT_COMPLETED = Event(
     704,
