Crash parts: a trial that no target ran is repeated soon

Items with a refused part stayed held beside idle targets, up to 60 s after targets had refused their trials. A trial that was refused, not connected or sent to a replaced target counted like one whose link broke, and doubled the pause (4, 8, 16, 32, 60 s).

Before: with targets that refuse everything for 8 s the items of the new test were not done 4 s later (the trial was due 6 s after it, and 15 s after a refusal of 15 s). Now such a trial is taken back and is due again after 2 s. It has reached no target that could crash, so that a part that crashes targets does so no more often; trials that crashed one, or whose link broke, pause as before.

tests.test_refused_work, test_online_faults (74), test_crashing_items and test_crash_watch pass.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -213,6 +213,8 @@
             head_seconds=item.first_event_timeout,
         ) as opened:
             if isinstance(opened, result.Err):
+                verdict = opened.err_value.verdict
+                recall.not_run = verdict is verdicts.Verdict.NOT_RUN
                 return self._record_failure(
                     call, item, target, opened.err_value, events_before, began
                 )
@@ -240,8 +242,10 @@
         head = answer.head
         if head.is_misdirected:
             self._target_stats.record_replaced(target.name)
+            recall.not_run = True
             return 'another target has the address'
         if head.not_run:
+            recall.not_run = True
             item.refusals += 1
             pause = refusals.item_pause(item.refusals)
             item.not_before = anyio.current_time() + pause
--- a/src/persimmonpass/controllers/online/route_proxy.py
+++ b/src/persimmonpass/controllers/online/route_proxy.py
@@ -278,7 +278,9 @@
             request.failure = _refused_part()
             return _End.REFUSED
         with self._ports.crash_parts.recallable(parts) as recall:
-            return await self._send_recallable(request, target, recall)
+            end = await self._send_recallable(request, target, recall)
+            recall.not_run = end is _End.NOT_RUN
+            return end
         # It was recalled, and may have run.
         request.failure = _refused_part()
         return _End.BROKEN
--- a/src/persimmonpass/controllers/targets/crash_parts.py
+++ b/src/persimmonpass/controllers/targets/crash_parts.py
@@ -51,6 +51,7 @@
     :ivar since: local clock at the decision, in seconds
     :ivar trials: number of trials since then
     :ivar failures: number of these trials that crashed a target
+    :ivar not_run: number of trials of this host that no target ran
     :ivar next_trial_at: local clock at the next trial, in seconds
     """
 
@@ -58,6 +59,7 @@
         self.since = since
         self.trials = trials
         self.failures = 0
+        self.not_run = 0
         self.next_trial_at = 0.0
         self.set_trials(trials)
 
@@ -66,7 +68,7 @@
         self.trials = trials
         self.next_trial_at = anyio.current_time() + max(
             policy.trial_pause(self.failures),
-            policy.retrial_pause(trials - self.failures),
+            policy.retrial_pause(trials - self.failures - self.not_run),
         )
 
     def add_failure(self) -> None:
@@ -76,6 +78,14 @@
             self.failures
         )
 
+    def drop_trial(self) -> None:
+        """Take back the last trial, as no target ran it."""
+        if self.failures + self.not_run < self.trials:
+            self.not_run += 1
+            self.next_trial_at = (
+                anyio.current_time() + policy.FIRST_TRIAL_SECONDS
+            )
+
 
 class Recall:
     """A run that is cancelled when a part of its prompt becomes refused.
@@ -83,12 +93,14 @@
     :ivar scope: cancels the run
     :ivar parts: ids of the parts of its prompt that others may share
     :ivar is_answered: whether the run has been answered, so that it goes on
+    :ivar not_run: whether no target ran it
     """
 
     def __init__(self, parts: collections.abc.Sequence[str]) -> None:
         self.scope = anyio.CancelScope()
         self.parts = frozenset(_shared(parts))
         self.is_answered = False
+        self.not_run = False
 
 
 class CrashParts:
@@ -201,6 +213,9 @@
                 yield recall
         finally:
             self._running.discard(recall)
+            if recall.not_run:
+                for _, refused in self._find_refused(parts):
+                    refused.drop_trial()
 
     def record_crash(
         self,
--- a/tests/test_idle_items.py
+++ b/tests/test_idle_items.py
@@ -15,6 +15,8 @@
 LEAVE_SECONDS = 2.0
 CALLS_PER_SECOND = 5
 RESET_SECONDS = 6.0
+REFUSE_SECONDS = 8.0
+PART = 'shared'
 # In which sound items run again once their targets are calm.
 RETRY_SECONDS = 4.0
 
@@ -40,6 +42,25 @@
         await anyio.sleep(1 / CALLS_PER_SECOND)
 
 
+async def refuse(table):
+    """Let a host refuse a part of prompts for crashes of other requests."""
+    for number in range(3):
+        table.record_crash(f'r{number}', f'gone{number}', (PART, 'own'), 0.01)
+        await anyio.sleep(0.05)
+
+
+async def submit(fleet, job, parts, count=1):
+    """Submit a job whose items have the same parts of a prompt."""
+    headers = {'Model': 'm', 'Prompt-Prefix': parts}
+    answer = await fleet.post(
+        '/jobs/j',
+        platform_fakes.submission(count, headers=headers),
+        **{'Request-Id': job},
+    )
+    if answer.status_code != 202:
+        raise ValueError(f'expected status 202, got {answer.status_code}')
+
+
 class TestRunnerLeavesCore(unittest.TestCase):
     def test_jobs_that_come_later_are_done(self):
         """While it had callers it stayed the runner, but got no more jobs."""
@@ -98,5 +119,25 @@
         platform_fakes.run(test)
 
 
+class TestRefusedTrials(unittest.TestCase):
+    def test_part_is_tried_soon_after_the_last_refusal(self):
+        """Trials that targets refused doubled the pause until the next."""
+
+        async def test():
+            async with platform_fakes.fleet(count=2) as fleet:
+                await refuse(fleet.hosts['one']._crash_parts)
+                for server in fleet.servers:
+                    server.refuses_all = True
+                await submit(fleet, 'j', f'{PART}:9,own:5', 3)
+                await anyio.sleep(REFUSE_SECONDS)
+                self.assertLess(0, sum(s.refused for s in fleet.servers))
+                for server in fleet.servers:
+                    server.refuses_all = False
+                with anyio.fail_after(RETRY_SECONDS):
+                    await fleet.results('j', 3)
+
+        platform_fakes.run(test)
+
+
 if __name__ == '__main__':
     unittest.main()
