Items: the trial of a refused part starts apart from other items

Sound items with a refused part stayed held for 8 s, then 32 s, beside idle targets, because their trial was in progress at a target that another item crashed. The crash counted as that of the part.

Before: an item that crashes its target started with the trial in the same pass, and the sound item of the new test was not done within 4 s; its next trial was 8 s away. Now the trial starts as a suspect does: where no other item waits for its first event, and none starts beside it until it has one.

--- a/src/persimmonpass/controllers/batch/item_attempt.py
+++ b/src/persimmonpass/controllers/batch/item_attempt.py
@@ -56,6 +56,7 @@
     :ivar errors_at: targets that answered it with an error, in order
     :ivar crashed_at: when a target probably crashed under it, without an
         answer since then, in seconds of the event loop's clock
+    :ivar is_trial: whether its run is the trial of a refused part
     :ivar waits_for_event: whether a run is in progress that has no event yet
     :ivar broken_runs: consecutive runs that broke off without an event
     :ivar late_runs: consecutive runs that had no event in time
@@ -77,6 +78,7 @@
         self.refusals = 0
         self.errors_at: list[str] = []
         self.crashed_at: list[float] = []
+        self.is_trial = False
         self.waits_for_event = False
         self.broken_runs = 0
         self.late_runs = 0
--- a/src/persimmonpass/controllers/batch/item_holds.py
+++ b/src/persimmonpass/controllers/batch/item_holds.py
@@ -13,6 +13,8 @@
     """The items that wait for a trial.
 
     :ivar waiting: number of items that waited at the last look
+    :ivar trials: items that might start at the last look, and whose run is the
+        trial of a part
     """
 
     def __init__(
@@ -23,6 +25,7 @@
         :param read_parts: returns the ids of the parts of an item's prompt
         """
         self.waiting = 0
+        self.trials: set[tuple[str, int]] = set()
         self._crash_parts = crashes
         self._read_parts = read_parts
         # Reading the parts of all items at each look would take too long.
@@ -48,6 +51,7 @@
             under an item
         """
         self.waiting = 0
+        self.trials = set()
         if not self._crash_parts.refused_count:
             self._parts.clear()
             return pending
@@ -62,7 +66,9 @@
             ):
                 held.add((row.job, row.item))
                 continue
-            tried |= refused
+            if refused:
+                tried |= refused
+                self.trials.add((row.job, row.item))
         self.waiting = len(held)
         return [row for row in pending if (row.job, row.item) not in held]
 
--- a/src/persimmonpass/controllers/batch/item_runner.py
+++ b/src/persimmonpass/controllers/batch/item_runner.py
@@ -522,7 +522,10 @@
             ):
                 continue
             waiting = self._ports.occupied.waiting(service).total
-            is_suspect = known is not None and known.is_suspect
+            key = (pending.job, number)
+            is_trial = key in self._holds.trials
+            # A trial that another item's crash ends says nothing.
+            is_suspect = is_trial or known is not None and known.is_suspect
             usable_loads = loads[service]
             if unanswered and (is_suspect or any(unanswered.values())):
                 usable_loads = policy.apart(
@@ -535,7 +538,6 @@
                 if not is_suspect:
                     full_for[service] = tokens
                 continue
-            key = (pending.job, number)
             item = self._items.setdefault(key, item_attempt.LocalItem())
             if item.text.origin is not None:
                 name = self._pick_to_resume(
@@ -545,6 +547,7 @@
             if target is None:
                 continue
             item.target = target.name
+            item.is_trial = is_trial
             item.waits_for_event = True
             unanswered[target.name] = is_suspect
             item.scope = anyio.CancelScope()
@@ -567,8 +570,10 @@
         found: dict[str, bool] = {}
         for item in self._running.values():
             if item.target is not None and item.waits_for_event:
-                found[item.target] = item.is_suspect or found.get(
-                    item.target, False
+                found[item.target] = (
+                    item.is_suspect
+                    or item.is_trial
+                    or found.get(item.target, False)
                 )
         return found
 
--- a/tests/test_idle_items.py
+++ b/tests/test_idle_items.py
@@ -17,6 +17,7 @@
 RESET_SECONDS = 6.0
 REFUSE_SECONDS = 8.0
 PART = 'shared'
+DEADLY = 'dead'
 # In which sound items run again once their targets are calm.
 RETRY_SECONDS = 4.0
 
@@ -138,6 +139,30 @@
 
         platform_fakes.run(test)
 
+    def test_trial_runs_apart_from_other_items(self):
+        """Another item crashed the target, so that the trial failed."""
+
+        async def test():
+            async with platform_fakes.fleet(count=1) as fleet:
+                server = fleet.servers[0]
+                server.deadly_part = DEADLY
+                server.crash_ends_all = True
+                server.read_seconds = 0.1
+                table = fleet.hosts['one']._crash_parts
+                await refuse(table)
+                await find_runner(fleet)
+                await submit(fleet, 'sound', f'{PART}:9,own:5')
+                (refused,) = table._refused.values()
+                await anyio.sleep(
+                    refused.next_trial_at - anyio.current_time() - 0.2
+                )
+                await submit(fleet, 'deadly', f'{DEADLY}:5')
+                with anyio.fail_after(RETRY_SECONDS):
+                    await fleet.results('sound', 1)
+                self.assertLess(1, server.crashes)
+
+        platform_fakes.run(test)
+
 
 if __name__ == '__main__':
     unittest.main()
