Intake: a request on a connection closed for others does not run

What callers saw: when a process had as many connections as it may, the one that had been idle for longest was closed for a new caller. A request that had just arrived on it was run and might have been passed on, without an answer.

Cause: a connection counts as serving only once its request has been taken whole. An aborted connection keeps the bytes that it has received, so that they are still parsed, and a request that has been parsed still goes to the application.

Fix: the bytes of a connection that does not count any more are dropped, and its request is not taken, as if there were no room.

The rest of test_server_close, test_http_server and test_intake pass.

--- a/src/persimmonpass/http_server.py
+++ b/src/persimmonpass/http_server.py
@@ -63,10 +63,14 @@
         self.counts.record_arrived(len(data))
 
     async def read(self, n: int = -1) -> bytes:
-        """Return the next bytes, which become part of the present request."""
+        """Return the next bytes, which become part of the present request.
+
+        Nothing is left of what had arrived before the connection was closed
+        to make room: a request in it could not be answered.
+        """
         data = await super().read(n)
         self.counts.record_parsed(len(data))
-        return data
+        return data if self.counts.is_open else b''
 
 
 class _Messages:
--- a/src/persimmonpass/intake.py
+++ b/src/persimmonpass/intake.py
@@ -147,10 +147,11 @@
         """Take a request that has been read whole.
 
         :param copies: how often the request is held while it is served
-        :returns: whether there is room; if not, it has to be refused
+        :returns: whether there is room and the connection is open; if not,
+            it has to be refused
         """
         size = max(1, self._request * copies)
-        if not self._intake.has_room(size):
+        if not self.is_open or not self._intake.has_room(size):
             return False
         self._change(whole=size - self._whole)
         return True
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -159,6 +159,65 @@
         platform_fakes.run(test)
 
 
+class TestClosedForOthers(unittest.TestCase):
+    @parameterized.parameterized.expand(
+        [
+            (name, turns)
+            for name in ('before the other caller', 'after it')
+            # Turns of the event loop between the two.
+            for turns in range(4)
+        ]
+    )
+    def test_request_at_the_close_is_answered_or_not_run(self, name, turns):
+        """Guards against requests that run when their connection is gone."""
+
+        async def test():
+            app = App(closes=False)
+
+            async def run_whole(scope, receive, send):
+                if intake.find(scope).take_whole():
+                    await app(scope, receive, send)
+
+            options = hypercorn.config.Config()
+            options.accesslog = options.errorlog = None
+            server = http_server.HttpServer(
+                app_wrappers.ASGIWrapper(run_whole),
+                options,
+                intake.Intake(intake.Limits(1_000_000, 1)),
+            )
+            closing = anyio.Event()
+            listener = servers.listen('127.0.0.1:0')
+            address = listener.getsockname()
+            call = socket.create_connection(address)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(server.serve, listener, None, closing.wait)
+                await anyio.sleep(SETTLE_SECONDS)
+                call.sendall(REQUEST % b'first')
+                await anyio.sleep(SETTLE_SECONDS)
+                call.recv(LARGE_BYTES)
+                steps = [
+                    lambda: call.sendall(REQUEST % b'last'),
+                    lambda: opened.append(socket.create_connection(address)),
+                ]
+                opened = []
+                if name == 'after it':
+                    steps.reverse()
+                steps[0]()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                with contextlib.suppress(ConnectionError):
+                    steps[1]()
+                await anyio.sleep(SETTLE_SECONDS)
+                closing.set()
+            received = b''
+            with call, opened[0], contextlib.suppress(ConnectionError):
+                received = call.recv(LARGE_BYTES)
+            self.assertIn('first', app.ids)
+            self.assertEqual('last' in app.ids, received.endswith(b'x'))
+
+        platform_fakes.run(test)
+
+
 class TestCallersThatReadLate(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
