--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -40,6 +40,7 @@
 
     :ivar error_status: status of every answer, ``None`` to answer normally
     :ivar silent: whether calls are never answered
+    :ivar page_rows: most objects on a page of a list
     :ivar raw: JSON that answers have in place of the texts ``@NAME``, by name
     """
 
@@ -47,6 +48,7 @@
         self.memory = memory or record_fakes.MemoryRecords()
         self.error_status = None
         self.silent = False
+        self.page_rows = 2
         self.raw = {}
         path = '/persimmonpass/objects/{kind}'
         self.app = applications.Starlette(
@@ -136,8 +138,8 @@
         rows = [row for row in outcome.ok_value.records if row.name > after]
         return self._respond(
             {
-                'items': [self._encode(row) for row in rows[:2]],
-                'hasMore': len(rows) > 2,
+                'items': [self._encode(row) for row in rows[: self.page_rows]],
+                'hasMore': len(rows) > self.page_rows,
                 'storeRevision': outcome.ok_value.version,
             }
         )
