--- a/tests/test_job_log.py
+++ b/tests/test_job_log.py
@@ -520,6 +520,18 @@
 
         self.run_with_roles(test, core=core_hosts)
 
+    def test_runner_outside_a_changed_core_hands_over_and_stays_out(self):
+        async def test(roles):
+            self.assertEqual(['host-0'], roles.runners())
+            roles.core = ['host-1', 'host-2']
+            await anyio.sleep(0.2)
+            self.assertEqual(['host-1'], roles.runners())
+            roles.core = ['host-0', 'host-1']
+            await anyio.sleep(5)
+            self.assertEqual(['host-1'], roles.runners())
+
+        self.run_with_roles(test, core=['host-0', 'host-1'])
+
     def test_conflicting_claims_leave_one_runner(self):
         async def test(roles):
             for role in roles.roles.values():
