--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -73,7 +73,7 @@
 
 
 class TestCrowd(unittest.TestCase):
-    @parameterized.parameterized.expand([(150,), (400,)])
+    @parameterized.parameterized.expand([(250,), (400,)])
     def test_crowd_takes_no_more_descriptors_than_allowed(self, count):
         limits = intake.Limits(1_000_000, CONNECTIONS)
 
