Callers: an unused connection is kept for as long as is configured

What callers saw: a request that they sent on a connection after more than five seconds without one could meet its close and end without an answer, although the configuration lets them use connections for 15 s.

Cause: the limit of idle time was read and not enforced; the HTTP library closed connections after its own five seconds, within the time in which callers still use them.

Evidence: tests.test_server_close.TestIdleLimit, limits of 0.5 and 7 s: closed after 5.0 s before, within a second of the limit now.

Fix: the limit of the configuration in force decides, from the moment at which a connection becomes idle. At the limit of connections, the one that is unused for longest is closed, as before.

--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -59,6 +59,7 @@
 from persimmonpass.policy import membership as membership_policy
 from persimmonpass.policy import watching
 from persimmonpass import records
+from persimmonpass import routes
 from persimmonpass import servers
 from persimmonpass.targets import opaque
 from persimmonpass.targets import pools
@@ -237,6 +238,7 @@
                         self._http_grace_seconds,
                         None,
                         self._callers,
+                        self._idle_seconds if name == 'caller' else None,
                     )
             events.log(
                 events.DAEMON_STARTED,
@@ -253,6 +255,16 @@
             with anyio.move_on_after(DEREGISTER_SECONDS):
                 await self._membership.deregister()
 
+    def _idle_seconds(self) -> float:
+        """Return how long connections of callers may stay unused.
+
+        A caller may send its next request until then. If the connection were
+        closed sooner, the request could cross the close.
+        """
+        known = self.board.routes.get(catalog.ROUTES_KEY)
+        limits = known.limits if known is not None else routes.Limits()
+        return limits.idle_seconds
+
     def _http_grace_seconds(self) -> float:
         """Return how long callers may go on to read answers after the drain.
 
--- a/src/persimmonpass/http_server.py
+++ b/src/persimmonpass/http_server.py
@@ -167,6 +167,7 @@
             reader,
             writer,
         )
+        self._server = server
         self._counts = counts
 
     async def run(self) -> None:
@@ -243,7 +244,7 @@
         that is not parsed yet, and runs the application for it all the same.
         """
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.config.keep_alive_timeout):
+            async with asyncio.timeout(self._server.idle_seconds()):
                 await self.context.terminated.wait()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PARSE_SECONDS):
@@ -275,6 +276,7 @@
 
     :ivar app: the application
     :ivar options: options of the parser
+    :ivar idle_seconds: returns how long a connection may stay unused
     :ivar context: state that the connections share
     """
 
@@ -283,13 +285,19 @@
         app: http_typing.AppWrapper,
         options: config.Config,
         callers: intake.Intake,
+        idle_seconds: collections.abc.Callable[[], float] | None = None,
     ) -> None:
         """Create a server without connections.
 
         :param callers: the connections of all servers of the process
+        :param idle_seconds: returns how long a connection may stay unused;
+            by default as long as ``options`` say
         """
         self.app = app
         self.options = options
+        self.idle_seconds = idle_seconds or (
+            lambda: options.keep_alive_timeout
+        )
         self.context = worker_context.WorkerContext(None)
         self._callers = callers
         self._tasks: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
--- a/src/persimmonpass/routes.py
+++ b/src/persimmonpass/routes.py
@@ -98,8 +98,7 @@
     """Limits on what callers send.
 
     :ivar body_bytes: size of the largest body
-    :ivar idle_seconds: how long a connection may stay unused; read, but not
-        enforced
+    :ivar idle_seconds: how long a connection of a caller may stay unused
     """
 
     body_bytes: int = 4_194_304
--- a/src/persimmonpass/servers.py
+++ b/src/persimmonpass/servers.py
@@ -34,6 +34,7 @@
     ),
     context: ssl.SSLContext | None = None,
     callers: intake.Intake | None = None,
+    idle_seconds: collections.abc.Callable[[], float] | None = None,
 ) -> None:
     """Serve an application on a bound socket until an event is set.
 
@@ -48,6 +49,8 @@
         ``None`` for no TLS
     :param callers: connections of the process, which share its limits;
         ``None`` for a server with limits of its own
+    :param idle_seconds: returns how long a connection may stay unused;
+        ``None`` for the default of the HTTP library
     """
     options = hypercorn.config.Config()
     options.accesslog = None
@@ -65,6 +68,7 @@
         app_wrappers.ASGIWrapper(app),
         options,
         callers or intake.Intake(intake.limits_for()),
+        idle_seconds,
     )
 
     async def serve() -> None:
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -159,6 +159,34 @@
         platform_fakes.run(test)
 
 
+class TestIdleLimit(unittest.TestCase):
+    @parameterized.parameterized.expand([(0.5,), (7.0,)])
+    def test_unused_connection_is_kept_as_long_as_configured(self, seconds):
+        """Guards against closes that cross requests callers may send."""
+
+        async def test():
+            config = platform_fakes.configuration()
+            config['limits']['idleTimeoutMs'] = 1000 * seconds
+            async with platform_fakes.fleet(config=config) as fleet:
+                host, _, port = fleet.addresses['one'].rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                request = stop_load.head_of(
+                    stop_load.Attempt('r1', 'c', '/notes/a'),
+                    Content_Length=0,
+                )
+                writer.write(request)
+                await reader.readuntil(b'0\r\n\r\n')
+                answered_at = anyio.current_time()
+                with anyio.fail_after(2 * seconds + 1):
+                    self.assertEqual(b'', await reader.read())
+                kept_seconds = anyio.current_time() - answered_at
+                self.assertGreater(kept_seconds, 0.9 * seconds)
+                self.assertLess(kept_seconds, seconds + 1)
+                writer.close()
+
+        platform_fakes.run(test)
+
+
 class TestClosedForOthers(unittest.TestCase):
     @parameterized.parameterized.expand(
         [
