Callers: a limit of idle time of zero counts as not set

What callers would see: with a limit of zero each connection would be closed after its first answer.

Fix: zero or less means the default.

Evidence: tests.test_server_close.TestIdleLimit, limits of 0.5 s, 7 s and zero: passes; without the fix the row of zero closes at once (by reading).

--- a/src/persimmonpass/gateway.py
+++ b/src/persimmonpass/gateway.py
@@ -263,7 +263,9 @@
         """
         known = self.board.routes.get(catalog.ROUTES_KEY)
         limits = known.limits if known is not None else routes.Limits()
-        return limits.idle_seconds
+        if limits.idle_seconds > 0:
+            return limits.idle_seconds
+        return routes.Limits().idle_seconds
 
     def _http_grace_seconds(self) -> float:
         """Return how long callers may go on to read answers after the drain.
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -160,13 +160,15 @@
 
 
 class TestIdleLimit(unittest.TestCase):
-    @parameterized.parameterized.expand([(0.5,), (7.0,)])
-    def test_unused_connection_is_kept_as_long_as_configured(self, seconds):
+    @parameterized.parameterized.expand([(0.5, 0.5), (7.0, 7.0), (0, 15.0)])
+    def test_unused_connection_is_kept_as_long_as_configured(
+        self, configured, seconds
+    ):
         """Guards against closes that cross requests callers may send."""
 
         async def test():
             config = platform_fakes.configuration()
-            config['limits']['idleTimeoutMs'] = 1000 * seconds
+            config['limits']['idleTimeoutMs'] = 1000 * configured
             async with platform_fakes.fleet(config=config) as fleet:
                 host, _, port = fleet.addresses['one'].rpartition(':')
                 reader, writer = await asyncio.open_connection(host, int(port))
